--- /dev/null
+++ b/Makefile
@@ -0,0 +1,90 @@
+# Targets: all, check, demo, bench, fuzz, format, format-check, lint, packages,
+# clean.  SANITIZE=address,undefined or SANITIZE=thread builds into its own
+# folder.
+
+CC ?= cc
+SANITIZE ?=
+comma := ,
+BUILD := build$(if $(SANITIZE),-$(firstword $(subst $(comma), ,$(SANITIZE))))
+
+PACKAGES := apr-1 libmicrohttpd msgpack glib-2.0 json-glib-1.0 libxxhash \
+            libevent
+CFLAGS_BASE := -std=gnu11 -O2 -g -Wall -Wextra -Wshadow -Wstrict-prototypes \
+               -Wmissing-prototypes -Wno-unused-parameter -Werror \
+               -fno-omit-frame-pointer
+CPPFLAGS_BASE := -Isrc $(shell pkg-config --cflags $(PACKAGES)) -D_GNU_SOURCE
+LIBS := $(shell pkg-config --libs $(PACKAGES)) -lm -lpthread
+ifneq ($(SANITIZE),)
+CFLAGS_BASE += -fsanitize=$(SANITIZE) -fno-sanitize-recover=all
+LDFLAGS_BASE := -fsanitize=$(SANITIZE)
+endif
+
+# Each src/ file is a module but for the two programs; ctl_*.c belong to
+# almondvalectl alone.
+PROGRAMS := almondvaled almondvalectl
+CTL_SRC := $(wildcard src/ctl_*.c)
+LIB_SRC := $(filter-out $(PROGRAMS:%=src/%.c) $(CTL_SRC), $(wildcard src/*.c))
+LIB_OBJ := $(LIB_SRC:src/%.c=$(BUILD)/%.o)
+CTL_OBJ := $(CTL_SRC:src/%.c=$(BUILD)/%.o)
+PROGRAM_BIN := $(foreach p,$(PROGRAMS),$(if $(wildcard src/$(p).c),$(BUILD)/$(p)))
+STANDIN_BIN := $(patsubst standins/%.c,$(BUILD)/%,$(wildcard standins/*.c))
+BENCH_BIN := $(patsubst bench/%.c,$(BUILD)/%,$(wildcard bench/*.c))
+TEST_BIN := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c))
+FORMAT_SRC := $(wildcard src/*.[ch] tests/*.[ch] standins/*.[ch] bench/*.[ch])
+
+.PHONY: all check unit packages demo bench fuzz format format-check lint clean
+.SECONDARY:
+
+all: $(BUILD)/libalmondvale.a $(PROGRAM_BIN) $(STANDIN_BIN) $(BENCH_BIN)
+
+$(BUILD)/libalmondvale.a: $(LIB_OBJ)
+	rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/%.o: src/%.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS_BASE) $(CPPFLAGS) $(CFLAGS_BASE) $(CFLAGS) -MMD -c $< -o $@
+
+$(BUILD)/almondvaled: $(BUILD)/almondvaled.o $(BUILD)/libalmondvale.a
+	$(CC) $(LDFLAGS_BASE) $^ $(LIBS) -o $@
+
+$(BUILD)/almondvalectl: $(BUILD)/almondvalectl.o $(CTL_OBJ) $(BUILD)/libalmondvale.a
+	$(CC) $(LDFLAGS_BASE) $^ $(LIBS) -o $@
+
+$(BUILD)/%: standins/%.c $(BUILD)/libalmondvale.a
+	$(CC) $(CPPFLAGS_BASE) $(CPPFLAGS) $(CFLAGS_BASE) -MMD -MF $@.d $(LDFLAGS_BASE) $< $(BUILD)/libalmondvale.a $(LIBS) -o $@
+
+$(BUILD)/%: bench/%.c $(BUILD)/libalmondvale.a
+	$(CC) $(CPPFLAGS_BASE) $(CPPFLAGS) $(CFLAGS_BASE) -MMD -MF $@.d $(LDFLAGS_BASE) $< $(BUILD)/libalmondvale.a $(LIBS) -o $@
+
+$(BUILD)/tests/%: tests/%.c $(BUILD)/libalmondvale.a
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS_BASE) $(CPPFLAGS) $(CFLAGS_BASE) -Itests $(shell pkg-config --cflags check) -MMD -MF $@.d $(LDFLAGS_BASE) $< $(BUILD)/libalmondvale.a $(LIBS) $(shell pkg-config --libs check) -o $@
+
+packages:
+	tools/install-packages
+
+# The unit tests of one build; `make check` is the README's test command.
+unit: all $(TEST_BIN)
+	tools/run-tests $(BUILD) $(TEST_BIN)
+
+check: packages
+	$(MAKE) unit
+
+format:
+	clang-format -i $(FORMAT_SRC)
+
+format-check:
+	clang-format --dry-run -Werror $(FORMAT_SRC)
+
+lint:
+	cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 -j $$(nproc) \
+	  --enable=warning,performance,portability \
+	  --suppress=missingIncludeSystem -Isrc $(wildcard src/*.c standins/*.c bench/*.c)
+	printf '%s\n' $(wildcard src/*.c standins/*.c bench/*.c) \
+	  | xargs -P $$(nproc) -I{} clang-tidy --quiet {} -- -std=gnu11 $(CPPFLAGS_BASE)
+
+clean:
+	rm -rf build build-*
+
+-include $(wildcard $(BUILD)/*.d) $(wildcard $(BUILD)/tests/*.d)
--- /dev/null
+++ b/src/err.h
@@ -0,0 +1,110 @@
+/* err: the closed list of error kinds and the answer that each gives.
+
+   Every error that a caller, a peer or an operator can be told has one kind
+   here.  docs/errors.md lists the same table for readers.  */
+
+#ifndef ALMONDVALE_ERR_H
+#define ALMONDVALE_ERR_H
+
+#include "str.h"
+
+#include <glib.h>
+#include <stdbool.h>
+
+/* Types */
+
+/* The numbers travel in frames: append only.  */
+enum err_kind
+{
+  ERR_NONE = 0,
+  ERR_BAD_REQUEST,
+  ERR_KEY_MISSING,
+  ERR_KEY_UNKNOWN,
+  ERR_KEY_IN_REQUEST,
+  ERR_HOP_TOKEN_INVALID,
+  ERR_WORKSPACE_FORBIDDEN,
+  ERR_ROUTE_UNKNOWN,
+  ERR_METHOD_NOT_ALLOWED,
+  ERR_BODY_TOO_LARGE,
+  ERR_HEADERS_TOO_LARGE,
+  ERR_DEPTH_EXCEEDED,
+  ERR_IDEMPOTENCY_KEY_INVALID,
+  ERR_IDEMPOTENCY_KEY_EXPIRED,
+  ERR_IDEMPOTENCY_KEY_RUNNING,
+  ERR_IDEMPOTENCY_KEY_REUSED,
+  ERR_RATE_EXCEEDED,
+  ERR_RATE_UNAVAILABLE,
+  ERR_REGISTRY_UNAVAILABLE,
+  ERR_STALE_CONFIGURATION,
+  ERR_OVERLOADED,
+  ERR_DEADLINE_NOT_RUN,
+  ERR_DEADLINE_RUNNING,
+  ERR_NO_BACKEND,
+  ERR_BACKEND_LEAVING,
+  ERR_BACKEND_UNREACHABLE,
+  ERR_BACKEND_FAILED,
+  ERR_ANSWER_TOO_LARGE,
+  ERR_OUTCOME_UNKNOWN,
+  ERR_CANCELLED_NOT_RUN,
+  ERR_CANCELLED_RUNNING,
+  ERR_SHUTTING_DOWN,
+  ERR_TOO_MANY_REQUESTS_OPEN,
+  ERR_INTERNAL,
+  ERR_SETTINGS_INVALID,
+  ERR_INVENTORY_INVALID,
+  ERR_CHANGE_CONFLICT,
+  ERR_STORE_UNAVAILABLE,
+  ERR_STORE_CONFLICT,
+  ERR_STORE_OUTCOME_UNKNOWN,
+  ERR_NOT_FOUND,
+  ERR_PROTOCOL,
+  ERR_KINDS /* count of kinds */
+};
+
+/* Whether the request ran at a backend server.  */
+enum err_ran
+{
+  ERR_RAN_NO,   /* certainly not run */
+  ERR_RAN_MAYBE /* may have run */
+};
+
+/* What the caller should do next.  */
+enum err_retry
+{
+  ERR_RETRY_NEVER,      /* the same request fails again */
+  ERR_RETRY_LATER,      /* retry after retry_after_ms */
+  ERR_RETRY_IDEMPOTENT, /* retry only an idempotent request, or one with the
+                           same idempotency key */
+};
+
+struct err_answer
+{
+  const char *name; /* stable name in the answer's body */
+  int status;       /* HTTP status */
+  enum err_ran ran; /* outcome told to the caller */
+  enum err_retry retry;
+  int retry_after_ms; /* smallest wait before a retry, 0 if none */
+  const char *text;   /* one sentence for people */
+};
+
+/* Constants */
+
+#define ERR_QUARK (err_quark ())
+
+/* Public functions */
+
+/* GError domain; the code is an enum err_kind */
+GQuark err_quark (void);
+/* row of the answer table; an unknown kind gives ERR_INTERNAL's */
+const struct err_answer *err_get_answer (enum err_kind kind);
+/* kind of a stable name, or ERR_KINDS */
+enum err_kind err_find_kind (struct str name);
+/* JSON body of the answer to a caller */
+void err_append_body (struct str_buf *out, enum err_kind kind,
+                      struct str detail);
+/* stable name of a retry advice */
+const char *err_get_retry_name (enum err_retry retry);
+/* true if a request that failed so certainly did not run */
+bool err_is_not_run (enum err_kind kind);
+
+#endif
--- /dev/null
+++ b/src/wire.c
@@ -0,0 +1,459 @@
+/* wire: the messages between daemons and their msgpack encoding.  */
+
+#include "wire.h"
+
+#include "frame.h"
+#include "scan.h"
+
+#include <glib.h>
+#include <msgpack.h>
+#include <string.h>
+
+/* Types */
+
+/* Reads the members of a msgpack array in order; `failed` is set on the first
+   member that is missing or of another type.  */
+struct reader
+{
+  const msgpack_object *items;
+  uint32_t len;
+  uint32_t next;
+  bool failed;
+};
+
+/* Internal functions: encoding */
+
+static void
+pack_str (msgpack_packer *p, struct str s)
+{
+  msgpack_pack_str_with_body (p, s.data, s.len);
+}
+
+static void
+pack_bin (msgpack_packer *p, struct str s)
+{
+  msgpack_pack_bin_with_body (p, s.data, s.len);
+}
+
+static void
+pack_bool (msgpack_packer *p, bool value)
+{
+  if (value)
+    msgpack_pack_true (p);
+  else
+    msgpack_pack_false (p);
+}
+
+static void
+pack_attempt (msgpack_packer *p, struct wire_attempt_id a)
+{
+  msgpack_pack_uint64 (p, a.origin);
+  msgpack_pack_uint64 (p, a.number);
+}
+
+static void
+pack_headers (msgpack_packer *p, const struct wire_header *headers,
+              uint32_t len)
+{
+  msgpack_pack_array (p, (size_t)len * 2);
+  for (uint32_t i = 0; i < len; i++)
+    {
+      pack_str (p, headers[i].name);
+      pack_str (p, headers[i].value);
+    }
+}
+
+static void
+pack_request (msgpack_packer *p, const struct wire_request *r)
+{
+  msgpack_pack_array (p, 18);
+  msgpack_pack_int (p, WIRE_REQUEST);
+  msgpack_pack_uint64 (p, r->request_id);
+  pack_attempt (p, r->attempt);
+  pack_str (p, r->service);
+  pack_str (p, r->route);
+  pack_str (p, r->method);
+  pack_str (p, r->path);
+  pack_headers (p, r->headers, r->headers_len);
+  pack_str (p, r->workspace);
+  msgpack_pack_uint32 (p, r->importance);
+  msgpack_pack_int64 (p, r->timeout_us);
+  msgpack_pack_uint32 (p, r->retry_budget);
+  msgpack_pack_uint32 (p, r->depth);
+  pack_bool (p, r->idempotent);
+  pack_str (p, r->traceparent);
+  pack_bool (p, r->last);
+  pack_bin (p, r->body);
+}
+
+static void
+pack_response (msgpack_packer *p, const struct wire_response *r)
+{
+  msgpack_pack_array (p, 13);
+  msgpack_pack_int (p, WIRE_RESPONSE);
+  msgpack_pack_uint64 (p, r->request_id);
+  pack_attempt (p, r->attempt);
+  msgpack_pack_int (p, (int)r->error);
+  msgpack_pack_uint32 (p, r->status);
+  pack_headers (p, r->headers, r->headers_len);
+  msgpack_pack_uint32 (p, r->unused_budget);
+  msgpack_pack_array (p, (size_t)r->thresholds_len * 2);
+  for (uint32_t i = 0; i < r->thresholds_len; i++)
+    {
+      pack_str (p, r->thresholds[i].service);
+      msgpack_pack_uint32 (p, r->thresholds[i].level);
+    }
+  msgpack_pack_uint32 (p, r->in_flight);
+  msgpack_pack_uint32 (p, r->limit);
+  pack_bool (p, r->last);
+  pack_bin (p, r->body);
+}
+
+static void
+pack_message (msgpack_packer *p, const struct wire_message *m)
+{
+  switch (m->type)
+    {
+    case WIRE_REQUEST:
+      pack_request (p, &m->u.request);
+      break;
+    case WIRE_RESPONSE:
+      pack_response (p, &m->u.response);
+      break;
+    case WIRE_CANCEL:
+      msgpack_pack_array (p, 4);
+      msgpack_pack_int (p, WIRE_CANCEL);
+      msgpack_pack_uint64 (p, m->u.cancel.request_id);
+      pack_attempt (p, m->u.cancel.attempt);
+      break;
+    case WIRE_QUERY:
+      msgpack_pack_array (p, 4);
+      msgpack_pack_int (p, WIRE_QUERY);
+      pack_attempt (p, m->u.query.attempt);
+      msgpack_pack_int64 (p, m->u.query.timeout_us);
+      break;
+    case WIRE_OUTCOME:
+      msgpack_pack_array (p, 4);
+      msgpack_pack_int (p, WIRE_OUTCOME);
+      pack_attempt (p, m->u.outcome.attempt);
+      msgpack_pack_int (p, (int)m->u.outcome.state);
+      break;
+    case WIRE_BODY:
+      msgpack_pack_array (p, 6);
+      msgpack_pack_int (p, WIRE_BODY);
+      msgpack_pack_uint64 (p, m->u.body.request_id);
+      pack_attempt (p, m->u.body.attempt);
+      pack_bool (p, m->u.body.last);
+      pack_bin (p, m->u.body.bytes);
+      break;
+    }
+}
+
+/* Internal functions: decoding */
+
+static const msgpack_object *
+next_item (struct reader *r, msgpack_object_type type)
+{
+  const msgpack_object *o;
+
+  if (r->failed || r->next >= r->len)
+    {
+      r->failed = true;
+      return NULL;
+    }
+  o = &r->items[r->next++];
+  if (o->type != type)
+    {
+      r->failed = true;
+      return NULL;
+    }
+  return o;
+}
+
+static uint64_t
+read_u64 (struct reader *r)
+{
+  const msgpack_object *o = next_item (r, MSGPACK_OBJECT_POSITIVE_INTEGER);
+
+  return o != NULL ? o->via.u64 : 0;
+}
+
+static uint32_t
+read_u32 (struct reader *r, uint32_t max)
+{
+  uint64_t v = read_u64 (r);
+
+  if (v > max)
+    r->failed = true;
+  return r->failed ? 0 : (uint32_t)v;
+}
+
+/* Times left may be negative when the deadline has passed.  */
+static int64_t
+read_i64 (struct reader *r)
+{
+  const msgpack_object *o;
+
+  if (r->failed || r->next >= r->len)
+    {
+      r->failed = true;
+      return 0;
+    }
+  o = &r->items[r->next++];
+  if (o->type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
+    return o->via.i64;
+  if (o->type == MSGPACK_OBJECT_POSITIVE_INTEGER && o->via.u64 <= INT64_MAX)
+    return (int64_t)o->via.u64;
+  r->failed = true;
+  return 0;
+}
+
+static bool
+read_bool (struct reader *r)
+{
+  const msgpack_object *o = next_item (r, MSGPACK_OBJECT_BOOLEAN);
+
+  return o != NULL && o->via.boolean;
+}
+
+static struct str
+read_str (struct reader *r)
+{
+  const msgpack_object *o = next_item (r, MSGPACK_OBJECT_STR);
+
+  if (o == NULL || o->via.str.size == 0)
+    return STR_EMPTY;
+  return (struct str){ o->via.str.size, o->via.str.ptr };
+}
+
+static struct str
+read_bin (struct reader *r)
+{
+  const msgpack_object *o = next_item (r, MSGPACK_OBJECT_BIN);
+
+  if (o == NULL || o->via.bin.size == 0)
+    return STR_EMPTY;
+  return (struct str){ o->via.bin.size, o->via.bin.ptr };
+}
+
+static struct wire_attempt_id
+read_attempt (struct reader *r)
+{
+  struct wire_attempt_id a;
+
+  a.origin = read_u64 (r);
+  a.number = read_u64 (r);
+  return a;
+}
+
+/* Reads an array of pairs and returns a reader over its members.  */
+static struct reader
+read_pairs (struct reader *r, uint32_t max)
+{
+  const msgpack_object *o = next_item (r, MSGPACK_OBJECT_ARRAY);
+
+  if (o == NULL || o->via.array.size % 2 != 0 || o->via.array.size / 2 > max)
+    {
+      r->failed = true;
+      return (struct reader){ .failed = true };
+    }
+  return (struct reader){ .items = o->via.array.ptr,
+                          .len = o->via.array.size };
+}
+
+static struct wire_header *
+read_headers (struct reader *r, uint32_t *len)
+{
+  struct reader pairs = read_pairs (r, WIRE_HEADERS_MAX);
+  struct wire_header *headers;
+
+  *len = 0;
+  if (r->failed || pairs.len == 0)
+    return NULL;
+  headers = g_new (struct wire_header, pairs.len / 2);
+  while (pairs.next < pairs.len && !pairs.failed)
+    {
+      headers[*len].name = read_str (&pairs);
+      headers[*len].value = read_str (&pairs);
+      ++*len;
+    }
+  r->failed = r->failed || pairs.failed;
+  return headers;
+}
+
+static struct wire_threshold *
+read_thresholds (struct reader *r, uint32_t *len)
+{
+  struct reader pairs = read_pairs (r, WIRE_THRESHOLDS_MAX);
+  struct wire_threshold *thresholds;
+
+  *len = 0;
+  if (r->failed || pairs.len == 0)
+    return NULL;
+  thresholds = g_new (struct wire_threshold, pairs.len / 2);
+  while (pairs.next < pairs.len && !pairs.failed)
+    {
+      thresholds[*len].service = read_str (&pairs);
+      thresholds[*len].level = read_u32 (&pairs, UINT32_MAX);
+      ++*len;
+    }
+  r->failed = r->failed || pairs.failed;
+  return thresholds;
+}
+
+static void
+read_request (struct reader *r, struct wire_request *q)
+{
+  q->request_id = read_u64 (r);
+  q->attempt = read_attempt (r);
+  q->service = read_str (r);
+  q->route = read_str (r);
+  q->method = read_str (r);
+  q->path = read_str (r);
+  q->headers = read_headers (r, &q->headers_len);
+  q->workspace = read_str (r);
+  q->importance = read_u32 (r, 9);
+  q->timeout_us = read_i64 (r);
+  q->retry_budget = read_u32 (r, 1000);
+  q->depth = read_u32 (r, 1000);
+  q->idempotent = read_bool (r);
+  q->traceparent = read_str (r);
+  q->last = read_bool (r);
+  q->body = read_bin (r);
+}
+
+static void
+read_response (struct reader *r, struct wire_response *q)
+{
+  q->request_id = read_u64 (r);
+  q->attempt = read_attempt (r);
+  q->error = (enum err_kind)read_u32 (r, UINT16_MAX);
+  if (q->error >= ERR_KINDS)
+    q->error = ERR_INTERNAL;
+  q->status = read_u32 (r, 599);
+  q->headers = read_headers (r, &q->headers_len);
+  q->unused_budget = read_u32 (r, 1000);
+  q->thresholds = read_thresholds (r, &q->thresholds_len);
+  q->in_flight = read_u32 (r, UINT32_MAX);
+  q->limit = read_u32 (r, UINT32_MAX);
+  q->last = read_bool (r);
+  q->body = read_bin (r);
+}
+
+static void
+read_message (struct reader *r, struct wire_message *m)
+{
+  switch (m->type)
+    {
+    case WIRE_REQUEST:
+      read_request (r, &m->u.request);
+      break;
+    case WIRE_RESPONSE:
+      read_response (r, &m->u.response);
+      break;
+    case WIRE_CANCEL:
+      m->u.cancel.request_id = read_u64 (r);
+      m->u.cancel.attempt = read_attempt (r);
+      break;
+    case WIRE_QUERY:
+      m->u.query.attempt = read_attempt (r);
+      m->u.query.timeout_us = read_i64 (r);
+      break;
+    case WIRE_OUTCOME:
+      m->u.outcome.attempt = read_attempt (r);
+      m->u.outcome.state
+          = (enum wire_outcome_state)read_u32 (r, WIRE_OUTCOME_DONE);
+      break;
+    case WIRE_BODY:
+      m->u.body.request_id = read_u64 (r);
+      m->u.body.attempt = read_attempt (r);
+      m->u.body.last = read_bool (r);
+      m->u.body.bytes = read_bin (r);
+      break;
+    default:
+      r->failed = true;
+      break;
+    }
+}
+
+/* Public functions */
+
+/**
+ * wire_append_message - appends a message as one frame
+ * @out: buffer
+ * @m: message; its strings are copied
+ */
+void
+wire_append_message (struct str_buf *out, const struct wire_message *m)
+{
+  msgpack_sbuffer bytes;
+  msgpack_packer packer;
+
+  msgpack_sbuffer_init (&bytes);
+  msgpack_packer_init (&packer, &bytes, msgpack_sbuffer_write);
+  pack_message (&packer, m);
+  frame_append (out, (struct str){ bytes.size, bytes.data });
+  msgpack_sbuffer_destroy (&bytes);
+}
+
+/**
+ * wire_load_message - decodes one frame
+ * @m: receives the message
+ * @frame: bytes after the length; must outlive the message
+ *
+ * Return: false if the bytes are not a known message with members of the
+ * right type and range; nothing has to be freed then.
+ */
+bool
+wire_load_message (struct wire_message *m, struct str frame)
+{
+  msgpack_unpacked unpacked;
+  struct reader r = { 0 };
+  size_t offset = 0;
+
+  memset (m, 0, sizeof *m);
+  if (!scan_check_msgpack (frame))
+    return false;
+  msgpack_unpacked_init (&unpacked);
+  if (msgpack_unpack_next (&unpacked, frame.data, frame.len, &offset)
+          != MSGPACK_UNPACK_SUCCESS
+      || offset != frame.len || unpacked.data.type != MSGPACK_OBJECT_ARRAY)
+    {
+      msgpack_unpacked_destroy (&unpacked);
+      return false;
+    }
+  r.items = unpacked.data.via.array.ptr;
+  r.len = unpacked.data.via.array.size;
+  m->type = (enum wire_type)read_u32 (&r, UINT16_MAX);
+  if (!r.failed)
+    read_message (&r, m);
+  m->zone = msgpack_unpacked_release_zone (&unpacked);
+  msgpack_unpacked_destroy (&unpacked);
+  if (r.failed || r.next != r.len)
+    {
+      wire_unload_message (m);
+      return false;
+    }
+  return true;
+}
+
+void
+wire_unload_message (struct wire_message *m)
+{
+  if (m->type == WIRE_REQUEST)
+    g_free (m->u.request.headers);
+  if (m->type == WIRE_RESPONSE)
+    {
+      g_free (m->u.response.headers);
+      g_free (m->u.response.thresholds);
+    }
+  if (m->zone != NULL)
+    msgpack_zone_free (m->zone);
+  memset (m, 0, sizeof *m);
+}
+
+bool
+wire_equal_attempt (struct wire_attempt_id a, struct wire_attempt_id b)
+{
+  return a.origin == b.origin && a.number == b.number;
+}
