--- /dev/null
+++ b/src/jsonscan.c
@@ -0,0 +1,430 @@
+/* jsonscan: checks JSON text before json-glib parses it and finds the place
+   of a member for error messages.  */
+
+#include "jsonscan.h"
+
+#include "err.h"
+
+#include <string.h>
+
+/* Types */
+
+struct scanner
+{
+  struct str text;
+  size_t pos;
+  uint32_t depth;
+  const char *fault; /* NULL while the text is valid */
+};
+
+/* Internal functions: tokens */
+
+static char
+peek (const struct scanner *s)
+{
+  return s->pos < s->text.len ? s->text.data[s->pos] : '\0';
+}
+
+static void
+skip_space (struct scanner *s)
+{
+  while (s->pos < s->text.len && strchr (" \t\r\n", s->text.data[s->pos])
+         && s->text.data[s->pos] != '\0')
+    s->pos++;
+}
+
+static bool
+fail (struct scanner *s, const char *fault)
+{
+  if (s->fault == NULL)
+    s->fault = fault;
+  return false;
+}
+
+static bool
+take (struct scanner *s, char c)
+{
+  if (peek (s) != c)
+    return false;
+  s->pos++;
+  return true;
+}
+
+static bool
+scan_escape (struct scanner *s)
+{
+  char c = peek (s);
+
+  if (c == '\0' || strchr ("\"\\/bfnrtu", c) == NULL)
+    return fail (s, "unknown escape in a string");
+  s->pos++;
+  for (int i = 0; c == 'u' && i < 4; i++)
+    {
+      if (!g_ascii_isxdigit (peek (s)))
+        return fail (s, "\\u needs four hexadecimal digits");
+      s->pos++;
+    }
+  return true;
+}
+
+static bool
+scan_string (struct scanner *s, struct str *raw)
+{
+  size_t start;
+
+  if (!take (s, '"'))
+    return fail (s, "expected a string");
+  start = s->pos;
+  for (;;)
+    {
+      if (s->pos >= s->text.len)
+        return fail (s, "the string does not end");
+      if ((unsigned char)peek (s) < ' ')
+        return fail (s, "control character in a string");
+      if (take (s, '"'))
+        break;
+      if (take (s, '\\'))
+        {
+          if (!scan_escape (s))
+            return false;
+        }
+      else
+        s->pos++;
+    }
+  *raw = str_slice (s->text, start, s->pos - 1);
+  return true;
+}
+
+static bool
+scan_digits (struct scanner *s)
+{
+  if (!g_ascii_isdigit (peek (s)))
+    return fail (s, "expected a digit");
+  while (g_ascii_isdigit (peek (s)))
+    s->pos++;
+  return true;
+}
+
+static bool
+scan_number (struct scanner *s)
+{
+  take (s, '-');
+  if (take (s, '0'))
+    {
+      if (g_ascii_isdigit (peek (s)))
+        return fail (s, "a number does not begin with 0");
+    }
+  else if (!scan_digits (s))
+    return false;
+  if (take (s, '.') && !scan_digits (s))
+    return false;
+  if (take (s, 'e') || take (s, 'E'))
+    {
+      if (!take (s, '+'))
+        take (s, '-');
+      return scan_digits (s);
+    }
+  return true;
+}
+
+static bool
+scan_word (struct scanner *s, struct str word)
+{
+  if (!str_equal (str_slice (s->text, s->pos, s->pos + word.len), word))
+    return fail (s, "expected a value");
+  s->pos += word.len;
+  return true;
+}
+
+/* Internal functions: values; the recursion is bounded by
+   JSONSCAN_DEPTH_MAX.  */
+
+static bool scan_value (struct scanner *s);
+
+static guint
+hash_member (gconstpointer key)
+{
+  return (guint)str_hash (*(const struct str *)key);
+}
+
+static gboolean
+equal_members (gconstpointer a, gconstpointer b)
+{
+  return str_equal (*(const struct str *)a, *(const struct str *)b);
+}
+
+static bool
+scan_member (struct scanner *s, GHashTable *members)
+{
+  size_t start = s->pos;
+  struct str *name = g_new (struct str, 1);
+
+  *name = STR_EMPTY;
+  if (!scan_string (s, name))
+    {
+      g_free (name);
+      return false;
+    }
+  /* Two spellings of one name would pass the check for duplicates.  */
+  if (memchr (name->data, '\\', name->len) != NULL)
+    {
+      g_free (name);
+      s->pos = start;
+      return fail (s, "a member name has no escapes");
+    }
+  if (!g_hash_table_add (members, name))
+    {
+      s->pos = start;
+      return fail (s, "the member occurs twice");
+    }
+  skip_space (s);
+  if (!take (s, ':'))
+    return fail (s, "expected ':'");
+  skip_space (s);
+  return scan_value (s);
+}
+
+static bool
+scan_members (struct scanner *s, GHashTable *members)
+{
+  skip_space (s);
+  if (take (s, '}'))
+    return true;
+  for (;;)
+    {
+      skip_space (s);
+      if (!scan_member (s, members))
+        return false;
+      skip_space (s);
+      if (take (s, '}'))
+        return true;
+      if (!take (s, ','))
+        return fail (s, "expected ',' or '}'");
+    }
+}
+
+static bool
+scan_object (struct scanner *s)
+{
+  GHashTable *members
+      = g_hash_table_new_full (hash_member, equal_members, g_free, NULL);
+  bool valid;
+
+  s->pos++;
+  valid = scan_members (s, members);
+  g_hash_table_unref (members);
+  return valid;
+}
+
+static bool
+scan_array (struct scanner *s)
+{
+  s->pos++;
+  skip_space (s);
+  if (take (s, ']'))
+    return true;
+  for (;;)
+    {
+      skip_space (s);
+      if (!scan_value (s))
+        return false;
+      skip_space (s);
+      if (take (s, ']'))
+        return true;
+      if (!take (s, ','))
+        return fail (s, "expected ',' or ']'");
+    }
+}
+
+static bool
+scan_nested (struct scanner *s)
+{
+  bool valid;
+
+  if (s->depth == JSONSCAN_DEPTH_MAX)
+    return fail (s, "nested too deeply");
+  s->depth++;
+  valid = peek (s) == '{' ? scan_object (s) : scan_array (s);
+  s->depth--;
+  return valid;
+}
+
+static bool
+scan_value (struct scanner *s)
+{
+  struct str raw;
+
+  switch (peek (s))
+    {
+    case '{':
+    case '[':
+      return scan_nested (s);
+    case '"':
+      return scan_string (s, &raw);
+    case 't':
+      return scan_word (s, STR_LIT ("true"));
+    case 'f':
+      return scan_word (s, STR_LIT ("false"));
+    case 'n':
+      return scan_word (s, STR_LIT ("null"));
+    default:
+      if (peek (s) != '-' && !g_ascii_isdigit (peek (s)))
+        return fail (s, "expected a value");
+      return scan_number (s);
+    }
+}
+
+static bool
+check (struct scanner *s)
+{
+  const char *end;
+
+  if (!g_utf8_validate_len (s->text.data, s->text.len, &end))
+    {
+      s->pos = (size_t)(end - s->text.data);
+      return fail (s, "not UTF-8");
+    }
+  skip_space (s);
+  if (!scan_value (s))
+    return false;
+  skip_space (s);
+  return s->pos == s->text.len || fail (s, "text after the end of the value");
+}
+
+/* Internal functions: places */
+
+/* Enters the object at the scanner and stops at the member's value.  */
+static bool
+enter_member (struct scanner *s, struct str name)
+{
+  struct str found;
+
+  if (!take (s, '{'))
+    return false;
+  for (;;)
+    {
+      skip_space (s);
+      if (!scan_string (s, &found))
+        return false;
+      skip_space (s);
+      take (s, ':');
+      skip_space (s);
+      if (str_equal (found, name))
+        return true;
+      if (!scan_value (s))
+        return false;
+      skip_space (s);
+      if (!take (s, ','))
+        return false;
+    }
+}
+
+static bool
+enter_item (struct scanner *s, uint64_t index)
+{
+  if (!take (s, '['))
+    return false;
+  skip_space (s);
+  for (uint64_t i = 0; i < index; i++)
+    {
+      if (!scan_value (s))
+        return false;
+      skip_space (s);
+      if (!take (s, ','))
+        return false;
+      skip_space (s);
+    }
+  return peek (s) != ']';
+}
+
+/* Takes the first step from a path: a member name or an index in brackets.  */
+static bool
+take_step (struct str *path, struct str *name, uint64_t *index)
+{
+  size_t end = 0;
+
+  if (path->len > 0 && path->data[0] == '[')
+    {
+      while (end < path->len && path->data[end] != ']')
+        end++;
+      *name = STR_EMPTY;
+      if (!str_parse_u64 (str_slice (*path, 1, end), index))
+        return false;
+      *path = str_slice (*path, end + 1, path->len);
+      return true;
+    }
+  if (path->len > 0 && path->data[0] == '.')
+    *path = str_slice (*path, 1, path->len);
+  while (end < path->len && path->data[end] != '.' && path->data[end] != '[')
+    end++;
+  *name = str_slice (*path, 0, end);
+  *path = str_slice (*path, end, path->len);
+  return name->len > 0;
+}
+
+/* Public functions */
+
+/**
+ * jsonscan_parse - parses strict JSON
+ * @text: UTF-8 text
+ * @error: receives %ERR_BAD_REQUEST with line and column
+ *
+ * Return: the root node, or NULL.
+ */
+JsonNode *
+jsonscan_parse (struct str text, GError **error)
+{
+  struct scanner s = { .text = text };
+  struct jsonscan_place place;
+  JsonParser *parser;
+  JsonNode *root = NULL;
+
+  if (!check (&s))
+    {
+      place = jsonscan_get_place (text, s.pos);
+      g_set_error (error, ERR_QUARK, ERR_BAD_REQUEST, "line %u, column %u: %s",
+                   place.line, place.column, s.fault);
+      return NULL;
+    }
+  parser = json_parser_new_immutable ();
+  if (json_parser_load_from_data (parser, text.data, (gssize)text.len, error))
+    root = json_node_ref (json_parser_get_root (parser));
+  g_object_unref (parser);
+  return root;
+}
+
+struct jsonscan_place
+jsonscan_locate (struct str text, struct str path)
+{
+  struct scanner s = { .text = text };
+  struct str name;
+  uint64_t index = 0;
+  size_t found;
+
+  skip_space (&s);
+  found = s.pos;
+  while (take_step (&path, &name, &index))
+    {
+      if (name.len > 0 ? !enter_member (&s, name) : !enter_item (&s, index))
+        break;
+      found = s.pos;
+    }
+  return jsonscan_get_place (text, found);
+}
+
+struct jsonscan_place
+jsonscan_get_place (struct str text, size_t offset)
+{
+  struct jsonscan_place place = { 1, 1 };
+
+  for (size_t i = 0; i < offset && i < text.len; i++)
+    if (text.data[i] == '\n')
+      {
+        place.line++;
+        place.column = 1;
+      }
+    /* Continuation bytes of UTF-8 begin with the bits 10.  */
+    else if (((unsigned char)text.data[i] & 0xc0) != 0x80)
+      place.column++;
+  return place;
+}
--- /dev/null
+++ b/src/jsonscan.h
@@ -0,0 +1,38 @@
+/* jsonscan: checks JSON text before json-glib parses it and finds the place
+   of a member for error messages.
+
+   json-glib recurses without a limit, keeps the last of two members of one
+   name, accepts comments and does not tell positions; text from operators and
+   from the platform is therefore checked here first.  */
+
+#ifndef ALMONDVALE_JSONSCAN_H
+#define ALMONDVALE_JSONSCAN_H
+
+#include "str.h"
+
+#include <json-glib/json-glib.h>
+
+/* Constants */
+
+#define JSONSCAN_DEPTH_MAX 32u
+
+/* Types */
+
+struct jsonscan_place
+{
+  uint32_t line;   /* from 1 */
+  uint32_t column; /* from 1, in characters */
+};
+
+/* Public functions */
+
+/* parses strict JSON; NULL with line and column in the error; free with
+   json_node_unref */
+JsonNode *jsonscan_parse (struct str text, GError **error);
+/* place of the value at a path such as routes[3].importance, or of its
+   innermost part that exists; the text is valid JSON */
+struct jsonscan_place jsonscan_locate (struct str text, struct str path);
+/* place of a byte offset */
+struct jsonscan_place jsonscan_get_place (struct str text, size_t offset);
+
+#endif
--- a/src/str.c
+++ b/src/str.c
@@ -13,6 +13,10 @@
 
 #define STR_BUF_MIN_BYTES 64
 
+/* State */
+
+const char str_empty_data[1] = "";
+
 /* Public functions */
 
 struct str
--- a/src/str.h
+++ b/src/str.h
@@ -9,7 +9,9 @@
 
 /* Constants */
 
-#define STR_EMPTY ((struct str){ 0, "" })
+/* One object, as str_free tells it from allocated data by its address; a
+   literal may have another address in each file.  */
+#define STR_EMPTY ((struct str){ 0, str_empty_data })
 #define STR_LIT(text) ((struct str){ sizeof (text) - 1, (text) })
 /* Arguments for a "%.*s" conversion.  */
 #define STR_ARG(s) (int)(s).len, (s).data
@@ -31,6 +33,10 @@
   char *data; /* NULL until the first append */
 };
 
+/* State */
+
+extern const char str_empty_data[1];
+
 /* Public functions */
 
 /* view of a NUL-terminated string; NULL gives empty */
