--- /dev/null
+++ b/tests/test_httpc.c
@@ -0,0 +1,307 @@
+/* Tests of httpc against a raw TCP server in the same loop.  */
+
+#include "httpc.h"
+
+#include <check.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TIMEOUT_US (10 * 1000 * 1000)
+
+/* What the server does with the n-th request that it has read whole.  */
+enum action
+{
+  ANSWER,
+  CLOSE,
+  CLOSE_HALFWAY,
+  HANG
+};
+
+struct server
+{
+  struct event_base *base;
+  struct evconnlistener *listener;
+  uint16_t port;
+  const enum action *actions;
+  int actions_len;
+  int executions;
+  GPtrArray *open; /* connections */
+};
+
+struct result
+{
+  struct event_base *base;
+  int calls;
+  enum httpc_result result;
+  int status;
+  char body[64];
+};
+
+static void
+close_connection (struct server *s, struct bufferevent *bev)
+{
+  g_ptr_array_remove_fast (s->open, bev);
+}
+
+static void
+free_connection (void *bev)
+{
+  bufferevent_free (bev);
+}
+
+static void
+stop_server (struct server *s)
+{
+  evconnlistener_free (s->listener);
+  g_ptr_array_unref (s->open);
+}
+
+static void
+on_readable (struct bufferevent *bev, void *data)
+{
+  struct server *s = data;
+  struct evbuffer *in = bufferevent_get_input (bev);
+  struct evbuffer_ptr end = evbuffer_search (in, "\r\n\r\n", 4, NULL);
+  char *text;
+  const char *length;
+  size_t need;
+  enum action action;
+
+  if (end.pos < 0)
+    return;
+  text = g_strndup ((char *)evbuffer_pullup (in, end.pos), (gsize)end.pos);
+  length = strcasestr (text, "content-length: ");
+  need = (size_t)end.pos + 4
+         + (length != NULL ? strtoul (length + 16, NULL, 10) : 0);
+  g_free (text);
+  if (evbuffer_get_length (in) < need)
+    return;
+  evbuffer_drain (in, need);
+  action = s->executions < s->actions_len ? s->actions[s->executions] : ANSWER;
+  s->executions++;
+  if (action == ANSWER)
+    bufferevent_write (bev, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                       40);
+  if (action == CLOSE_HALFWAY)
+    {
+      send (bufferevent_getfd (bev),
+            "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", 40, 0);
+      close_connection (s, bev);
+    }
+  if (action == CLOSE)
+    close_connection (s, bev);
+}
+
+static void
+on_event (struct bufferevent *bev, short what, void *data)
+{
+  if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+    close_connection (data, bev);
+}
+
+static void
+on_accept (struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *a,
+           int len, void *data)
+{
+  struct server *s = data;
+  struct bufferevent *bev
+      = bufferevent_socket_new (s->base, fd, BEV_OPT_CLOSE_ON_FREE);
+
+  bufferevent_setcb (bev, on_readable, NULL, on_event, s);
+  bufferevent_enable (bev, EV_READ | EV_WRITE);
+  g_ptr_array_add (s->open, bev);
+}
+
+static void
+start_server (struct server *s, struct event_base *base,
+              const enum action *actions, int actions_len)
+{
+  struct sockaddr_in sin = { .sin_family = AF_INET };
+  socklen_t len = sizeof sin;
+
+  *s = (struct server){ .base = base,
+                        .actions = actions,
+                        .actions_len = actions_len,
+                        .open
+                        = g_ptr_array_new_with_free_func (free_connection) };
+  sin.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  s->listener
+      = evconnlistener_new_bind (base, on_accept, s, LEV_OPT_CLOSE_ON_FREE, 16,
+                                 (struct sockaddr *)&sin, sizeof sin);
+  ck_assert_ptr_nonnull (s->listener);
+  getsockname (evconnlistener_get_fd (s->listener), (struct sockaddr *)&sin,
+               &len);
+  s->port = ntohs (sin.sin_port);
+}
+
+static void
+on_done (void *data, const struct httpc_answer *answer)
+{
+  struct result *r = data;
+
+  r->calls++;
+  r->result = answer->result;
+  r->status = answer->status;
+  snprintf (r->body, sizeof r->body, "%.*s", STR_ARG (answer->body));
+  event_base_loopbreak (r->base);
+}
+
+static struct result
+send_one (struct event_base *base, struct httpc_pool *pool, struct str body,
+          int64_t timeout_us)
+{
+  struct result r = { .base = base };
+  struct httpc_request q = { .method = "POST",
+                             .target = STR_LIT ("/x"),
+                             .body = body,
+                             .timeout_us = timeout_us,
+                             .done = on_done,
+                             .data = &r };
+
+  ck_assert_ptr_nonnull (httpc_send (pool, &q));
+  ck_assert_int_eq (r.calls, 0);
+  event_base_dispatch (base);
+  ck_assert_int_eq (r.calls, 1);
+  return r;
+}
+
+/* Guards against a POST sent a second time after the server read it whole and
+   closed: on a new connection and on a reused one, with and without a body. */
+START_TEST (request_read_then_closed_is_sent_once)
+{
+  static const enum action on_new[] = { CLOSE };
+  static const enum action on_reused[] = { ANSWER, CLOSE };
+  struct str bodies[] = { STR_EMPTY, STR_LIT ("data") };
+  struct event_base *base = event_base_new ();
+
+  for (int reused = 0; reused < 2; reused++)
+    for (size_t b = 0; b < G_N_ELEMENTS (bodies); b++)
+      {
+        struct server s;
+        struct httpc_pool *pool;
+        struct result r;
+
+        start_server (&s, base, reused ? on_reused : on_new, 1 + reused);
+        pool = httpc_load_pool (base, STR_LIT ("127.0.0.1"), s.port, 4, 1000);
+        if (reused)
+          {
+            r = send_one (base, pool, bodies[b], TIMEOUT_US);
+            ck_assert_int_eq (r.result, HTTPC_ANSWERED);
+          }
+        r = send_one (base, pool, bodies[b], TIMEOUT_US);
+        ck_assert_int_eq (r.result, HTTPC_FAILED);
+        ck_assert_int_eq (s.executions, 1 + reused);
+        r = send_one (base, pool, bodies[b], TIMEOUT_US);
+        ck_assert_int_eq (r.result, HTTPC_ANSWERED);
+        ck_assert_str_eq (r.body, "ok");
+        ck_assert_int_eq (s.executions, 2 + reused);
+        httpc_unload_pool (pool);
+        stop_server (&s);
+      }
+  event_base_free (base);
+}
+END_TEST
+
+/* Guards against a truncated answer passed on as a whole one.  */
+START_TEST (truncated_answer_fails)
+{
+  static const enum action actions[] = { CLOSE_HALFWAY };
+  struct event_base *base = event_base_new ();
+  struct httpc_pool *pool;
+  struct server s;
+  struct result r;
+
+  start_server (&s, base, actions, 1);
+  pool = httpc_load_pool (base, STR_LIT ("127.0.0.1"), s.port, 4, 1000);
+  r = send_one (base, pool, STR_LIT ("x"), TIMEOUT_US);
+  ck_assert_int_eq (r.result, HTTPC_FAILED);
+  httpc_unload_pool (pool);
+  stop_server (&s);
+  event_base_free (base);
+}
+END_TEST
+
+/* Guards against "may have run" told where no connection was ever open, and
+   against a time-out told as "not run".  */
+START_TEST (failures_are_told_apart)
+{
+  static const enum action actions[] = { HANG };
+  struct event_base *base = event_base_new ();
+  struct httpc_pool *pool;
+  struct server s;
+  struct result r;
+
+  start_server (&s, base, actions, 1);
+  pool = httpc_load_pool (base, STR_LIT ("127.0.0.1"), s.port, 4, 1000);
+  r = send_one (base, pool, STR_LIT ("x"), 50 * 1000);
+  ck_assert_int_eq (r.result, HTTPC_TIMEOUT);
+  stop_server (&s);
+  httpc_unload_pool (pool);
+  pool = httpc_load_pool (base, STR_LIT ("127.0.0.1"), s.port, 4, 1000);
+  r = send_one (base, pool, STR_LIT ("x"), TIMEOUT_US);
+  ck_assert_int_eq (r.result, HTTPC_NOT_CONNECTED);
+  httpc_unload_pool (pool);
+  event_base_free (base);
+}
+END_TEST
+
+/* Guards against more connections than the server allows, and against a
+   callback after a cancel.  */
+START_TEST (connections_are_limited_and_cancel_is_silent)
+{
+  static const enum action actions[] = { HANG, HANG };
+  struct event_base *base = event_base_new ();
+  struct result r = { .base = base };
+  struct httpc_request q = { .method = "POST",
+                             .target = STR_LIT ("/x"),
+                             .body = STR_LIT ("x"),
+                             .done = on_done,
+                             .data = &r };
+  struct httpc_exchange *a, *b;
+  struct httpc_pool *pool;
+  struct server s;
+
+  start_server (&s, base, actions, 2);
+  pool = httpc_load_pool (base, STR_LIT ("127.0.0.1"), s.port, 2, 1000);
+  a = httpc_send (pool, &q);
+  b = httpc_send (pool, &q);
+  ck_assert (a != NULL && b != NULL);
+  ck_assert_ptr_null (httpc_send (pool, &q));
+  while (s.executions < 2)
+    event_base_loop (base, EVLOOP_ONCE);
+  httpc_cancel (a);
+  httpc_cancel (b);
+  event_base_loop (base, EVLOOP_NONBLOCK);
+  ck_assert_int_eq (r.calls, 0);
+  r = send_one (base, pool, STR_LIT ("x"), TIMEOUT_US);
+  ck_assert_int_eq (r.result, HTTPC_ANSWERED);
+  httpc_unload_pool (pool);
+  stop_server (&s);
+  event_base_free (base);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("httpc");
+  TCase *tc = tcase_create ("httpc");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_test (tc, request_read_then_closed_is_sent_once);
+  tcase_add_test (tc, truncated_answer_fails);
+  tcase_add_test (tc, failures_are_told_apart);
+  tcase_add_test (tc, connections_are_limited_and_cancel_is_silent);
+  suite_add_tcase (suite, tc);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
