--- /dev/null
+++ b/src/httpd.c
@@ -0,0 +1,339 @@
+/* httpd: HTTP/1.1 listener on libmicrohttpd, driven by a thread's event loop.
+ */
+
+#include "httpd.h"
+
+#include "clock.h"
+
+#include <event2/util.h>
+#include <glib.h>
+#include <microhttpd.h>
+#include <string.h>
+#include <sys/socket.h>
+
+/* Constants */
+
+/* libmicrohttpd keeps the request line, the headers and its read buffer in
+   one block for each connection.  */
+#define CONNECTION_MEMORY_SPARE_BYTES 16384
+#define HTTPD_BACKLOG 1024
+
+/* Types */
+
+struct httpd
+{
+  struct event_base *base;
+  struct MHD_Daemon *daemon;
+  struct event *readable; /* libmicrohttpd's epoll descriptor */
+  struct event *timer;    /* libmicrohttpd's own time-outs */
+  struct httpd_limits limits;
+  const struct httpd_ops *ops;
+  void *owner;
+  uint64_t source;
+  evutil_socket_t listen_fd;
+};
+
+/* Internal functions */
+
+static void
+schedule_timer (struct httpd *h)
+{
+  MHD_UNSIGNED_LONG_LONG ms;
+  struct timeval wait;
+
+  if (MHD_get_timeout (h->daemon, &ms) != MHD_YES)
+    return;
+  wait.tv_sec = (time_t)(ms / 1000);
+  wait.tv_usec = (suseconds_t)(ms % 1000) * 1000;
+  event_add (h->timer, &wait);
+}
+
+static void
+run_daemon (evutil_socket_t fd, short what, void *data)
+{
+  struct httpd *h = data;
+
+  MHD_run (h->daemon);
+  schedule_timer (h);
+}
+
+/* libmicrohttpd does not watch suspended connections, so the loop does.  */
+static void
+on_closed (evutil_socket_t fd, short what, void *data)
+{
+  struct httpd_exchange *x = data;
+
+  event_free (x->closed);
+  x->closed = NULL;
+  x->handed_over = false;
+  x->httpd->ops->on_gone (x->httpd->owner, x);
+  x->status = 0;
+  x->suspended = false;
+  MHD_resume_connection (x->connection);
+}
+
+static void
+watch_caller (struct httpd_exchange *x)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      x->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+  if (info == NULL)
+    return;
+  x->closed
+      = event_new (x->httpd->base, info->connect_fd, EV_CLOSED, on_closed, x);
+  event_add (x->closed, NULL);
+}
+
+static enum MHD_Result
+collect_header (void *data, enum MHD_ValueKind kind, const char *name,
+                const char *value)
+{
+  struct httpd_exchange *x = data;
+
+  if (x->headers_len == WIRE_HEADERS_MAX)
+    {
+      x->headers_too_many = true;
+      return MHD_NO;
+    }
+  x->headers[x->headers_len++]
+      = (struct wire_header){ str_from_cstr (name), str_from_cstr (value) };
+  return MHD_YES;
+}
+
+static void
+hand_over (struct httpd_exchange *x, struct MHD_Connection *connection,
+           const char *method)
+{
+  x->connection = connection;
+  x->method = str_from_cstr (method);
+  x->headers = g_new (struct wire_header, WIRE_HEADERS_MAX);
+  MHD_get_connection_values (connection, MHD_HEADER_KIND, collect_header, x);
+  x->handed_over = true;
+  x->suspended = true;
+  MHD_suspend_connection (connection);
+  watch_caller (x);
+  x->httpd->ops->on_request (x->httpd->owner, x);
+}
+
+static void
+collect_body (struct httpd_exchange *x, const char *data, size_t *len)
+{
+  if (x->body.len + *len > x->httpd->limits.body_bytes)
+    x->body_too_large = true;
+  else
+    str_append (&x->body, (struct str){ *len, data });
+  *len = 0;
+}
+
+static enum MHD_Result
+on_access (void *data, struct MHD_Connection *connection, const char *url,
+           const char *method, const char *version, const char *upload,
+           size_t *upload_len, void **context)
+{
+  struct httpd_exchange *x = *context;
+
+  if (x == NULL)
+    return MHD_NO;
+  if (x->response != NULL)
+    return MHD_queue_response (connection, (unsigned int)x->status,
+                               x->response);
+  if (x->connection == NULL)
+    {
+      /* First call: only the headers are known.  */
+      x->connection = connection;
+      return MHD_YES;
+    }
+  if (*upload_len > 0)
+    {
+      collect_body (x, upload, upload_len);
+      return MHD_YES;
+    }
+  if (x->headers != NULL)
+    return MHD_NO; /* the caller has gone: close the connection */
+  hand_over (x, connection, method);
+  return MHD_YES;
+}
+
+/* The raw request target is only shown here; its result is the context of the
+   request.  */
+static void *
+on_uri (void *data, const char *uri, struct MHD_Connection *connection)
+{
+  struct httpd_exchange *x = g_new0 (struct httpd_exchange, 1);
+
+  x->httpd = data;
+  x->source = x->httpd->source;
+  x->target = str_copy (str_from_cstr (uri));
+  return x;
+}
+
+static void
+on_completed (void *data, struct MHD_Connection *connection, void **context,
+              enum MHD_RequestTerminationCode why)
+{
+  struct httpd_exchange *x = *context;
+
+  if (x == NULL)
+    return;
+  *context = NULL;
+  if (x->closed != NULL)
+    event_free (x->closed);
+  if (x->handed_over)
+    x->httpd->ops->on_gone (x->httpd->owner, x);
+  if (x->response != NULL)
+    MHD_destroy_response (x->response);
+  str_free (&x->target);
+  str_reset (&x->body);
+  g_free (x->headers);
+  g_free (x);
+}
+
+static evutil_socket_t
+open_listener (struct str address, uint16_t port)
+{
+  struct sockaddr_storage storage = { 0 };
+  int len = sizeof storage;
+  char *text = g_strdup_printf (memchr (address.data, ':', address.len) != NULL
+                                    ? "[%.*s]:%u"
+                                    : "%.*s:%u",
+                                STR_ARG (address), port);
+  bool ok
+      = evutil_parse_sockaddr_port (text, (struct sockaddr *)&storage, &len)
+        == 0;
+  evutil_socket_t fd;
+  int one = 1;
+
+  g_free (text);
+  if (!ok)
+    return -1;
+  fd = socket (storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
+               0);
+  if (fd < 0)
+    return -1;
+  /* Several front threads listen at one port.  */
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  setsockopt (fd, SOL_SOCKET, SO_REUSEPORT, &one, sizeof one);
+  if (bind (fd, (struct sockaddr *)&storage, (socklen_t)len) == 0
+      && listen (fd, HTTPD_BACKLOG) == 0)
+    return fd;
+  evutil_closesocket (fd);
+  return -1;
+}
+
+/* Public functions */
+
+/**
+ * httpd_load - listens for HTTP requests
+ * @base: event loop of the calling thread
+ * @address: IP address
+ * @port: TCP port, shared with other listeners of the process
+ * @limits: limits on what a caller can send
+ * @ops: callbacks
+ * @owner: passed to the callbacks
+ * @source: copied into each exchange
+ *
+ * Return: the listener, or NULL if the port could not be had.
+ */
+struct httpd *
+httpd_load (struct event_base *base, struct str address, uint16_t port,
+            const struct httpd_limits *limits, const struct httpd_ops *ops,
+            void *owner, uint64_t source)
+{
+  struct httpd *h = g_new0 (struct httpd, 1);
+  const union MHD_DaemonInfo *info;
+
+  h->base = base;
+  h->limits = *limits;
+  h->ops = ops;
+  h->owner = owner;
+  h->source = source;
+  h->listen_fd = open_listener (address, port);
+  if (h->listen_fd < 0)
+    {
+      g_free (h);
+      return NULL;
+    }
+  h->daemon = MHD_start_daemon (
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, 0, NULL, NULL,
+      on_access, h, MHD_OPTION_LISTEN_SOCKET, h->listen_fd,
+      MHD_OPTION_URI_LOG_CALLBACK, on_uri, h, MHD_OPTION_NOTIFY_COMPLETED,
+      on_completed, h, MHD_OPTION_CONNECTION_LIMIT, limits->connections,
+      MHD_OPTION_CONNECTION_TIMEOUT, limits->idle_timeout_s,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      limits->headers_bytes + CONNECTION_MEMORY_SPARE_BYTES, MHD_OPTION_END);
+  if (h->daemon == NULL)
+    {
+      evutil_closesocket (h->listen_fd);
+      g_free (h);
+      return NULL;
+    }
+  info = MHD_get_daemon_info (h->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+  h->readable
+      = event_new (base, info->epoll_fd, EV_READ | EV_PERSIST, run_daemon, h);
+  h->timer = evtimer_new (base, run_daemon, h);
+  event_add (h->readable, NULL);
+  return h;
+}
+
+void
+httpd_unload (struct httpd *h)
+{
+  event_free (h->readable);
+  event_free (h->timer);
+  MHD_stop_daemon (h->daemon);
+  g_free (h);
+}
+
+void
+httpd_stop_listening (struct httpd *h)
+{
+  MHD_socket fd = MHD_quiesce_daemon (h->daemon);
+
+  if (fd != MHD_INVALID_SOCKET)
+    evutil_closesocket (fd);
+}
+
+/**
+ * httpd_answer - answers a request
+ * @x: exchange; no longer valid afterwards
+ * @status: HTTP status
+ * @headers: headers; the length is set here
+ * @headers_len: number of headers
+ * @body: whole body
+ */
+void
+httpd_answer (struct httpd_exchange *x, int status,
+              const struct wire_header *headers, uint32_t headers_len,
+              struct str body)
+{
+  struct MHD_Response *r = MHD_create_response_from_buffer (
+      body.len, (void *)body.data, MHD_RESPMEM_MUST_COPY);
+
+  for (uint32_t i = 0; i < headers_len; i++)
+    {
+      char *name = str_dup_cstr (headers[i].name);
+      char *value = str_dup_cstr (headers[i].value);
+
+      MHD_add_response_header (r, name, value);
+      g_free (name);
+      g_free (value);
+    }
+  if (x->closed != NULL)
+    event_free (x->closed);
+  x->closed = NULL;
+  x->handed_over = false;
+  x->response = r;
+  x->status = status;
+  x->suspended = false;
+  MHD_resume_connection (x->connection);
+}
+
+struct str
+httpd_get_header (const struct httpd_exchange *x, struct str name)
+{
+  for (uint32_t i = 0; i < x->headers_len; i++)
+    if (str_equal_nocase (x->headers[i].name, name))
+      return x->headers[i].value;
+  return STR_EMPTY;
+}
--- /dev/null
+++ b/src/httpd.h
@@ -0,0 +1,75 @@
+/* httpd: HTTP/1.1 listener on libmicrohttpd, driven by a thread's event loop.
+
+   A request is handed over whole.  The owner answers it later from the same
+   thread.  */
+
+#ifndef ALMONDVALE_HTTPD_H
+#define ALMONDVALE_HTTPD_H
+
+#include "str.h"
+#include "wire.h"
+
+#include <event2/event.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Types */
+
+struct httpd_limits
+{
+  size_t headers_bytes;
+  size_t body_bytes;
+  uint32_t connections;
+  uint32_t idle_timeout_s; /* closes a connection that sends nothing */
+};
+
+struct httpd_exchange
+{
+  struct httpd *httpd;
+  struct str method;
+  struct str target; /* path with query, as received */
+  uint32_t headers_len;
+  struct wire_header *headers;
+  struct str_buf body;
+  bool body_too_large;
+  bool headers_too_many;
+  uint64_t call;   /* for the owner: row id of the call */
+  uint64_t source; /* value given to httpd_load */
+  /* internal */
+  void *connection;
+  void *response;
+  int status;
+  bool suspended;
+  bool handed_over;
+  struct event *closed; /* the caller closed its side */
+};
+
+struct httpd_ops
+{
+  /* a whole request; the exchange lives until httpd_answer or on_gone */
+  void (*on_request) (void *owner, struct httpd_exchange *x);
+  /* the caller closed the connection; the exchange is no longer valid */
+  void (*on_gone) (void *owner, struct httpd_exchange *x);
+};
+
+struct httpd;
+
+/* Public functions */
+
+/* listens; NULL if the address or port cannot be had */
+struct httpd *httpd_load (struct event_base *base, struct str address,
+                          uint16_t port, const struct httpd_limits *limits,
+                          const struct httpd_ops *ops, void *owner,
+                          uint64_t source);
+/* closes all connections */
+void httpd_unload (struct httpd *h);
+/* accepts no new connections; open ones go on */
+void httpd_stop_listening (struct httpd *h);
+/* answers a request; strings are copied */
+void httpd_answer (struct httpd_exchange *x, int status,
+                   const struct wire_header *headers, uint32_t headers_len,
+                   struct str body);
+/* value of a header, or an empty string */
+struct str httpd_get_header (const struct httpd_exchange *x, struct str name);
+
+#endif
