Set down the headers of the decision modules

Cause: the traffic threads are written at the same time and call these modules, so their interfaces are needed before the implementations.

--- /dev/null
+++ b/src/budget.h
@@ -0,0 +1,72 @@
+/* budget: bounds the retries of a call tree and of a destination.
+
+   The first daemon fixes the number of extra attempts of the whole tree.  A
+   pool hands parts of it to the attempts and nested calls below; what a part
+   did not use is returned.  A part whose answer is lost counts as used.  */
+
+#ifndef ALMONDVALE_BUDGET_H
+#define ALMONDVALE_BUDGET_H
+
+#include "str.h"
+#include "table.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Constants */
+
+#define BUDGET_DEFAULT 2u
+#define BUDGET_MAX 1000u
+
+/* Types */
+
+struct budget_pool
+{
+  uint32_t left;        /* extra attempts not handed out */
+  uint32_t outstanding; /* handed out, not yet returned */
+};
+
+/* Retry ratio of one destination: credit grows with requests and is spent by
+   retries.  */
+struct budget_ratio_row
+{
+  struct str destination;
+  double credit;
+  int64_t used_us; /* last request or retry */
+};
+
+struct budget_ratio
+{
+  struct table rows;
+  GHashTable *by_destination;
+  double ratio;      /* retries allowed per request */
+  double credit_max; /* retries allowed in one burst */
+};
+
+/* Public functions */
+
+void budget_init_pool (struct budget_pool *p, uint32_t total);
+/* takes one extra attempt for a retry of this hop; false if none is left */
+bool budget_spend (struct budget_pool *p);
+/* part for one attempt sent to the next daemon: all but one that stays for a
+   retry here, so that the hop next to a failure can retry */
+uint32_t budget_hand_down (struct budget_pool *p);
+/* part for one of several nested calls: half of what is left, rounded up */
+uint32_t budget_split (struct budget_pool *p);
+/* `part` has come back with `unused`; a larger number is cut to the part */
+void budget_return (struct budget_pool *p, uint32_t part, uint32_t unused);
+
+/* 10% of the recent requests, bursts of at most 10 */
+void budget_init_ratio (struct budget_ratio *r);
+void budget_close_ratio (struct budget_ratio *r);
+/* a first attempt was sent */
+void budget_note_request (struct budget_ratio *r, struct str destination,
+                          int64_t now_us);
+/* takes credit for a retry; false if the destination has none */
+bool budget_allow_retry (struct budget_ratio *r, struct str destination,
+                         int64_t now_us);
+/* system: removes destinations without traffic */
+void budget_expire_ratio (struct budget_ratio *r, int64_t now_us);
+
+#endif
