--- /dev/null
+++ b/src/admit.c
@@ -0,0 +1,768 @@
+/* admit: the queue of the serving daemon in front of its backend server.  */
+
+#include "admit.h"
+
+#include <string.h>
+
+/* Constants */
+
+#define ADMIT_QUEUE_MAX 1000u
+#define ADMIT_DELAY_TARGET_US 20000
+#define ADMIT_INTERVAL_US 100000
+/* Weight of the latest interval in the averages of demand and starts; one
+   interval alone sees about ten requests at 77 calls/s.  */
+#define ADMIT_RATE_GAIN 0.25
+/* Weight of one request in the mean service time.  */
+#define ADMIT_SERVICE_GAIN 0.05
+/* Intervals without overload before the threshold falls by one.  */
+#define ADMIT_CALM_INTERVALS 3u
+/* A flow without entries is kept so long, so that its share is remembered.  */
+#define ADMIT_FLOW_IDLE_US 10000000
+
+/* Types */
+
+/* Doubly linked list of entries, by row id.  */
+struct list
+{
+  uint64_t head;
+  uint64_t tail;
+  uint32_t len;
+};
+
+struct entry
+{
+  struct admit_item item;
+  uint64_t flow; /* row id; 0 once dropped */
+  uint64_t prev;
+  uint64_t next;
+  int64_t queued_us;
+  enum err_kind error; /* of a dropped entry */
+};
+
+struct flow_key
+{
+  uint64_t workspace;
+  uint32_t importance;
+};
+
+/* The entries of one workspace at one importance.  */
+struct flow
+{
+  struct flow_key key;
+  uint32_t weight;
+  double pass; /* work received so far divided by the weight */
+  struct list entries;
+  int64_t used_us;
+};
+
+/* All flows of one importance that have entries.  */
+struct level
+{
+  GArray *flows;     /* row ids */
+  uint32_t len;      /* entries */
+  double pass;       /* pass of the flow served last */
+  uint32_t arrivals; /* in this interval */
+  double demand;     /* average arrivals of an interval */
+};
+
+struct admit
+{
+  struct admit_settings settings;
+  struct table entries;
+  struct table flows;
+  GHashTable *flow_by_key;
+  struct level levels[ADMIT_IMPORTANCES];
+  struct list fifo;    /* of the naive policy */
+  struct list dropped; /* entries that wait for take_drop */
+  uint32_t len;        /* entries queued */
+  uint32_t limit;
+  double service_us; /* mean service time, 0 if unknown */
+  uint32_t threshold;
+  uint32_t starts; /* in this interval */
+  double capacity; /* average starts of an interval */
+  bool emptied;    /* the queue was empty in this interval */
+  uint32_t calm;   /* intervals in a row without overload */
+  int64_t interval_end_us;
+};
+
+/* Internal functions: lists and flows */
+
+static struct entry *
+get_entry (const struct admit *a, uint64_t id)
+{
+  return table_get (&a->entries, id);
+}
+
+static struct flow *
+get_flow (const struct admit *a, uint64_t id)
+{
+  return table_get (&a->flows, id);
+}
+
+static void
+append_entry (struct admit *a, struct list *list, uint64_t id)
+{
+  struct entry *e = get_entry (a, id);
+
+  e->prev = list->tail;
+  e->next = 0;
+  if (list->tail != 0)
+    get_entry (a, list->tail)->next = id;
+  else
+    list->head = id;
+  list->tail = id;
+  list->len++;
+}
+
+static void
+unlink_entry (struct admit *a, struct list *list, uint64_t id)
+{
+  struct entry *e = get_entry (a, id);
+
+  if (e->prev != 0)
+    get_entry (a, e->prev)->next = e->next;
+  else
+    list->head = e->next;
+  if (e->next != 0)
+    get_entry (a, e->next)->prev = e->prev;
+  else
+    list->tail = e->prev;
+  list->len--;
+}
+
+static guint
+hash_key (gconstpointer p)
+{
+  const struct flow_key *k = p;
+
+  return (guint)(k->workspace ^ (k->workspace >> 32) ^ k->importance);
+}
+
+static gboolean
+equal_key (gconstpointer p, gconstpointer q)
+{
+  const struct flow_key *a = p;
+  const struct flow_key *b = q;
+
+  return a->workspace == b->workspace && a->importance == b->importance;
+}
+
+static bool
+is_off (const struct admit *a, enum admit_rule rule)
+{
+  return (a->settings.rules_off & rule) != 0;
+}
+
+static struct flow_key
+make_key (const struct admit *a, const struct admit_item *item)
+{
+  struct flow_key k = { item->workspace, item->importance };
+
+  if (is_off (a, ADMIT_RULE_FAIR))
+    k.workspace = 0;
+  if (is_off (a, ADMIT_RULE_IMPORTANCE))
+    k.importance = 0;
+  return k;
+}
+
+static struct flow *
+find_flow (const struct admit *a, struct flow_key key)
+{
+  uint64_t *id = g_hash_table_lookup (a->flow_by_key, &key);
+
+  return id != NULL ? get_flow (a, *id) : NULL;
+}
+
+/* The hash table's key and value are one allocation: a copy of the flow's
+   key, and its row id.  */
+struct flow_index
+{
+  struct flow_key key;
+  uint64_t id;
+};
+
+static uint64_t
+add_flow (struct admit *a, const struct admit_item *item)
+{
+  struct flow_index *index = g_new0 (struct flow_index, 1);
+  void *row;
+  struct flow *f;
+
+  index->key = make_key (a, item);
+  index->id = table_add (&a->flows, &row);
+  f = row;
+  f->key = index->key;
+  g_hash_table_insert (a->flow_by_key, &index->key, &index->id);
+  return index->id;
+}
+
+static uint64_t
+take_flow (struct admit *a, const struct admit_item *item)
+{
+  struct flow_key key = make_key (a, item);
+  uint64_t *found = g_hash_table_lookup (a->flow_by_key, &key);
+  uint64_t id = found != NULL ? *found : add_flow (a, item);
+
+  get_flow (a, id)->weight = MAX (item->weight, 1);
+  return id;
+}
+
+/* A flow that becomes active starts at the level's pass: an idle workspace
+   has lent its share and does not claim it back later.  */
+static void
+activate_flow (struct admit *a, uint64_t id)
+{
+  struct flow *f = get_flow (a, id);
+  struct level *l = &a->levels[f->key.importance];
+
+  f->pass = MAX (f->pass, l->pass);
+  g_array_append_val (l->flows, id);
+}
+
+static void
+deactivate_flow (struct admit *a, uint64_t id)
+{
+  struct level *l = &a->levels[get_flow (a, id)->key.importance];
+
+  for (guint i = 0; i < l->flows->len; i++)
+    if (g_array_index (l->flows, uint64_t, i) == id)
+      {
+        g_array_remove_index_fast (l->flows, i);
+        return;
+      }
+}
+
+static void
+enqueue (struct admit *a, uint64_t entry, uint64_t flow)
+{
+  struct flow *f = get_flow (a, flow);
+
+  if (f->entries.len == 0)
+    activate_flow (a, flow);
+  get_entry (a, entry)->flow = flow;
+  append_entry (a, &f->entries, entry);
+  a->levels[f->key.importance].len++;
+  a->len++;
+}
+
+static void
+dequeue (struct admit *a, uint64_t entry)
+{
+  uint64_t id = get_entry (a, entry)->flow;
+  struct flow *f = get_flow (a, id);
+
+  unlink_entry (a, &f->entries, entry);
+  a->levels[f->key.importance].len--;
+  a->len--;
+  if (f->entries.len == 0)
+    deactivate_flow (a, id);
+}
+
+static void
+drop (struct admit *a, uint64_t entry, enum err_kind error)
+{
+  struct entry *e;
+
+  dequeue (a, entry);
+  e = get_entry (a, entry);
+  e->flow = 0;
+  e->error = error;
+  append_entry (a, &a->dropped, entry);
+}
+
+/* Internal functions: decisions */
+
+static bool
+is_late (const struct admit *a, const struct admit_item *item, int64_t now_us)
+{
+  if (is_off (a, ADMIT_RULE_DEADLINE))
+    return false;
+  return now_us + (int64_t)a->service_us > item->deadline_us;
+}
+
+static uint32_t
+sum_weights (const struct admit *a, const struct level *l)
+{
+  uint32_t sum = 0;
+
+  for (guint i = 0; i < l->flows->len; i++)
+    sum += get_flow (a, g_array_index (l->flows, uint64_t, i))->weight;
+  return sum;
+}
+
+/* Entries that are served before a new one if nothing else arrives.  */
+static double
+count_ahead (const struct admit *a, const struct admit_item *item)
+{
+  struct flow_key key = make_key (a, item);
+  const struct level *l = &a->levels[key.importance];
+  const struct flow *f = find_flow (a, key);
+  double ahead = 0;
+  double own;
+
+  for (uint32_t i = key.importance + 1; i < ADMIT_IMPORTANCES; i++)
+    ahead += a->levels[i].len;
+  if (f == NULL || f->entries.len == 0)
+    return ahead;
+  own = (double)f->entries.len * sum_weights (a, l) / f->weight;
+  return ahead + MIN (own, l->len);
+}
+
+/* True if the entries ahead alone take longer than the item can wait.  */
+static bool
+is_hopeless (const struct admit *a, const struct admit_item *item,
+             int64_t now_us)
+{
+  double wait_us;
+
+  if (is_off (a, ADMIT_RULE_DEADLINE) || a->limit == 0)
+    return false;
+  wait_us = count_ahead (a, item) * a->service_us / a->limit;
+  return is_late (a, item, now_us + (int64_t)wait_us);
+}
+
+/* The flow that holds most entries for its weight.  */
+static uint64_t
+find_longest_flow (const struct admit *a, const struct level *l)
+{
+  uint64_t longest = 0;
+  double most = -1;
+
+  for (guint i = 0; i < l->flows->len; i++)
+    {
+      uint64_t id = g_array_index (l->flows, uint64_t, i);
+      const struct flow *f = get_flow (a, id);
+      double per_weight = (double)f->entries.len / f->weight;
+
+      if (per_weight > most)
+        {
+          most = per_weight;
+          longest = id;
+        }
+    }
+  return longest;
+}
+
+/* Makes room in a full queue: the least important entries go first, and of
+   them the newest of the workspace that holds most for its weight.  False if
+   that is the item itself.  */
+static bool
+make_room (struct admit *a, const struct admit_item *item)
+{
+  struct flow_key key = make_key (a, item);
+  const struct flow *own = find_flow (a, key);
+  const struct flow *longest;
+  uint32_t lowest = 0;
+
+  while (lowest < ADMIT_IMPORTANCES && a->levels[lowest].len == 0)
+    lowest++;
+  if (lowest >= ADMIT_IMPORTANCES || key.importance < lowest)
+    return false;
+  longest = get_flow (a, find_longest_flow (a, &a->levels[lowest]));
+  if (key.importance == lowest && own != NULL
+      && (double)(own->entries.len + 1) / own->weight
+             >= (double)longest->entries.len / longest->weight)
+    return false;
+  drop (a, longest->entries.tail, ERR_OVERLOADED);
+  return true;
+}
+
+static uint64_t
+find_next_flow (const struct admit *a, const struct level *l)
+{
+  uint64_t first = 0;
+  double least = 0;
+
+  for (guint i = 0; i < l->flows->len; i++)
+    {
+      uint64_t id = g_array_index (l->flows, uint64_t, i);
+      double pass = get_flow (a, id)->pass;
+
+      if (first == 0 || pass < least)
+        {
+          least = pass;
+          first = id;
+        }
+    }
+  return first;
+}
+
+static void
+note_start (struct admit *a, uint64_t flow)
+{
+  struct flow *f = get_flow (a, flow);
+  struct level *l = &a->levels[f->key.importance];
+
+  l->pass = f->pass;
+  f->pass += 1.0 / f->weight;
+  a->starts++;
+}
+
+static void
+drop_late (struct admit *a, int64_t now_us)
+{
+  void *row;
+
+  for (uint64_t id = table_next (&a->entries, 0, &row); id != 0;
+       id = table_next (&a->entries, id, &row))
+    {
+      struct entry *e = row;
+
+      if (e->flow != 0 && is_late (a, &e->item, now_us))
+        drop (a, id, ERR_DEADLINE_NOT_RUN);
+    }
+}
+
+/* Longest wait of the entries queued now.  */
+static int64_t
+get_delay (const struct admit *a, int64_t now_us)
+{
+  int64_t oldest_us = now_us;
+  void *row;
+
+  for (uint64_t id = table_next (&a->flows, 0, &row); id != 0;
+       id = table_next (&a->flows, id, &row))
+    {
+      const struct flow *f = row;
+
+      if (f->entries.len > 0)
+        oldest_us = MIN (oldest_us, get_entry (a, f->entries.head)->queued_us);
+    }
+  return now_us - oldest_us;
+}
+
+static void
+average_interval (struct admit *a)
+{
+  a->capacity += ADMIT_RATE_GAIN * (a->starts - a->capacity);
+  a->starts = 0;
+  for (uint32_t i = 0; i < ADMIT_IMPORTANCES; i++)
+    {
+      struct level *l = &a->levels[i];
+
+      l->demand += ADMIT_RATE_GAIN * (l->arrivals - l->demand);
+      l->arrivals = 0;
+    }
+}
+
+/* The importance at which the demand from the top reaches the capacity.  It
+   is still accepted, so the threshold alone never leaves slots idle.  */
+static uint32_t
+find_level (const struct admit *a)
+{
+  double demand = 0;
+  uint32_t level = ADMIT_IMPORTANCES;
+
+  while (level > 0 && demand < a->capacity)
+    demand += a->levels[--level].demand;
+  return MIN (level, ADMIT_IMPORTANCES - 1);
+}
+
+static void
+decide_threshold (struct admit *a, int64_t now_us)
+{
+  bool overloaded
+      = !a->emptied && get_delay (a, now_us) > a->settings.delay_target_us;
+
+  average_interval (a);
+  a->emptied = a->len == 0;
+  if (overloaded)
+    {
+      a->calm = 0;
+      a->threshold = find_level (a);
+      return;
+    }
+  if (++a->calm < ADMIT_CALM_INTERVALS || a->threshold == 0)
+    return;
+  a->calm = 0;
+  a->threshold--;
+}
+
+static void
+remove_idle_flows (struct admit *a, int64_t now_us)
+{
+  void *row;
+
+  for (uint64_t id = table_next (&a->flows, 0, &row); id != 0;
+       id = table_next (&a->flows, id, &row))
+    {
+      struct flow *f = row;
+
+      if (f->entries.len > 0)
+        f->used_us = now_us;
+      if (now_us - f->used_us <= ADMIT_FLOW_IDLE_US)
+        continue;
+      g_hash_table_remove (a->flow_by_key, &f->key);
+      table_remove (&a->flows, id);
+    }
+}
+
+/* Internal functions: both policies */
+
+static struct admit *
+init (const struct admit_settings *settings)
+{
+  struct admit *a = g_new0 (struct admit, 1);
+
+  a->settings = *settings;
+  a->emptied = true;
+  table_init (&a->entries, sizeof (struct entry));
+  table_init (&a->flows, sizeof (struct flow));
+  a->flow_by_key = g_hash_table_new_full (hash_key, equal_key, g_free, NULL);
+  for (uint32_t i = 0; i < ADMIT_IMPORTANCES; i++)
+    a->levels[i].flows = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  return a;
+}
+
+static void
+close_queue (struct admit *a)
+{
+  if (a == NULL)
+    return;
+  for (uint32_t i = 0; i < ADMIT_IMPORTANCES; i++)
+    g_array_unref (a->levels[i].flows);
+  g_hash_table_unref (a->flow_by_key);
+  table_close (&a->entries);
+  table_close (&a->flows);
+  g_free (a);
+}
+
+static uint64_t
+add_entry (struct admit *a, const struct admit_item *item, int64_t now_us)
+{
+  void *row;
+  uint64_t id = table_add (&a->entries, &row);
+  struct entry *e = row;
+
+  e->item = *item;
+  e->item.importance = MIN (item->importance, ADMIT_IMPORTANCES - 1);
+  e->queued_us = now_us;
+  return id;
+}
+
+static void
+note_done (struct admit *a, int64_t service_us, int64_t now_us)
+{
+  double sample = (double)MAX (service_us, 0);
+
+  if (a->service_us == 0)
+    a->service_us = sample;
+  else
+    a->service_us += ADMIT_SERVICE_GAIN * (sample - a->service_us);
+}
+
+static void
+set_limit (struct admit *a, uint32_t limit)
+{
+  a->limit = limit;
+}
+
+static uint32_t
+get_length (const struct admit *a)
+{
+  return a->len;
+}
+
+static bool
+take_drop (struct admit *a, struct admit_drop *result)
+{
+  uint64_t id = a->dropped.head;
+  const struct entry *e = get_entry (a, id);
+
+  if (e == NULL)
+    return false;
+  *result = (struct admit_drop){ e->item.job, e->error };
+  unlink_entry (a, &a->dropped, id);
+  table_remove (&a->entries, id);
+  return true;
+}
+
+/* Internal functions: policy "priority" */
+
+static enum err_kind
+priority_offer (struct admit *a, const struct admit_item *item, int64_t now_us,
+                uint64_t *entry)
+{
+  struct admit_item clipped = *item;
+  uint64_t flow;
+
+  clipped.importance = MIN (item->importance, ADMIT_IMPORTANCES - 1);
+  a->levels[make_key (a, &clipped).importance].arrivals++;
+  if (clipped.importance < a->threshold)
+    return ERR_OVERLOADED;
+  if (is_late (a, &clipped, now_us))
+    return ERR_DEADLINE_NOT_RUN;
+  if (is_hopeless (a, &clipped, now_us))
+    return ERR_OVERLOADED;
+  if (a->len >= a->settings.queue_max && !is_off (a, ADMIT_RULE_BOUND)
+      && !make_room (a, &clipped))
+    return ERR_OVERLOADED;
+  flow = take_flow (a, &clipped);
+  get_flow (a, flow)->used_us = now_us;
+  *entry = add_entry (a, &clipped, now_us);
+  enqueue (a, *entry, flow);
+  return ERR_NONE;
+}
+
+static uint64_t
+take_first (struct admit *a, int64_t now_us)
+{
+  for (uint32_t i = ADMIT_IMPORTANCES; i-- > 0;)
+    while (a->levels[i].len > 0)
+      {
+        uint64_t flow = find_next_flow (a, &a->levels[i]);
+        uint64_t id = get_flow (a, flow)->entries.head;
+
+        if (is_late (a, &get_entry (a, id)->item, now_us))
+          {
+            drop (a, id, ERR_DEADLINE_NOT_RUN);
+            continue;
+          }
+        note_start (a, flow);
+        dequeue (a, id);
+        return id;
+      }
+  return 0;
+}
+
+static bool
+priority_next (struct admit *a, int64_t now_us, struct admit_item *item)
+{
+  uint64_t id = take_first (a, now_us);
+
+  if (a->len == 0)
+    a->emptied = true;
+  if (id == 0)
+    return false;
+  *item = get_entry (a, id)->item;
+  table_remove (&a->entries, id);
+  return true;
+}
+
+static bool
+priority_remove (struct admit *a, uint64_t entry)
+{
+  const struct entry *e = get_entry (a, entry);
+
+  if (e == NULL || e->flow == 0)
+    return false;
+  dequeue (a, entry);
+  table_remove (&a->entries, entry);
+  return true;
+}
+
+static void
+priority_tick (struct admit *a, int64_t now_us)
+{
+  drop_late (a, now_us);
+  if (a->len == 0)
+    a->emptied = true;
+  if (now_us < a->interval_end_us)
+    return;
+  a->interval_end_us = now_us + a->settings.interval_us;
+  decide_threshold (a, now_us);
+  remove_idle_flows (a, now_us);
+}
+
+static uint32_t
+priority_get_threshold (const struct admit *a)
+{
+  return a->threshold;
+}
+
+/* Internal functions: policy "naive" */
+
+static enum err_kind
+naive_offer (struct admit *a, const struct admit_item *item, int64_t now_us,
+             uint64_t *entry)
+{
+  *entry = add_entry (a, item, now_us);
+  append_entry (a, &a->fifo, *entry);
+  a->len++;
+  return ERR_NONE;
+}
+
+static bool
+naive_remove (struct admit *a, uint64_t entry)
+{
+  if (get_entry (a, entry) == NULL)
+    return false;
+  unlink_entry (a, &a->fifo, entry);
+  table_remove (&a->entries, entry);
+  a->len--;
+  return true;
+}
+
+static bool
+naive_next (struct admit *a, int64_t now_us, struct admit_item *item)
+{
+  uint64_t id = a->fifo.head;
+
+  if (id == 0)
+    return false;
+  *item = get_entry (a, id)->item;
+  return naive_remove (a, id);
+}
+
+static void
+naive_tick (struct admit *a, int64_t now_us)
+{
+}
+
+static uint32_t
+naive_get_threshold (const struct admit *a)
+{
+  return 0;
+}
+
+static const struct admit_ops policies[] = {
+  { .name = STR_LIT ("priority"),
+    .init = init,
+    .close = close_queue,
+    .offer = priority_offer,
+    .next = priority_next,
+    .remove = priority_remove,
+    .note_done = note_done,
+    .set_limit = set_limit,
+    .tick = priority_tick,
+    .get_threshold = priority_get_threshold,
+    .get_length = get_length,
+    .take_drop = take_drop },
+  { .name = STR_LIT ("naive"),
+    .init = init,
+    .close = close_queue,
+    .offer = naive_offer,
+    .next = naive_next,
+    .remove = naive_remove,
+    .note_done = note_done,
+    .set_limit = set_limit,
+    .tick = naive_tick,
+    .get_threshold = naive_get_threshold,
+    .get_length = get_length,
+    .take_drop = take_drop },
+};
+
+/* Public functions */
+
+/**
+ * admit_find_ops - looks up a policy
+ * @name: value of the settings member policy.admit
+ *
+ * Return: its functions, or NULL if there is no such policy.
+ */
+const struct admit_ops *
+admit_find_ops (struct str name)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (policies); i++)
+    if (str_equal (policies[i].name, name))
+      return &policies[i];
+  return NULL;
+}
+
+struct admit_settings
+admit_get_defaults (void)
+{
+  return (struct admit_settings){ .queue_max = ADMIT_QUEUE_MAX,
+                                  .delay_target_us = ADMIT_DELAY_TARGET_US,
+                                  .interval_us = ADMIT_INTERVAL_US };
+}
--- /dev/null
+++ b/src/auth.c
@@ -0,0 +1,346 @@
+/* auth: callers' keys.  */
+
+#include "auth.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* Constants */
+
+/* Text decoded more often than this is refused instead of searched.  */
+#define DECODE_ROUNDS_MAX 8
+/* Bytes of one key byte in its longest single encoding, "\u0041", and some
+   for a second one ("%255Cu0041" has ten).  */
+#define ENCODED_BYTES_MAX 12u
+
+/* Types */
+
+typedef struct str decode_fn (struct str text, struct str_buf *out);
+
+/* State */
+
+/* Headers that backend servers get; all others, known or not, are removed.
+   Content-Encoding is missing on purpose: a compressed body cannot be
+   searched for the key.  */
+static const struct str allowed[] = {
+  STR_LIT ("accept"),
+  STR_LIT ("accept-encoding"),
+  STR_LIT ("accept-language"),
+  STR_LIT ("content-language"),
+  STR_LIT ("content-type"),
+  STR_LIT ("idempotency-key"),
+  STR_LIT ("if-match"),
+  STR_LIT ("if-modified-since"),
+  STR_LIT ("if-none-match"),
+  STR_LIT ("if-range"),
+  STR_LIT ("if-unmodified-since"),
+  STR_LIT ("range"),
+  STR_LIT ("user-agent"),
+  STR_LIT ("x-request-id"),
+};
+
+/* Internal functions: finding the key */
+
+static bool
+is_blank (char c)
+{
+  return c == ' ' || c == '\t';
+}
+
+static struct str
+trim (struct str s)
+{
+  size_t from = 0;
+  size_t to = s.len;
+
+  while (from < to && is_blank (s.data[from]))
+    from++;
+  while (to > from && is_blank (s.data[to - 1]))
+    to--;
+  return str_slice (s, from, to);
+}
+
+/* Key of one header, or empty.  */
+static struct str
+get_header_key (const struct wire_header *h)
+{
+  const struct str scheme = STR_LIT ("bearer");
+  struct str value = trim (h->value);
+
+  if (str_equal_nocase (h->name, STR_LIT ("x-api-key")))
+    return value;
+  if (!str_equal_nocase (h->name, STR_LIT ("authorization"))
+      || value.len <= scheme.len || !is_blank (value.data[scheme.len])
+      || !str_equal_nocase (str_slice (value, 0, scheme.len), scheme))
+    return STR_EMPTY;
+  return trim (str_slice (value, scheme.len, value.len));
+}
+
+static bool
+is_allowed (struct str name)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (allowed); i++)
+    if (str_equal_nocase (name, allowed[i]))
+      return true;
+  return false;
+}
+
+/* Internal functions: searching for the key */
+
+/* Value of `len` hex digits at `at`, or -1.  */
+static int
+read_hex (struct str s, size_t at, size_t len)
+{
+  int value = 0;
+
+  if (at + len > s.len)
+    return -1;
+  for (size_t i = at; i < at + len; i++)
+    {
+      int digit = g_ascii_xdigit_value (s.data[i]);
+
+      if (digit < 0)
+        return -1;
+      value = value * 16 + digit;
+    }
+  return value;
+}
+
+static struct str
+decode_percent (struct str s, struct str_buf *out)
+{
+  out->len = 0;
+  for (size_t i = 0; i < s.len; i++)
+    {
+      int value = s.data[i] == '%' ? read_hex (s, i + 1, 2) : -1;
+
+      str_append_char (out, value >= 0 ? (char)value : s.data[i]);
+      if (value >= 0)
+        i += 2;
+    }
+  return str_view (out);
+}
+
+/* Backslash escapes of JSON that stand for one ASCII character.  */
+static struct str
+decode_backslash (struct str s, struct str_buf *out)
+{
+  out->len = 0;
+  for (size_t i = 0; i < s.len; i++)
+    {
+      char c = s.data[i];
+
+      if (c == '\\' && i + 1 < s.len)
+        {
+          int value = s.data[i + 1] == 'u' ? read_hex (s, i + 2, 4) : -1;
+
+          i += value >= 0 ? 5 : 1;
+          c = value >= 0 && value < 128 ? (char)value : s.data[i];
+        }
+      str_append_char (out, c);
+    }
+  return str_view (out);
+}
+
+static struct str
+decode_both (struct str s, struct str_buf *out)
+{
+  struct str_buf plain = { 0 };
+
+  decode_percent (decode_backslash (s, &plain), out);
+  str_reset (&plain);
+  return str_view (out);
+}
+
+/* Decodes until nothing changes and searches each result.  */
+static bool
+search_decoded (struct str key, struct str text, decode_fn *decode)
+{
+  struct str_buf bufs[2] = { { 0 } };
+  bool found = false;
+  int round = 0;
+
+  while (!found)
+    {
+      struct str next = decode (text, &bufs[round % 2]);
+
+      if (next.len == text.len)
+        break;
+      text = next;
+      found = ++round > DECODE_ROUNDS_MAX || str_contains (text, key);
+    }
+  str_reset (&bufs[0]);
+  str_reset (&bufs[1]);
+  return found;
+}
+
+static bool
+search (struct str key, struct str text)
+{
+  bool percent;
+  bool backslash;
+
+  if (key.len == 0 || text.len < key.len)
+    return false;
+  if (str_contains (text, key))
+    return true;
+  percent = memchr (text.data, '%', text.len) != NULL;
+  backslash = memchr (text.data, '\\', text.len) != NULL;
+  return (percent && search_decoded (key, text, decode_percent))
+         || (backslash && search_decoded (key, text, decode_backslash))
+         || (percent && backslash && search_decoded (key, text, decode_both));
+}
+
+/* Public functions */
+
+/**
+ * auth_find_key - finds the key that a request presents
+ * @headers: headers of the request
+ * @len: number of headers
+ * @key: receives a view of the key
+ *
+ * Return: ERR_NONE; ERR_KEY_MISSING; ERR_BAD_REQUEST if two headers present
+ * different keys, of which only one could be checked and removed.
+ */
+enum err_kind
+auth_find_key (const struct wire_header *headers, uint32_t len,
+               struct str *key)
+{
+  *key = STR_EMPTY;
+  for (uint32_t i = 0; i < len; i++)
+    {
+      struct str found = get_header_key (&headers[i]);
+
+      if (found.len == 0)
+        continue;
+      if (key->len > 0 && !str_equal (*key, found))
+        return ERR_BAD_REQUEST;
+      *key = found;
+    }
+  return key->len > 0 ? ERR_NONE : ERR_KEY_MISSING;
+}
+
+void
+auth_hash_key (struct str key, uint8_t digest[AUTH_DIGEST_BYTES])
+{
+  GChecksum *sum = g_checksum_new (G_CHECKSUM_SHA256);
+  gsize len = AUTH_DIGEST_BYTES;
+
+  g_checksum_update (sum, (const guchar *)key.data, (gssize)key.len);
+  g_checksum_get_digest (sum, digest, &len);
+  g_checksum_free (sum);
+}
+
+/**
+ * auth_check - finds the key of a request and looks it up
+ * @headers: headers of the request
+ * @len: number of headers
+ * @lookup: where digests are looked up
+ * @key: receives a view of the key
+ * @grant: receives what the key stands for
+ *
+ * Return: ERR_NONE or the error kind of the answer.
+ */
+enum err_kind
+auth_check (const struct wire_header *headers, uint32_t len,
+            const struct auth_lookup *lookup, struct str *key,
+            struct auth_grant *grant)
+{
+  uint8_t digest[AUTH_DIGEST_BYTES];
+  enum err_kind error = auth_find_key (headers, len, key);
+
+  if (error != ERR_NONE)
+    return error;
+  if (key->len < AUTH_KEY_MIN_BYTES || key->len > AUTH_KEY_MAX_BYTES)
+    return ERR_KEY_UNKNOWN;
+  auth_hash_key (*key, digest);
+  return lookup->find (lookup->owner, digest, grant) ? ERR_NONE
+                                                     : ERR_KEY_UNKNOWN;
+}
+
+/**
+ * auth_filter_headers - keeps the headers that may be forwarded
+ * @headers: headers of the request
+ * @len: number of headers
+ * @out: receives views of the headers kept
+ * @out_max: room in @out
+ *
+ * Return: number of headers kept.
+ */
+uint32_t
+auth_filter_headers (const struct wire_header *headers, uint32_t len,
+                     struct wire_header *out, uint32_t out_max)
+{
+  uint32_t kept = 0;
+
+  for (uint32_t i = 0; i < len && kept < out_max; i++)
+    if (is_allowed (headers[i].name))
+      out[kept++] = headers[i];
+  return kept;
+}
+
+/**
+ * auth_contains_key - searches the request line and headers for the key
+ * @key: the presented key
+ * @path: path with the query
+ * @headers: the headers that will be forwarded
+ * @len: number of headers
+ *
+ * Return: true if the key is found, plain, percent-encoded any number of
+ * times, or with backslash escapes.
+ */
+bool
+auth_contains_key (struct str key, struct str path,
+                   const struct wire_header *headers, uint32_t len)
+{
+  if (search (key, path))
+    return true;
+  for (uint32_t i = 0; i < len; i++)
+    if (search (key, headers[i].value))
+      return true;
+  return false;
+}
+
+void
+auth_init_scan (struct auth_scan *s, struct str key)
+{
+  *s = (struct auth_scan){ .key = str_copy (key) };
+}
+
+/**
+ * auth_close_scan - ends a search
+ * @s: search
+ *
+ * The copy of the key is overwritten before its memory is freed.
+ */
+void
+auth_close_scan (struct auth_scan *s)
+{
+  explicit_bzero ((char *)s->key.data, s->key.len);
+  str_free (&s->key);
+  str_reset (&s->tail);
+}
+
+/**
+ * auth_scan_part - searches the next part of a body
+ * @s: search
+ * @part: bytes that follow the earlier parts
+ *
+ * Return: true if the key occurs in the parts so far, also across parts.
+ */
+bool
+auth_scan_part (struct auth_scan *s, struct str part)
+{
+  size_t keep = s->key.len * ENCODED_BYTES_MAX;
+  size_t from;
+
+  if (s->found)
+    return true;
+  str_append (&s->tail, part);
+  s->found = search (s->key, str_view (&s->tail));
+  from = s->tail.len > keep ? s->tail.len - keep : 0;
+  if (from > 0)
+    memmove (s->tail.data, s->tail.data + from, keep);
+  s->tail.len -= from;
+  return s->found;
+}
--- /dev/null
+++ b/src/hop.c
@@ -0,0 +1,345 @@
+/* hop: tokens that the backend server presents with its nested calls.  */
+
+#include "hop.h"
+
+#include <errno.h>
+#include <string.h>
+#include <sys/random.h>
+
+/* Constants */
+
+#define TOKEN_BYTES (HOP_TOKEN_LEN / 2u)
+
+/* Internal functions */
+
+static guint
+hash_token (gconstpointer p)
+{
+  return (guint)str_hash ((struct str){ HOP_TOKEN_LEN, p });
+}
+
+static gboolean
+equal_token (gconstpointer p, gconstpointer q)
+{
+  return memcmp (p, q, HOP_TOKEN_LEN) == 0;
+}
+
+static bool
+fill_random (uint8_t *bytes, size_t len)
+{
+  size_t filled = 0;
+
+  while (filled < len)
+    {
+      ssize_t n = getrandom (bytes + filled, len - filled, 0);
+
+      if (n < 0 && errno != EINTR)
+        return false;
+      if (n > 0)
+        filled += (size_t)n;
+    }
+  return true;
+}
+
+static bool
+make_token (char token[HOP_TOKEN_LEN])
+{
+  static const char digits[] = "0123456789abcdef";
+  uint8_t bytes[TOKEN_BYTES];
+
+  if (!fill_random (bytes, sizeof bytes))
+    return false;
+  for (size_t i = 0; i < sizeof bytes; i++)
+    {
+      token[2 * i] = digits[bytes[i] >> 4];
+      token[2 * i + 1] = digits[bytes[i] & 15];
+    }
+  return true;
+}
+
+static bool
+set_text (struct hop_text *text, struct str s)
+{
+  if (s.len > sizeof text->data)
+    return false;
+  text->len = (uint32_t)s.len;
+  memcpy (text->data, s.data, s.len);
+  return true;
+}
+
+/* The caller holds the mutex, here and below.  */
+static uint64_t
+add_row (struct hop_table *t, const struct hop_context *context,
+         uint32_t retry_budget, const char token[HOP_TOKEN_LEN])
+{
+  uint64_t *id;
+  void *row;
+  struct hop_row *r;
+
+  if (t->rows.count >= t->rows_max)
+    return 0;
+  id = g_new (uint64_t, 1);
+  *id = table_add (&t->rows, &row);
+  r = row;
+  memcpy (r->token, token, HOP_TOKEN_LEN);
+  r->context = *context;
+  budget_init_pool (&r->budget, retry_budget);
+  g_hash_table_insert (t->by_token, r->token, id);
+  return *id;
+}
+
+static void
+close_nested (struct hop_row *r, int64_t now_us)
+{
+  if (r->nested_open == 0)
+    r->nested_us += MAX (now_us - r->nested_since_us, 0);
+}
+
+static void
+copy_usage (const struct hop_row *r, struct hop_usage *usage)
+{
+  usage->unused_budget = r->budget.left;
+  usage->nested_us = r->nested_us;
+  usage->thresholds_len = r->thresholds_len;
+  memcpy (usage->thresholds, r->thresholds,
+          r->thresholds_len * sizeof r->thresholds[0]);
+}
+
+static uint64_t
+find_token (struct hop_table *t, struct str token)
+{
+  uint64_t *id;
+
+  if (token.len != HOP_TOKEN_LEN)
+    return 0;
+  id = g_hash_table_lookup (t->by_token, token.data);
+  return id != NULL ? *id : 0;
+}
+
+static struct hop_threshold *
+find_threshold (struct hop_row *r, struct str service)
+{
+  for (uint32_t i = 0; i < r->thresholds_len; i++)
+    if (str_equal (hop_view_text (&r->thresholds[i].service), service))
+      return &r->thresholds[i];
+  return NULL;
+}
+
+static void
+note_threshold (struct hop_row *r, struct str service, uint32_t level)
+{
+  struct hop_threshold *known = find_threshold (r, service);
+
+  if (known != NULL)
+    {
+      known->level = MAX (known->level, level);
+      return;
+    }
+  if (r->thresholds_len == WIRE_THRESHOLDS_MAX)
+    return;
+  known = &r->thresholds[r->thresholds_len];
+  if (!set_text (&known->service, service))
+    return;
+  known->level = level;
+  r->thresholds_len++;
+}
+
+/* Public functions */
+
+/**
+ * hop_init - makes an empty table
+ * @t: table
+ * @rows_max: requests in flight at most
+ */
+void
+hop_init (struct hop_table *t, uint32_t rows_max)
+{
+  g_mutex_init (&t->mutex);
+  table_init (&t->rows, sizeof (struct hop_row));
+  t->by_token = g_hash_table_new_full (hash_token, equal_token, NULL, g_free);
+  t->rows_max = rows_max;
+}
+
+void
+hop_close (struct hop_table *t)
+{
+  g_hash_table_unref (t->by_token);
+  table_close (&t->rows);
+  g_mutex_clear (&t->mutex);
+}
+
+/**
+ * hop_init_context - fills a context
+ * @c: context
+ * @workspace: name, empty on an open route
+ * @importance: 0..9
+ * @depth: depth of the request that the backend server runs
+ * @deadline_us: its deadline
+ * @traceparent: of its span
+ *
+ * Return: false if a text does not fit.
+ */
+bool
+hop_init_context (struct hop_context *c, struct str workspace,
+                  uint32_t importance, uint32_t depth, int64_t deadline_us,
+                  struct str traceparent)
+{
+  *c = (struct hop_context){ .importance = importance,
+                             .depth = depth,
+                             .deadline_us = deadline_us };
+  return set_text (&c->workspace, workspace)
+         && set_text (&c->traceparent, traceparent);
+}
+
+struct str
+hop_view_text (const struct hop_text *text)
+{
+  return (struct str){ text->len, text->data };
+}
+
+/**
+ * hop_issue - makes the token of a request
+ * @t: table
+ * @context: what nested calls inherit
+ * @retry_budget: part of the tree's extra attempts for the calls below
+ * @token: receives the token, HOP_TOKEN_LEN hex digits without a NUL
+ *
+ * Return: the row's id for hop_revoke, or 0.
+ */
+uint64_t
+hop_issue (struct hop_table *t, const struct hop_context *context,
+           uint32_t retry_budget, char token[HOP_TOKEN_LEN])
+{
+  uint64_t id;
+
+  if (!make_token (token))
+    return 0;
+  g_mutex_lock (&t->mutex);
+  id = add_row (t, context, retry_budget, token);
+  g_mutex_unlock (&t->mutex);
+  return id;
+}
+
+/**
+ * hop_revoke - ends a token with its request
+ * @t: table
+ * @id: row id from hop_issue
+ * @now_us: current time
+ * @usage: receives what the nested calls used and learned
+ *
+ * Parts of the budget that nested calls still hold count as used.
+ *
+ * Return: false if it was revoked before; @usage is zero then.
+ */
+bool
+hop_revoke (struct hop_table *t, uint64_t id, int64_t now_us,
+            struct hop_usage *usage)
+{
+  struct hop_row *r;
+
+  usage->unused_budget = 0;
+  usage->nested_us = 0;
+  usage->thresholds_len = 0;
+  g_mutex_lock (&t->mutex);
+  r = table_get (&t->rows, id);
+  if (r != NULL)
+    {
+      if (r->nested_open > 0)
+        {
+          r->nested_open = 0;
+          close_nested (r, now_us);
+        }
+      copy_usage (r, usage);
+      g_hash_table_remove (t->by_token, r->token);
+      table_remove (&t->rows, id);
+    }
+  g_mutex_unlock (&t->mutex);
+  return r != NULL;
+}
+
+/**
+ * hop_resolve - finds the request that a nested call belongs to
+ * @t: table
+ * @token: as presented
+ * @now_us: current time
+ * @context: receives a copy
+ * @id: receives the row id for the functions below
+ *
+ * Return: false if the token is unknown, its request has ended, or its
+ * deadline has passed.
+ */
+bool
+hop_resolve (struct hop_table *t, struct str token, int64_t now_us,
+             struct hop_context *context, uint64_t *id)
+{
+  const struct hop_row *r;
+  bool valid;
+
+  g_mutex_lock (&t->mutex);
+  *id = find_token (t, token);
+  r = table_get (&t->rows, *id);
+  valid = r != NULL && now_us < r->context.deadline_us;
+  if (valid)
+    *context = r->context;
+  g_mutex_unlock (&t->mutex);
+  return valid;
+}
+
+uint32_t
+hop_begin_nested (struct hop_table *t, uint64_t id, int64_t now_us)
+{
+  struct hop_row *r;
+  uint32_t part = 0;
+
+  g_mutex_lock (&t->mutex);
+  r = table_get (&t->rows, id);
+  if (r != NULL)
+    {
+      if (r->nested_open++ == 0)
+        r->nested_since_us = now_us;
+      part = budget_split (&r->budget);
+    }
+  g_mutex_unlock (&t->mutex);
+  return part;
+}
+
+void
+hop_end_nested (struct hop_table *t, uint64_t id, uint32_t part,
+                uint32_t unused, int64_t now_us)
+{
+  struct hop_row *r;
+
+  g_mutex_lock (&t->mutex);
+  r = table_get (&t->rows, id);
+  if (r != NULL && r->nested_open > 0)
+    {
+      r->nested_open--;
+      close_nested (r, now_us);
+      budget_return (&r->budget, part, unused);
+    }
+  g_mutex_unlock (&t->mutex);
+}
+
+void
+hop_note_threshold (struct hop_table *t, uint64_t id, struct str service,
+                    uint32_t level)
+{
+  struct hop_row *r;
+
+  g_mutex_lock (&t->mutex);
+  r = table_get (&t->rows, id);
+  if (r != NULL)
+    note_threshold (r, service, level);
+  g_mutex_unlock (&t->mutex);
+}
+
+uint32_t
+hop_get_count (struct hop_table *t)
+{
+  uint32_t count;
+
+  g_mutex_lock (&t->mutex);
+  count = t->rows.count;
+  g_mutex_unlock (&t->mutex);
+  return count;
+}
--- a/src/hop.h
+++ b/src/hop.h
@@ -19,7 +19,6 @@
 
 #define HOP_TOKEN_LEN 32u /* hex digits of 128 bits */
 #define HOP_NAME_MAX_BYTES 128u
-#define HOP_TRACEPARENT_MAX_BYTES 64u
 
 /* Types */
 
--- /dev/null
+++ b/src/limit.c
@@ -0,0 +1,289 @@
+/* limit: how many requests run at the backend server at once.  */
+
+#include "limit.h"
+
+#include <glib.h>
+#include <math.h>
+
+/* Constants */
+
+#define LIMIT_MIN 4u
+#define LIMIT_SLOW_START_US 5000000
+#define LIMIT_INTERVAL_US 200000
+/* An interval with fewer samples is extended; the mean of fewer exponential
+   service times is off by more than a third.  */
+#define LIMIT_SAMPLES_MIN 10u
+/* A service time up to this multiple of the base counts as no queueing.  */
+#define LIMIT_TOLERANCE 1.5
+/* Smallest factor of one decision.  */
+#define LIMIT_GRADIENT_MIN 0.5
+/* Weight of one decision.  */
+#define LIMIT_GAIN 0.5
+/* Share of failed requests that lowers the limit, and the factor.  */
+#define LIMIT_FAILURE_SHARE 0.1
+#define LIMIT_FAILURE_FACTOR 0.7
+/* The base is measured at this share of the limit.  */
+#define LIMIT_PROBE_SHARE 0.5
+/* A probe takes at most so long, and the base is trusted so long.  One probe
+   costs half of the slots for at most 5% of the time.  */
+#define LIMIT_PROBE_US 250000
+#define LIMIT_BASE_TRUST_US 5000000
+/* Weight of one request at low concurrency in the base.  */
+#define LIMIT_BASE_GAIN 0.05
+
+/* Internal functions */
+
+static bool
+is_off (const struct limit *l, enum limit_rule rule)
+{
+  return (l->settings.rules_off & rule) != 0;
+}
+
+static void
+init (struct limit *l, const struct limit_settings *settings)
+{
+  *l = (struct limit){ .settings = *settings };
+  l->settings.min = MAX (settings->min, 1);
+}
+
+static void
+clear_interval (struct limit *l, int64_t now_us)
+{
+  l->recent_sum_us = 0;
+  l->samples = 0;
+  l->failures = 0;
+  l->in_flight_max = 0;
+  l->interval_end_us = now_us + l->settings.interval_us;
+}
+
+static uint32_t
+get_min (const struct limit *l)
+{
+  return MIN (l->settings.min, l->slots);
+}
+
+/* Internal functions: policy "fixed" */
+
+static void
+fixed_announce (struct limit *l, uint32_t slots, int64_t now_us)
+{
+  l->slots = slots;
+}
+
+static void
+fixed_note_done (struct limit *l, const struct limit_sample *sample,
+                 int64_t now_us)
+{
+}
+
+static void
+fixed_tick (struct limit *l, uint32_t queued, int64_t now_us)
+{
+}
+
+static uint32_t
+fixed_get (const struct limit *l, int64_t now_us)
+{
+  if (l->slots == 0)
+    return 0;
+  return l->settings.fixed > 0 ? l->settings.fixed : l->slots;
+}
+
+/* Internal functions: policy "adaptive" */
+
+/* A repeated announcement keeps what was learned; one after a pause belongs
+   to a cold backend server.  */
+static void
+adaptive_announce (struct limit *l, uint32_t slots, int64_t now_us)
+{
+  if (l->slots == 0 && slots > 0)
+    {
+      l->announced_us = now_us;
+      l->value = slots;
+      l->base_us = 0;
+      l->probe_until_us = 0;
+      clear_interval (l, now_us);
+    }
+  l->slots = slots;
+  l->value = MIN (l->value, slots);
+}
+
+static bool
+is_low (const struct limit *l, const struct limit_sample *s)
+{
+  return s->in_flight <= MAX (l->value * LIMIT_PROBE_SHARE, 1.0);
+}
+
+static void
+note_base (struct limit *l, const struct limit_sample *s, double own_us,
+           int64_t now_us)
+{
+  if (!is_low (l, s))
+    return;
+  if (l->probe_until_us != 0)
+    {
+      l->probe_sum_us += own_us;
+      l->probe_samples++;
+      return;
+    }
+  if (l->base_us == 0)
+    l->base_us = own_us;
+  l->base_us += LIMIT_BASE_GAIN * (own_us - l->base_us);
+  l->base_noted_us = now_us;
+}
+
+static void
+adaptive_note_done (struct limit *l, const struct limit_sample *sample,
+                    int64_t now_us)
+{
+  double own_us = (double)MAX (sample->service_us - sample->nested_us, 1);
+
+  l->samples++;
+  l->in_flight_max = MAX (l->in_flight_max, sample->in_flight);
+  if (sample->failed)
+    {
+      l->failures++;
+      return;
+    }
+  l->recent_sum_us += own_us;
+  note_base (l, sample, own_us, now_us);
+}
+
+static void
+begin_probe (struct limit *l, int64_t now_us)
+{
+  l->probe_sum_us = 0;
+  l->probe_samples = 0;
+  l->probe_until_us = now_us + LIMIT_PROBE_US;
+}
+
+/* True while a probe runs.  A probe without enough samples leaves the base
+   as it was, and the next decision starts another.  */
+static bool
+run_probe (struct limit *l, int64_t now_us)
+{
+  if (l->probe_until_us == 0)
+    return false;
+  if (l->probe_samples < LIMIT_SAMPLES_MIN && now_us < l->probe_until_us)
+    return true;
+  if (l->probe_samples >= LIMIT_SAMPLES_MIN)
+    {
+      l->base_us = l->probe_sum_us / l->probe_samples;
+      l->base_noted_us = now_us;
+    }
+  l->probe_until_us = 0;
+  clear_interval (l, now_us);
+  return false;
+}
+
+static void
+decide (struct limit *l, int64_t now_us)
+{
+  uint32_t good = l->samples - l->failures;
+  double recent_us = good > 0 ? l->recent_sum_us / good : 0;
+  double gradient;
+
+  if (l->failures > l->samples * LIMIT_FAILURE_SHARE)
+    {
+      l->value *= LIMIT_FAILURE_FACTOR;
+      return;
+    }
+  if (recent_us <= LIMIT_TOLERANCE * l->base_us || l->base_us == 0)
+    {
+      if (l->in_flight_max + 1 >= l->value)
+        l->value += sqrt (l->value);
+      return;
+    }
+  if (now_us - l->base_noted_us > LIMIT_BASE_TRUST_US)
+    {
+      begin_probe (l, now_us);
+      return;
+    }
+  gradient
+      = MAX (LIMIT_TOLERANCE * l->base_us / recent_us, LIMIT_GRADIENT_MIN);
+  l->value += LIMIT_GAIN * (l->value * gradient - l->value);
+}
+
+static void
+adaptive_tick (struct limit *l, uint32_t queued, int64_t now_us)
+{
+  if (l->slots == 0 || run_probe (l, now_us) || now_us < l->interval_end_us
+      || l->samples < LIMIT_SAMPLES_MIN)
+    return;
+  if (!is_off (l, LIMIT_RULE_ADAPT))
+    decide (l, now_us);
+  l->value = MAX (l->value, get_min (l));
+  if (!is_off (l, LIMIT_RULE_SLOTS))
+    l->value = MIN (l->value, l->slots);
+  clear_interval (l, now_us);
+}
+
+static double
+get_ramp (const struct limit *l, int64_t now_us)
+{
+  int64_t elapsed_us = now_us - l->announced_us;
+  double part;
+
+  if (is_off (l, LIMIT_RULE_SLOW_START)
+      || elapsed_us >= l->settings.slow_start_us)
+    return INFINITY;
+  part = (double)MAX (elapsed_us, 0) / (double)l->settings.slow_start_us;
+  return get_min (l) + part * (l->slots - get_min (l));
+}
+
+static uint32_t
+adaptive_get (const struct limit *l, int64_t now_us)
+{
+  double value = l->value;
+
+  if (l->slots == 0)
+    return 0;
+  if (l->probe_until_us != 0)
+    value = MAX (value * LIMIT_PROBE_SHARE, get_min (l));
+  return (uint32_t)MAX (MIN (value, get_ramp (l, now_us)), 1);
+}
+
+static const struct limit_ops policies[] = {
+  { .name = STR_LIT ("adaptive"),
+    .init = init,
+    .announce = adaptive_announce,
+    .note_done = adaptive_note_done,
+    .tick = adaptive_tick,
+    .get = adaptive_get },
+  { .name = STR_LIT ("fixed"),
+    .init = init,
+    .announce = fixed_announce,
+    .note_done = fixed_note_done,
+    .tick = fixed_tick,
+    .get = fixed_get },
+};
+
+/* Public functions */
+
+/**
+ * limit_find_ops - looks up a policy
+ * @name: value of the settings member policy.limit
+ *
+ * "adaptive" compares the mean own service time with the one at low
+ * concurrency.  While the limit is in use the latter is measured again by a
+ * short probe at half the limit, so that a backend server that has become
+ * slow at any concurrency keeps its slots.
+ *
+ * Return: its functions, or NULL if there is no such policy.
+ */
+const struct limit_ops *
+limit_find_ops (struct str name)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (policies); i++)
+    if (str_equal (policies[i].name, name))
+      return &policies[i];
+  return NULL;
+}
+
+struct limit_settings
+limit_get_defaults (void)
+{
+  return (struct limit_settings){ .min = LIMIT_MIN,
+                                  .slow_start_us = LIMIT_SLOW_START_US,
+                                  .interval_us = LIMIT_INTERVAL_US };
+}
--- a/src/limit.h
+++ b/src/limit.h
@@ -44,14 +44,17 @@
   struct limit_settings settings;
   uint32_t slots;          /* announced; 0 before the announcement */
   int64_t announced_us;    /* time of the announcement */
-  double value;            /* current limit before the ramp */
-  double base_us;          /* service time without queueing */
-  double recent_us;        /* mean own service time, this interval */
+  double value;            /* current limit before the ramp and a probe */
+  double base_us;          /* own service time at low concurrency */
+  int64_t base_noted_us;   /* when base_us was measured last */
+  double probe_sum_us;     /* own service times of a probe so far */
+  uint32_t probe_samples;  /* their number */
+  int64_t probe_until_us;  /* end of a probe, 0 if none runs */
+  double recent_sum_us;    /* own service times of this interval */
   uint32_t samples;        /* in this interval */
   uint32_t failures;       /* in this interval */
   uint32_t in_flight_max;  /* in this interval */
-  int64_t interval_end_us; /* end of this interval */
-  int64_t base_renewed_us; /* when base_us was last lowered or raised */
+  int64_t interval_end_us; /* earliest end of this interval */
 };
 
 struct limit_ops
