Add settings of almondvaled, checked from one table of members

Cause: the daemon needs its addresses, limits and policies at start, and an operator needs one line that names the faulty member. Ruled out: json-glib's GObject deserialization (it ignores unknown names and has no ranges); a reference page written by hand (it drifts from the code). Change: src/settings.[ch]. One table holds path, type, range, default, offset and help; each type is a row of function pointers. Defaults are JSON and pass the same checks as the file. Nesting is bounded before json-glib parses, because json-glib recurses for each level. Conclusion: the threads can be written against struct settings.

--- /dev/null
+++ b/src/settings.c
@@ -0,0 +1,859 @@
+/* settings: the settings file of almondvaled, one JSON object.  */
+
+#include "settings.h"
+
+#include "err.h"
+
+#include <arpa/inet.h>
+#include <json-glib/json-glib.h>
+#include <string.h>
+
+/* Constants */
+
+#define NAME_MAX_BYTES 64
+#define FILE_NAME_MAX_BYTES 4096
+#define PORT_MAX 65535
+/* Deepest nesting of a valid file is 3.  json-glib recurses once for each
+   level without a bound, so the depth is checked before it parses.  */
+#define NESTING_MAX 16
+/* Longest part of a faulty value that is repeated in the error line.  */
+#define FOUND_MAX_BYTES 60
+#define KIB INT64_C (1024)
+#define MIB INT64_C (1048576)
+#define HOUR_MS INT64_C (3600000)
+
+/* Types */
+
+enum member_type
+{
+  TYPE_NAME,
+  TYPE_CHOICE,
+  TYPE_FILE,
+  TYPE_ADDRESS,
+  TYPE_INTEGER,
+  TYPE_RATIO,
+  TYPE_ENDPOINTS
+};
+
+/* One member of the file.  */
+struct member
+{
+  const char *path; /* names joined by dots */
+  enum member_type type;
+  int64_t min, max;    /* TYPE_INTEGER: range */
+  const char *choices; /* TYPE_CHOICE: names joined by ", " */
+  const char *value;   /* default as JSON; NULL if the member is required */
+  size_t offset;       /* in struct settings */
+  const char *help;
+};
+
+/* What one type accepts and how its value is stored.  */
+struct type_ops
+{
+  /* stores a valid node at the place; false and no change otherwise */
+  bool (*load) (const struct member *m, JsonNode *node, void *place);
+  /* frees the value */
+  void (*unload) (void *place);
+  /* appends what is allowed */
+  void (*append_allowed) (const struct member *m, struct str_buf *out);
+};
+
+/* One rule over several members.  */
+struct rule
+{
+  const char *path; /* member that the error line names */
+  bool (*holds) (const struct settings *s);
+  const char *allowed;
+};
+
+/* State of one load.  */
+struct load
+{
+  struct settings *settings;
+  struct str file;
+  bool *seen; /* one for each row of members */
+  GError **error;
+};
+
+/* State */
+
+#define AT(field) offsetof (struct settings, field)
+
+/* clang-format off */
+static const struct member members[] = {
+  { "member_id", TYPE_NAME, 0, 0, NULL, NULL, AT (member_id), "Name of this daemon, different from that of every other daemon." },
+  { "failure_domain", TYPE_NAME, 0, 0, NULL, NULL, AT (failure_domain), "Failure domain of the VM." },
+  { "region", TYPE_NAME, 0, 0, NULL, NULL, AT (region), "Region of the VM." },
+  { "address", TYPE_ADDRESS, 0, 0, NULL, NULL, AT (address), "IP address at which callers and other daemons reach this daemon." },
+  { "ports.caller", TYPE_INTEGER, 1, PORT_MAX, NULL, "8080", AT (ports.caller), "HTTP port for callers." },
+  { "ports.local", TYPE_INTEGER, 1, PORT_MAX, NULL, "8081", AT (ports.local), "HTTP port on loopback for the backend server's nested calls, announce, drain, leave, metrics and administration." },
+  { "ports.peer", TYPE_INTEGER, 1, PORT_MAX, NULL, "8082", AT (ports.peer), "TCP port for requests from other daemons." },
+  { "ports.control", TYPE_INTEGER, 1, PORT_MAX, NULL, "8083", AT (ports.control), "TCP and UDP port for control messages of other daemons." },
+  { "seeds", TYPE_ENDPOINTS, 0, SETTINGS_SEEDS_MAX, NULL, "[]", AT (seeds), "Control ports of other daemons, asked at start for the members and the configuration." },
+  { "platform.address", TYPE_ADDRESS, 0, 0, NULL, "\"\"", AT (platform.address), "IP address of the platform's object API." },
+  { "platform.port", TYPE_INTEGER, 1, PORT_MAX, NULL, "80", AT (platform.port), "Port of the platform's object API." },
+  { "inventory_file", TYPE_FILE, 0, 0, NULL, "\"\"", AT (inventory_file), "File with a static inventory, for use without a platform." },
+  { "backend_connections_max", TYPE_INTEGER, 1, PORT_MAX, NULL, "256", AT (backend_connections_max), "Most connections to the backend server. The smaller of this and the announced number applies." },
+  { "front_threads", TYPE_INTEGER, 1, 64, NULL, "1", AT (front_threads), "Threads that serve callers and nested calls." },
+  { "log_level", TYPE_CHOICE, 0, 0, "error, warning, info, debug", "\"info\"", AT (log_level), "Least severe log lines that are written. It can be changed while the daemon runs." },
+  { "trace.otlp.address", TYPE_ADDRESS, 0, 0, NULL, "\"\"", AT (trace.otlp.address), "IP address of an OTLP/HTTP collector. Spans are not exported if it is empty." },
+  { "trace.otlp.port", TYPE_INTEGER, 1, PORT_MAX, NULL, "4318", AT (trace.otlp.port), "Port of the collector." },
+  { "trace.queue", TYPE_INTEGER, 16, 64 * KIB, NULL, "2048", AT (trace.queue), "Most spans that wait for export. Further spans are dropped and counted." },
+  { "trace.sample_ratio", TYPE_RATIO, 0, 1, NULL, "0.01", AT (trace.sample_ratio), "Share of the traces begun by this daemon that are recorded." },
+  { "policy.admit", TYPE_CHOICE, 0, 0, "priority, naive", "\"priority\"", AT (policy.admit), "Admission in front of the backend server." },
+  { "policy.limit", TYPE_CHOICE, 0, 0, "adaptive, naive", "\"adaptive\"", AT (policy.limit), "Concurrency limit of the backend server." },
+  { "policy.route", TYPE_CHOICE, 0, 0, "least_loaded, naive", "\"least_loaded\"", AT (policy.route), "Choice of the endpoint for a request." },
+  { "policy.retry", TYPE_CHOICE, 0, 0, "budget, naive", "\"budget\"", AT (policy.retry), "Bound on retries." },
+  { "limits.headers_bytes", TYPE_INTEGER, KIB, 256 * KIB, NULL, "32768", AT (limits.headers_bytes), "Largest size of the headers of a request." },
+  { "limits.body_bytes", TYPE_INTEGER, 0, 8 * MIB, NULL, "8388608", AT (limits.body_bytes), "Largest body of a request." },
+  { "limits.answer_bytes", TYPE_INTEGER, KIB, 8 * MIB, NULL, "8388608", AT (limits.answer_bytes), "Largest body of an answer of the backend server." },
+  { "limits.open_requests", TYPE_INTEGER, 1, 100000, NULL, "4096", AT (limits.open_requests), "Most requests of callers and nested calls that are open at once." },
+  { "limits.depth", TYPE_INTEGER, 1, 255, NULL, "32", AT (limits.depth), "Longest call chain." },
+  { "limits.connections", TYPE_INTEGER, 1, 100000, NULL, "4096", AT (limits.connections), "Most connections of callers." },
+  { "limits.idle_timeout_ms", TYPE_INTEGER, 100, HOUR_MS, NULL, "60000", AT (limits.idle_timeout_ms), "Time after which an idle connection of a caller is closed." },
+  { "gossip.period_ms", TYPE_INTEGER, 50, 10000, NULL, "250", AT (gossip.period_ms), "Time between two rounds of datagrams." },
+  { "gossip.fanout", TYPE_INTEGER, 1, 16, NULL, "2", AT (gossip.fanout), "Members that get a datagram in each round." },
+  { "gossip.bytes_per_s", TYPE_INTEGER, 256, MIB, NULL, "2000", AT (gossip.bytes_per_s), "Most bytes of datagrams sent in a second." },
+  { "fresh.bound_ms", TYPE_INTEGER, 500, 60000, NULL, "3000", AT (fresh.bound_ms), "Oldest freshness evidence with which keyed routes are served." },
+  { "lease.shards", TYPE_INTEGER, 1, 256, NULL, "8", AT (lease.shards), "Number of shards, the same at all daemons." },
+  { "lease.term_ms", TYPE_INTEGER, 1000, 60000, NULL, "6000", AT (lease.term_ms), "Term of a shard's lease." },
+  { "lease.promise_ms", TYPE_INTEGER, 500, 60000, NULL, "4000", AT (lease.promise_ms), "Time for which a candidate promises not to take over." },
+  { "lease.abandon_ms", TYPE_INTEGER, 60000, 24 * HOUR_MS, NULL, "3600000", AT (lease.abandon_ms), "Time without renewal after which any daemon may take over a shard." },
+  { "grant.validity_ms", TYPE_INTEGER, 100, 10000, NULL, "1000", AT (grant.validity_ms), "Longest validity of granted tokens." },
+  { "grant.round_trip_bound_ms", TYPE_INTEGER, 10, 5000, NULL, "500", AT (grant.round_trip_bound_ms), "Longest round trip after which granted tokens are used." },
+  { "shutdown_ms", TYPE_INTEGER, 0, 600000, NULL, "30000", AT (shutdown_ms), "Longest time that a shutdown waits for requests in flight." },
+};
+/* clang-format on */
+
+#define MEMBERS_LEN G_N_ELEMENTS (members)
+
+/* Internal functions: types */
+
+static void
+unload_text (void *place)
+{
+  str_free (place);
+}
+
+static void
+unload_nothing (void *place)
+{
+}
+
+/* String value of a node, or NULL.  */
+static const char *
+get_text (JsonNode *node)
+{
+  if (!JSON_NODE_HOLDS_VALUE (node)
+      || json_node_get_value_type (node) != G_TYPE_STRING)
+    return NULL;
+  return json_node_get_string (node);
+}
+
+static void
+store_text (void *place, const char *text)
+{
+  struct str *s = place;
+
+  str_free (s);
+  *s = str_copy (str_from_cstr (text));
+}
+
+static bool
+is_name (struct str s)
+{
+  if (s.len < 1 || s.len > NAME_MAX_BYTES)
+    return false;
+  for (size_t i = 0; i < s.len; i++)
+    if (!g_ascii_isalnum (s.data[i]) && strchr ("._-", s.data[i]) == NULL)
+      return false;
+  return true;
+}
+
+static bool
+load_name (const struct member *m, JsonNode *node, void *place)
+{
+  const char *text = get_text (node);
+
+  if (text == NULL || !is_name (str_from_cstr (text)))
+    return false;
+  store_text (place, text);
+  return true;
+}
+
+static void
+allow_name (const struct member *m, struct str_buf *out)
+{
+  str_append_format (out, "1 to %d letters, digits, '.', '_' or '-'",
+                     NAME_MAX_BYTES);
+}
+
+static bool
+load_choice (const struct member *m, JsonNode *node, void *place)
+{
+  const char *text = get_text (node);
+  char **names;
+  bool found;
+
+  if (text == NULL)
+    return false;
+  names = g_strsplit (m->choices, ", ", -1);
+  found = g_strv_contains ((const char *const *)names, text);
+  g_strfreev (names);
+  if (found)
+    store_text (place, text);
+  return found;
+}
+
+static void
+allow_choice (const struct member *m, struct str_buf *out)
+{
+  str_append_format (out, "one of %s", m->choices);
+}
+
+static bool
+load_file_name (const struct member *m, JsonNode *node, void *place)
+{
+  const char *text = get_text (node);
+
+  if (text == NULL || strlen (text) > FILE_NAME_MAX_BYTES)
+    return false;
+  store_text (place, text);
+  return true;
+}
+
+static void
+allow_file_name (const struct member *m, struct str_buf *out)
+{
+  str_append_format (out, "a file name of at most %d bytes",
+                     FILE_NAME_MAX_BYTES);
+}
+
+static bool
+is_address (const char *text)
+{
+  struct in6_addr address;
+
+  return inet_pton (AF_INET, text, &address) == 1
+         || inet_pton (AF_INET6, text, &address) == 1;
+}
+
+/* An optional address may be given as "".  */
+static bool
+load_address (const struct member *m, JsonNode *node, void *place)
+{
+  const char *text = get_text (node);
+
+  if (text == NULL)
+    return false;
+  if (!is_address (text) && (m->value == NULL || text[0] != '\0'))
+    return false;
+  store_text (place, text);
+  return true;
+}
+
+static void
+allow_address (const struct member *m, struct str_buf *out)
+{
+  str_append (out, STR_LIT ("an IPv4 or IPv6 address"));
+  if (m->value != NULL)
+    str_append (out, STR_LIT (" or \"\""));
+}
+
+static bool
+is_integer (JsonNode *node, int64_t min, int64_t max)
+{
+  return JSON_NODE_HOLDS_VALUE (node)
+         && json_node_get_value_type (node) == G_TYPE_INT64
+         && json_node_get_int (node) >= min && json_node_get_int (node) <= max;
+}
+
+static bool
+load_integer (const struct member *m, JsonNode *node, void *place)
+{
+  if (!is_integer (node, m->min, m->max))
+    return false;
+  *(int64_t *)place = json_node_get_int (node);
+  return true;
+}
+
+static void
+allow_integer (const struct member *m, struct str_buf *out)
+{
+  str_append_format (
+      out, "an integer from %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT, m->min,
+      m->max);
+}
+
+static bool
+load_ratio (const struct member *m, JsonNode *node, void *place)
+{
+  GType type;
+  double value;
+
+  if (!JSON_NODE_HOLDS_VALUE (node))
+    return false;
+  type = json_node_get_value_type (node);
+  if (type != G_TYPE_INT64 && type != G_TYPE_DOUBLE)
+    return false;
+  value = json_node_get_double (node);
+  /* Written so that NaN is refused as well.  */
+  if (!(value >= (double)m->min && value <= (double)m->max))
+    return false;
+  *(double *)place = value;
+  return true;
+}
+
+static void
+allow_ratio (const struct member *m, struct str_buf *out)
+{
+  str_append_format (out,
+                     "a number from %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT,
+                     m->min, m->max);
+}
+
+static void
+unload_endpoints (void *place)
+{
+  struct settings_endpoints *list = place;
+
+  for (size_t i = 0; i < list->len; i++)
+    str_free (&list->items[i].address);
+  g_free (list->items);
+  *list = (struct settings_endpoints){ 0, NULL };
+}
+
+/* Appends one {address, port}; false if the node is anything else.  */
+static bool
+add_endpoint (struct settings_endpoints *list, JsonNode *node)
+{
+  JsonObject *object;
+  JsonNode *address, *port;
+
+  if (!JSON_NODE_HOLDS_OBJECT (node))
+    return false;
+  object = json_node_get_object (node);
+  address = json_object_get_member (object, "address");
+  port = json_object_get_member (object, "port");
+  if (json_object_get_size (object) != 2 || address == NULL || port == NULL)
+    return false;
+  if (get_text (address) == NULL || !is_address (get_text (address))
+      || !is_integer (port, 1, PORT_MAX))
+    return false;
+  list->items[list->len].address
+      = str_copy (str_from_cstr (get_text (address)));
+  list->items[list->len].port = json_node_get_int (port);
+  list->len++;
+  return true;
+}
+
+static bool
+load_endpoints (const struct member *m, JsonNode *node, void *place)
+{
+  struct settings_endpoints list = { 0, NULL };
+  JsonArray *array;
+  guint len;
+
+  if (!JSON_NODE_HOLDS_ARRAY (node))
+    return false;
+  array = json_node_get_array (node);
+  len = json_array_get_length (array);
+  if (len > (guint)m->max)
+    return false;
+  list.items = g_new0 (struct settings_endpoint, len);
+  for (guint i = 0; i < len; i++)
+    if (!add_endpoint (&list, json_array_get_element (array, i)))
+      {
+        unload_endpoints (&list);
+        return false;
+      }
+  unload_endpoints (place);
+  *(struct settings_endpoints *)place = list;
+  return true;
+}
+
+static void
+allow_endpoints (const struct member *m, struct str_buf *out)
+{
+  str_append_format (out,
+                     "an array of at most %" G_GINT64_FORMAT
+                     " objects {\"address\": IP address, "
+                     "\"port\": 1 to %d}",
+                     m->max, PORT_MAX);
+}
+
+static const struct type_ops types[] = {
+  [TYPE_NAME] = { load_name, unload_text, allow_name },
+  [TYPE_CHOICE] = { load_choice, unload_text, allow_choice },
+  [TYPE_FILE] = { load_file_name, unload_text, allow_file_name },
+  [TYPE_ADDRESS] = { load_address, unload_text, allow_address },
+  [TYPE_INTEGER] = { load_integer, unload_nothing, allow_integer },
+  [TYPE_RATIO] = { load_ratio, unload_nothing, allow_ratio },
+  [TYPE_ENDPOINTS] = { load_endpoints, unload_endpoints, allow_endpoints },
+};
+
+/* Internal functions: rules over several members */
+
+static bool
+has_different_ports (const struct settings *s)
+{
+  const struct settings_ports *p = &s->ports;
+
+  return p->caller != p->local && p->caller != p->peer
+         && p->caller != p->control && p->local != p->peer
+         && p->local != p->control && p->peer != p->control;
+}
+
+static bool
+has_one_inventory (const struct settings *s)
+{
+  return (s->platform.address.len > 0) != (s->inventory_file.len > 0);
+}
+
+static bool
+has_round_before_bound (const struct settings *s)
+{
+  return s->gossip.period_ms < s->fresh.bound_ms;
+}
+
+static bool
+has_abandon_after_term (const struct settings *s)
+{
+  return s->lease.abandon_ms > s->lease.term_ms + s->lease.promise_ms;
+}
+
+static bool
+has_round_trip_in_validity (const struct settings *s)
+{
+  return s->grant.round_trip_bound_ms < s->grant.validity_ms;
+}
+
+static const struct rule rules[] = {
+  { "ports", has_different_ports, "four different ports" },
+  { "inventory_file", has_one_inventory,
+    "either platform.address or inventory_file, not both" },
+  { "gossip.period_ms", has_round_before_bound, "less than fresh.bound_ms" },
+  { "lease.abandon_ms", has_abandon_after_term,
+    "more than lease.term_ms + lease.promise_ms" },
+  { "grant.round_trip_bound_ms", has_round_trip_in_validity,
+    "less than grant.validity_ms" },
+};
+
+/* Internal functions: errors */
+
+/* Sets the error line; control characters are replaced, since the parser's
+   messages and the file's names may hold any.  */
+static bool
+fail (const struct load *l, struct str path, struct str found,
+      struct str allowed)
+{
+  struct str_buf line = { 0 };
+  char *text;
+
+  str_append (&line, l->file);
+  str_append (&line, STR_LIT (": "));
+  if (path.len > 0)
+    {
+      str_append (&line, path);
+      str_append (&line, STR_LIT (": "));
+    }
+  str_append (&line, STR_LIT ("found "));
+  str_append (&line, found);
+  str_append (&line, STR_LIT (", allowed is "));
+  str_append (&line, allowed);
+  text = g_utf8_make_valid (line.data, (gssize)line.len);
+  for (char *c = text; *c != '\0'; c++)
+    if (g_ascii_iscntrl (*c))
+      *c = ' ';
+  g_set_error_literal (l->error, ERR_QUARK, ERR_SETTINGS_INVALID, text);
+  g_free (text);
+  str_reset (&line);
+  return false;
+}
+
+/* Appends a node as JSON, cut to FOUND_MAX_BYTES at a character.  */
+static void
+append_found (struct str_buf *out, JsonNode *node)
+{
+  char *text = json_to_string (node, FALSE);
+  size_t len = strlen (text);
+  size_t cut = len;
+
+  if (cut > FOUND_MAX_BYTES)
+    cut = (size_t)(g_utf8_find_prev_char (text, text + FOUND_MAX_BYTES + 1)
+                   - text);
+  str_append (out, (struct str){ cut, text });
+  if (cut < len)
+    str_append (out, STR_LIT ("..."));
+  g_free (text);
+}
+
+static bool
+fail_member (const struct load *l, const struct member *m, JsonNode *node)
+{
+  struct str_buf found = { 0 }, allowed = { 0 };
+
+  if (node != NULL)
+    append_found (&found, node);
+  else
+    str_append (&found, STR_LIT ("no such member"));
+  types[m->type].append_allowed (m, &allowed);
+  fail (l, str_from_cstr (m->path), str_view (&found), str_view (&allowed));
+  str_reset (&found);
+  str_reset (&allowed);
+  return false;
+}
+
+/* Appends the next name of each member below a group, once each.  */
+static void
+append_names (struct str_buf *out, struct str group)
+{
+  struct str last = STR_EMPTY;
+
+  for (size_t i = 0; i < MEMBERS_LEN; i++)
+    {
+      struct str path = str_from_cstr (members[i].path);
+      struct str name;
+      const char *dot;
+
+      if (!str_has_prefix (path, group))
+        continue;
+      name = str_slice (path, group.len, path.len);
+      dot = memchr (name.data, '.', name.len);
+      if (dot != NULL)
+        name.len = (size_t)(dot - name.data);
+      if (str_equal (name, last))
+        continue;
+      if (last.len > 0)
+        str_append (out, STR_LIT (", "));
+      str_append (out, name);
+      last = name;
+    }
+}
+
+static bool
+fail_unknown (const struct load *l, struct str path, struct str group)
+{
+  struct str_buf allowed = { 0 };
+
+  append_names (&allowed, group);
+  fail (l, path, STR_LIT ("an unknown name"), str_view (&allowed));
+  str_reset (&allowed);
+  return false;
+}
+
+/* Internal functions: loading */
+
+static void *
+get_place (struct settings *s, const struct member *m)
+{
+  return (char *)s + m->offset;
+}
+
+/* Index of the member with this path, or MEMBERS_LEN.  */
+static size_t
+find_member (struct str path)
+{
+  for (size_t i = 0; i < MEMBERS_LEN; i++)
+    if (str_equal (str_from_cstr (members[i].path), path))
+      return i;
+  return MEMBERS_LEN;
+}
+
+/* True if some member's path begins with the group, which ends in a dot.  */
+static bool
+is_group (struct str group)
+{
+  for (size_t i = 0; i < MEMBERS_LEN; i++)
+    if (str_has_prefix (str_from_cstr (members[i].path), group))
+      return true;
+  return false;
+}
+
+static bool load_object (struct load *l, struct str group, JsonObject *object);
+
+static bool
+load_group (struct load *l, struct str path, JsonNode *node)
+{
+  struct str_buf group = { 0 };
+  struct str_buf found = { 0 };
+  bool ok;
+
+  str_append (&group, path);
+  str_append_char (&group, '.');
+  if (JSON_NODE_HOLDS_OBJECT (node))
+    ok = load_object (l, str_view (&group), json_node_get_object (node));
+  else
+    {
+      append_found (&found, node);
+      ok = fail (l, path, str_view (&found), STR_LIT ("an object"));
+    }
+  str_reset (&group);
+  str_reset (&found);
+  return ok;
+}
+
+static bool
+load_node (struct load *l, struct str group, struct str path, JsonNode *node)
+{
+  size_t i = find_member (path);
+  struct str_buf prefix = { 0 };
+  bool group_found;
+
+  if (i < MEMBERS_LEN)
+    {
+      l->seen[i] = true;
+      if (types[members[i].type].load (&members[i], node,
+                                       get_place (l->settings, &members[i])))
+        return true;
+      return fail_member (l, &members[i], node);
+    }
+  str_append (&prefix, path);
+  str_append_char (&prefix, '.');
+  group_found = is_group (str_view (&prefix));
+  str_reset (&prefix);
+  if (group_found)
+    return load_group (l, path, node);
+  return fail_unknown (l, path, group);
+}
+
+static bool
+load_object (struct load *l, struct str group, JsonObject *object)
+{
+  JsonObjectIter iter;
+  const char *name;
+  JsonNode *node;
+
+  json_object_iter_init (&iter, object);
+  while (json_object_iter_next (&iter, &name, &node))
+    {
+      struct str_buf path = { 0 };
+      bool ok;
+
+      str_append (&path, group);
+      str_append (&path, str_from_cstr (name));
+      ok = load_node (l, group, str_view (&path), node);
+      str_reset (&path);
+      if (!ok)
+        return false;
+    }
+  return true;
+}
+
+/* Defaults are kept as JSON and pass the same checks as the file's values. */
+static void
+load_default (struct settings *s, const struct member *m)
+{
+  JsonNode *node = json_from_string (m->value, NULL);
+  bool ok = types[m->type].load (m, node, get_place (s, m));
+
+  g_assert (ok);
+  json_node_unref (node);
+}
+
+static void
+load_defaults (struct settings *s)
+{
+  for (size_t i = 0; i < MEMBERS_LEN; i++)
+    if (members[i].value != NULL)
+      load_default (s, &members[i]);
+}
+
+static bool
+check_required (const struct load *l)
+{
+  for (size_t i = 0; i < MEMBERS_LEN; i++)
+    if (members[i].value == NULL && !l->seen[i])
+      return fail_member (l, &members[i], NULL);
+  return true;
+}
+
+static bool
+check_rules (const struct load *l)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (rules); i++)
+    if (!rules[i].holds (l->settings))
+      return fail (l, str_from_cstr (rules[i].path),
+                   STR_LIT ("members that do not fit together"),
+                   str_from_cstr (rules[i].allowed));
+  return true;
+}
+
+/* True if no bracket outside a string is nested deeper than NESTING_MAX.  */
+static bool
+has_bounded_nesting (struct str text)
+{
+  size_t depth = 0;
+  bool quoted = false;
+
+  for (size_t i = 0; i < text.len; i++)
+    {
+      char c = text.data[i];
+
+      if (quoted && c == '\\')
+        i++;
+      else if (c == '"')
+        quoted = !quoted;
+      else if (!quoted && (c == '{' || c == '['))
+        depth++;
+      else if (!quoted && (c == '}' || c == ']') && depth > 0)
+        depth--;
+      if (depth > NESTING_MAX)
+        return false;
+    }
+  return true;
+}
+
+static bool
+load_root (struct load *l, JsonNode *root)
+{
+  if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root))
+    return fail (l, STR_EMPTY, STR_LIT ("no object"),
+                 STR_LIT ("one JSON object"));
+  load_defaults (l->settings);
+  return load_object (l, STR_EMPTY, json_node_get_object (root))
+         && check_required (l) && check_rules (l);
+}
+
+static bool
+parse_text (struct load *l, struct str text)
+{
+  JsonParser *parser;
+  GError *cause = NULL;
+  bool ok;
+
+  if (text.len > SETTINGS_FILE_MAX_BYTES)
+    return fail (l, STR_EMPTY, STR_LIT ("a larger file"),
+                 STR_LIT ("at most 256 KiB"));
+  if (!has_bounded_nesting (text))
+    return fail (l, STR_EMPTY, STR_LIT ("deeper nesting"),
+                 STR_LIT ("at most 16 levels"));
+  parser = json_parser_new ();
+  if (json_parser_load_from_data (parser, text.data, (gssize)text.len, &cause))
+    ok = load_root (l, json_parser_get_root (parser));
+  else
+    ok = fail (l, STR_EMPTY, str_from_cstr (cause->message),
+               STR_LIT ("one JSON object"));
+  g_clear_error (&cause);
+  g_object_unref (parser);
+  return ok;
+}
+
+/* Appends a table cell; "|" would end it.  */
+static void
+append_cell (struct str_buf *out, struct str text)
+{
+  str_append (out, STR_LIT ("| "));
+  for (size_t i = 0; i < text.len; i++)
+    {
+      if (text.data[i] == '|')
+        str_append_char (out, '\\');
+      str_append_char (out, text.data[i]);
+    }
+  str_append_char (out, ' ');
+}
+
+static void
+append_row (struct str_buf *out, const struct member *m)
+{
+  struct str_buf cell = { 0 };
+
+  str_append_format (&cell, "`%s`", m->path);
+  append_cell (out, str_view (&cell));
+  str_reset (&cell);
+  types[m->type].append_allowed (m, &cell);
+  append_cell (out, str_view (&cell));
+  str_reset (&cell);
+  if (m->value == NULL)
+    str_append (&cell, STR_LIT ("required"));
+  else
+    str_append_format (&cell, "`%s`", m->value);
+  append_cell (out, str_view (&cell));
+  str_reset (&cell);
+  append_cell (out, str_from_cstr (m->help));
+  str_append (out, STR_LIT ("|\n"));
+}
+
+/* Public functions */
+
+/**
+ * settings_load_file - reads and checks a settings file
+ * @s: settings, valid only if the load succeeds
+ * @path: file name
+ * @error: %ERR_SETTINGS_INVALID with one line for the operator
+ *
+ * Return: true if every member is valid; free with settings_unload().
+ */
+bool
+settings_load_file (struct settings *s, struct str path, GError **error)
+{
+  char *name = str_dup_cstr (path);
+  struct load l = { s, path, NULL, error };
+  GError *cause = NULL;
+  char *data;
+  gsize len;
+  bool ok;
+
+  *s = (struct settings){ 0 };
+  if (g_file_get_contents (name, &data, &len, &cause))
+    {
+      ok = settings_load (s, path, (struct str){ len, data }, error);
+      g_free (data);
+    }
+  else
+    ok = fail (&l, STR_EMPTY, str_from_cstr (cause->message),
+               STR_LIT ("a readable file"));
+  g_clear_error (&cause);
+  g_free (name);
+  return ok;
+}
+
+/**
+ * settings_load - checks settings in memory
+ * @s: settings, valid only if the load succeeds
+ * @file: name used in the error line
+ * @text: JSON
+ * @error: %ERR_SETTINGS_INVALID with one line for the operator
+ *
+ * Return: true if every member is valid; free with settings_unload().
+ */
+bool
+settings_load (struct settings *s, struct str file, struct str text,
+               GError **error)
+{
+  bool seen[MEMBERS_LEN] = { false };
+  struct load l = { s, file, seen, error };
+
+  *s = (struct settings){ 0 };
+  for (size_t i = 0; i < MEMBERS_LEN; i++)
+    if (types[members[i].type].unload == unload_text)
+      *(struct str *)get_place (s, &members[i]) = STR_EMPTY;
+  if (parse_text (&l, text))
+    return true;
+  settings_unload (s);
+  return false;
+}
+
+/**
+ * settings_unload - frees what a load allocated
+ * @s: settings of a successful load
+ */
+void
+settings_unload (struct settings *s)
+{
+  for (size_t i = 0; i < MEMBERS_LEN; i++)
+    types[members[i].type].unload (get_place (s, &members[i]));
+}
+
+/**
+ * settings_append_reference - appends the reference of all members
+ * @out: buffer; gets a Markdown table
+ */
+void
+settings_append_reference (struct str_buf *out)
+{
+  str_append (out, STR_LIT ("| member | allowed | default | meaning |\n"
+                            "|---|---|---|---|\n"));
+  for (size_t i = 0; i < MEMBERS_LEN; i++)
+    append_row (out, &members[i]);
+}
