inventory: use route's method bits, refuse equal key hashes

Cause: the route module and inventory numbered PATCH and DELETE differently, and two keys of one hash would make the workspace of a request ambiguous. Ruled out: a translation between the two sets of bits. Change: enum inventory_method has the bits of enum route_method; sha256 is over the whole key, as auth_hash_key computes it; rows can be encoded in part. Conclusion: sets of methods can be passed to route_add as they are.

--- a/src/inventory.c
+++ b/src/inventory.c
@@ -23,7 +23,7 @@
 #define ORDER_MAX 1000000u
 
 static const char *const method_names[METHODS_LEN]
-    = { "GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS" };
+    = { "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS" };
 
 static const char *const idempotency_names[]
     = { [INVENTORY_IDEMPOTENCY_NONE] = "none",
@@ -346,19 +346,6 @@
     }
 }
 
-/* Quotes a value for an error line; it may hold any byte.  */
-static void
-append_found (struct str_buf *out, struct str value)
-{
-  char *text = str_dup_cstr (str_slice (value, 0, FOUND_MAX_BYTES));
-  char *escaped = g_strescape (text, NULL);
-
-  str_append_format (out, "\"%s%s\"", escaped,
-                     value.len > FOUND_MAX_BYTES ? "..." : "");
-  g_free (escaped);
-  g_free (text);
-}
-
 static void
 append_member (struct str_buf *out, enum inventory_kind kind, const void *row,
                const struct inventory_field *f)
@@ -384,7 +371,7 @@
     return 0;
   append_member (problems, kind, row, f);
   str_append_format (problems, "there is no %s ", schemas[f->refers].singular);
-  append_found (problems, name);
+  inventory_append_quoted (problems, name);
   str_append_char (problems, '\n');
   return 1;
 }
@@ -457,6 +444,42 @@
   return count;
 }
 
+static guint
+hash_str (gconstpointer key)
+{
+  return (guint)str_hash (*(const struct str *)key);
+}
+
+static gboolean
+equal_str (gconstpointer a, gconstpointer b)
+{
+  return str_equal (*(const struct str *)a, *(const struct str *)b);
+}
+
+/* Two keys of one hash would make the workspace of a request ambiguous.  */
+static uint32_t
+check_hashes (const struct inventory *inv, struct str_buf *problems)
+{
+  GPtrArray *keys = inventory_list (inv, INVENTORY_KEY);
+  GHashTable *seen = g_hash_table_new (hash_str, equal_str);
+  uint32_t count = 0;
+
+  for (guint i = 0; i < keys->len; i++)
+    {
+      struct inventory_key *k = g_ptr_array_index (keys, i);
+
+      if (g_hash_table_add (seen, &k->sha256))
+        continue;
+      append_member (problems, INVENTORY_KEY, k,
+                     inventory_find_field (INVENTORY_KEY, STR_LIT ("sha256")));
+      str_append (problems, STR_LIT ("another key has the same hash\n"));
+      count++;
+    }
+  g_hash_table_unref (seen);
+  g_ptr_array_unref (keys);
+  return count;
+}
+
 /* The registry is asked only for routes that are not idempotent.  */
 static uint32_t
 check_idempotency (const struct inventory_route *r, struct str_buf *problems)
@@ -714,7 +737,7 @@
         }
       g_ptr_array_unref (rows);
     }
-  return count + check_paths (inv, problems);
+  return count + check_paths (inv, problems) + check_hashes (inv, problems);
 }
 
 /**
@@ -889,6 +912,36 @@
   return true;
 }
 
+bool
+inventory_check_field (enum inventory_kind kind,
+                       const struct inventory_field *field, const void *row,
+                       struct str_buf *problems)
+{
+  struct str_buf found = { 0 };
+
+  if (is_value (field, row))
+    return true;
+  inventory_append_value (&found, field, row);
+  append_member (problems, kind, row, field);
+  str_append (problems, STR_LIT ("found "));
+  inventory_append_quoted (problems, str_view (&found));
+  str_append (problems, STR_LIT (", allowed: "));
+  inventory_append_allowed (problems, field);
+  str_append_char (problems, '\n');
+  str_reset (&found);
+  return false;
+}
+
+void
+inventory_set_field (const struct inventory_field *field, void *to,
+                     const void *from)
+{
+  if (to == from)
+    return;
+  close_value (field, to);
+  copy_value (field, to, from);
+}
+
 /**
  * inventory_check_row - checks the values of one row
  * @kind: kind of row
@@ -905,21 +958,8 @@
   uint32_t count = 0;
 
   for (uint32_t i = 0; i < s->fields_len; i++)
-    {
-      struct str_buf found = { 0 };
-
-      if (is_value (&s->fields[i], row))
-        continue;
-      inventory_append_value (&found, &s->fields[i], row);
-      append_member (problems, kind, row, &s->fields[i]);
-      str_append (problems, STR_LIT ("found "));
-      append_found (problems, str_view (&found));
-      str_append (problems, STR_LIT (", allowed: "));
-      inventory_append_allowed (problems, &s->fields[i]);
-      str_append_char (problems, '\n');
-      str_reset (&found);
+    if (!inventory_check_field (kind, &s->fields[i], row, problems))
       count++;
-    }
   if (kind == INVENTORY_ROUTE)
     count += check_idempotency (row, problems);
   return count;
@@ -1047,6 +1087,18 @@
     }
 }
 
+void
+inventory_append_quoted (struct str_buf *out, struct str value)
+{
+  char *text = str_dup_cstr (str_slice (value, 0, FOUND_MAX_BYTES));
+  char *escaped = g_strescape (text, NULL);
+
+  str_append_format (out, "\"%s%s\"", escaped,
+                     value.len > FOUND_MAX_BYTES ? "..." : "");
+  g_free (escaped);
+  g_free (text);
+}
+
 /**
  * inventory_add_name - adds a name to a sorted list
  * @names: list that owns its names
--- a/src/inventory.h
+++ b/src/inventory.h
@@ -34,15 +34,15 @@
   INVENTORY_KINDS /* count of kinds */
 };
 
-/* HTTP methods, as bits of a set.  */
+/* HTTP methods, as bits of a set; the same bits as enum route_method.  */
 enum inventory_method
 {
   INVENTORY_GET = 1 << 0,
   INVENTORY_HEAD = 1 << 1,
   INVENTORY_POST = 1 << 2,
   INVENTORY_PUT = 1 << 3,
-  INVENTORY_DELETE = 1 << 4,
-  INVENTORY_PATCH = 1 << 5,
+  INVENTORY_PATCH = 1 << 4,
+  INVENTORY_DELETE = 1 << 5,
   INVENTORY_OPTIONS = 1 << 6
 };
 
@@ -93,7 +93,7 @@
 struct inventory_key
 {
   struct str id;
-  struct str sha256; /* lower-case hex of SHA-256 over the secret's text */
+  struct str sha256; /* lower-case hex of SHA-256 over the whole key */
   struct str workspace;
 };
 
@@ -226,6 +226,13 @@
 /* same values in all fields */
 bool inventory_equal_row (enum inventory_kind kind, const void *a,
                           const void *b);
+/* appends a line if the field is outside its allowed values; true if not */
+bool inventory_check_field (enum inventory_kind kind,
+                            const struct inventory_field *field,
+                            const void *row, struct str_buf *problems);
+/* copies one value between rows that own theirs */
+void inventory_set_field (const struct inventory_field *field, void *to,
+                          const void *from);
 /* appends one line for each field outside its allowed values; gives their
    number */
 uint32_t inventory_check_row (enum inventory_kind kind, const void *row,
@@ -240,6 +247,8 @@
 /* appends the values that a field allows */
 void inventory_append_allowed (struct str_buf *out,
                                const struct inventory_field *field);
+/* appends a value in quotes, its control characters escaped */
+void inventory_append_quoted (struct str_buf *out, struct str value);
 /* adds a copy of a name, unless it is there */
 void inventory_add_name (struct inventory_names *names, struct str name);
 /* method of an HTTP method name, or 0 */
--- a/src/inventory_json.c
+++ b/src/inventory_json.c
@@ -169,7 +169,7 @@
 
 static bool
 load_members (enum inventory_kind kind, JsonObject *object, struct str path,
-              union inventory_row *row, GError **error)
+              union inventory_row *row, uint32_t *set, GError **error)
 {
   const struct inventory_schema *s = inventory_get_schema (kind);
 
@@ -178,7 +178,7 @@
       const struct inventory_field *f = &s->fields[i];
       JsonNode *node = json_object_get_member (object, f->name);
 
-      if (node == NULL && f->required)
+      if (node == NULL && f->required && (set == NULL || i == 0))
         {
           g_set_error (error, ERR_QUARK, ERR_INVENTORY_INVALID,
                        "%.*s: member \"%s\" is missing", STR_ARG (path),
@@ -187,10 +187,35 @@
         }
       if (node != NULL && !load_member (f, node, path, row, error))
         return false;
+      if (node != NULL && set != NULL)
+        *set |= 1u << i;
     }
   return true;
 }
 
+/* Without `set` all required members have to be there.  */
+static bool
+load_object (enum inventory_kind kind, JsonNode *node, struct str path,
+             union inventory_row *row, uint32_t *set, GError **error)
+{
+  JsonObject *object;
+
+  if (!JSON_NODE_HOLDS_OBJECT (node))
+    {
+      g_set_error (error, ERR_QUARK, ERR_INVENTORY_INVALID,
+                   "%.*s: expected an object", STR_ARG (path));
+      return false;
+    }
+  object = json_node_get_object (node);
+  if (!check_members (kind, object, path, error))
+    return false;
+  inventory_init_row (kind, row);
+  if (load_members (kind, object, path, row, set, error))
+    return true;
+  inventory_close_row (kind, row);
+  return false;
+}
+
 static bool
 load_rows (struct inventory *inv, enum inventory_kind kind, JsonNode *node,
            GError **error)
@@ -341,12 +366,20 @@
 
 JsonObject *
 inventory_json_make_row (enum inventory_kind kind, const void *row)
+{
+  return inventory_json_make_part (kind, row, UINT32_MAX);
+}
+
+JsonObject *
+inventory_json_make_part (enum inventory_kind kind, const void *row,
+                          uint32_t set)
 {
   const struct inventory_schema *s = inventory_get_schema (kind);
   JsonObject *object = json_object_new ();
 
   for (uint32_t i = 0; i < s->fields_len; i++)
-    set_member (object, &s->fields[i], row);
+    if ((set & 1u << i) != 0)
+      set_member (object, &s->fields[i], row);
   return object;
 }
 
@@ -367,22 +400,16 @@
                          struct str path, union inventory_row *row,
                          GError **error)
 {
-  JsonObject *object;
+  return load_object (kind, node, path, row, NULL, error);
+}
 
-  if (!JSON_NODE_HOLDS_OBJECT (node))
-    {
-      g_set_error (error, ERR_QUARK, ERR_INVENTORY_INVALID,
-                   "%.*s: expected an object", STR_ARG (path));
-      return false;
-    }
-  object = json_node_get_object (node);
-  if (!check_members (kind, object, path, error))
-    return false;
-  inventory_init_row (kind, row);
-  if (load_members (kind, object, path, row, error))
-    return true;
-  inventory_close_row (kind, row);
-  return false;
+bool
+inventory_json_load_part (enum inventory_kind kind, JsonNode *node,
+                          struct str path, union inventory_row *row,
+                          uint32_t *set, GError **error)
+{
+  *set = 0;
+  return load_object (kind, node, path, row, set, error);
 }
 
 void
