--- a/src/auth.c
+++ b/src/auth.c
@@ -110,14 +110,7 @@
 decode_percent (struct str s, struct str_buf *out)
 {
   out->len = 0;
-  for (size_t i = 0; i < s.len; i++)
-    {
-      int value = s.data[i] == '%' ? read_hex (s, i + 1, 2) : -1;
-
-      str_append_char (out, value >= 0 ? (char)value : s.data[i]);
-      if (value >= 0)
-        i += 2;
-    }
+  str_append_percent_decoded (out, s);
   return str_view (out);
 }
 
--- /dev/null
+++ b/src/feedback.c
@@ -0,0 +1,265 @@
+/* feedback: thresholds of services, learned from responses.  */
+
+#include "feedback.h"
+
+#include <math.h>
+
+/* Constants */
+
+#define FEEDBACK_EXPIRY_US 500000
+#define FEEDBACK_PROBE_FRACTION 0.02
+#define FEEDBACK_ROUTES_MAX 10000u
+#define FEEDBACK_LEVEL_MAX 10.0
+/* Weight of one response.  The responses of a service come from several
+   backend servers, and one of them alone must not stop the others' work.  */
+#define FEEDBACK_GAIN 0.25
+#define FEEDBACK_IDLE_US 60000000
+
+/* Internal functions */
+
+static bool
+is_off (const struct feedback *f, enum feedback_rule rule)
+{
+  return (f->settings.rules_off & rule) != 0;
+}
+
+static guint
+hash_str (gconstpointer p)
+{
+  const struct str *s = p;
+
+  return (guint)str_hash (*s);
+}
+
+static gboolean
+equal_str (gconstpointer p, gconstpointer q)
+{
+  const struct str *a = p;
+  const struct str *b = q;
+
+  return str_equal (*a, *b);
+}
+
+/* Row id of a name, or 0.  */
+static uint64_t
+find_id (GHashTable *by_name, struct str name)
+{
+  uint64_t *id = g_hash_table_lookup (by_name, &name);
+
+  return id != NULL ? *id : 0;
+}
+
+/* Adds a row; `stored` is the member of the row that holds the name.  */
+static void
+add_name (GHashTable *by_name, struct str *stored, struct str name,
+          uint64_t id)
+{
+  uint64_t *value = g_new (uint64_t, 1);
+
+  *value = id;
+  *stored = str_copy (name);
+  g_hash_table_insert (by_name, stored, value);
+}
+
+static uint64_t
+take_service (struct feedback *f, struct str name)
+{
+  uint64_t id = find_id (f->service_by_name, name);
+  void *row;
+
+  if (id != 0 || f->services.count >= f->settings.routes_max)
+    return id;
+  id = table_add (&f->services, &row);
+  add_name (f->service_by_name, &((struct feedback_service *)row)->name, name,
+            id);
+  return id;
+}
+
+static struct feedback_route *
+take_route (struct feedback *f, struct str name)
+{
+  uint64_t id = find_id (f->route_by_name, name);
+  void *row;
+
+  if (id != 0)
+    return table_get (&f->routes, id);
+  if (f->routes.count >= f->settings.routes_max)
+    return NULL;
+  id = table_add (&f->routes, &row);
+  add_name (f->route_by_name, &((struct feedback_route *)row)->name, name, id);
+  return row;
+}
+
+/* Level at a time: it falls by one for each expiry time without a report.  */
+static double
+get_level (const struct feedback *f, const struct feedback_service *s,
+           int64_t now_us)
+{
+  int64_t steps = (now_us - s->noted_us) / f->settings.expiry_us;
+
+  if (is_off (f, FEEDBACK_RULE_EXPIRY))
+    return s->level;
+  return MAX (s->level - (double)steps, 0);
+}
+
+static void
+note_level (struct feedback *f, struct feedback_service *s, uint32_t level,
+            int64_t now_us)
+{
+  double old = get_level (f, s, now_us);
+
+  s->level = old + FEEDBACK_GAIN * (MIN (level, FEEDBACK_LEVEL_MAX) - old);
+  s->noted_us = now_us;
+}
+
+static void
+add_to_path (struct feedback *f, struct feedback_route *r, uint64_t service)
+{
+  uint32_t at = 0;
+
+  while (at < r->path_len && r->path[at] != service
+         && table_get (&f->services, r->path[at]) != NULL)
+    at++;
+  if (at == WIRE_THRESHOLDS_MAX)
+    return;
+  r->path[at] = service;
+  r->path_len = MAX (r->path_len, at + 1);
+}
+
+static double
+get_route_level (const struct feedback *f, const struct feedback_route *r,
+                 int64_t now_us)
+{
+  double level = 0;
+
+  for (uint32_t i = 0; i < r->path_len; i++)
+    {
+      const struct feedback_service *s = table_get (&f->services, r->path[i]);
+
+      if (s != NULL)
+        level = MAX (level, get_level (f, s, now_us));
+    }
+  return level;
+}
+
+/* Public functions */
+
+struct feedback_settings
+feedback_get_defaults (void)
+{
+  return (struct feedback_settings){ .expiry_us = FEEDBACK_EXPIRY_US,
+                                     .probe_fraction = FEEDBACK_PROBE_FRACTION,
+                                     .routes_max = FEEDBACK_ROUTES_MAX };
+}
+
+void
+feedback_init (struct feedback *f, const struct feedback_settings *s)
+{
+  *f = (struct feedback){ .settings = *s };
+  table_init (&f->services, sizeof (struct feedback_service));
+  table_init (&f->routes, sizeof (struct feedback_route));
+  f->service_by_name
+      = g_hash_table_new_full (hash_str, equal_str, NULL, g_free);
+  f->route_by_name = g_hash_table_new_full (hash_str, equal_str, NULL, g_free);
+  f->rand = g_rand_new_with_seed (s->seed);
+}
+
+void
+feedback_close (struct feedback *f)
+{
+  feedback_expire (f, INT64_MAX);
+  g_hash_table_unref (f->service_by_name);
+  g_hash_table_unref (f->route_by_name);
+  table_close (&f->services);
+  table_close (&f->routes);
+  g_rand_free (f->rand);
+}
+
+/**
+ * feedback_note - learns from a response
+ * @f: feedback
+ * @route: name of the route of the request
+ * @thresholds: services on the call path and their levels
+ * @len: number of thresholds
+ * @now_us: current time
+ */
+void
+feedback_note (struct feedback *f, struct str route,
+               const struct wire_threshold *thresholds, uint32_t len,
+               int64_t now_us)
+{
+  struct feedback_route *r = take_route (f, route);
+
+  if (r == NULL)
+    return;
+  r->used_us = now_us;
+  for (uint32_t i = 0; i < len; i++)
+    {
+      uint64_t id = take_service (f, thresholds[i].service);
+      struct feedback_service *s = table_get (&f->services, id);
+
+      if (s == NULL)
+        continue;
+      note_level (f, s, thresholds[i].level, now_us);
+      add_to_path (f, r, id);
+    }
+}
+
+uint32_t
+feedback_get_level (struct feedback *f, struct str route, int64_t now_us)
+{
+  const struct feedback_route *r
+      = table_get (&f->routes, find_id (f->route_by_name, route));
+
+  return r != NULL ? (uint32_t)lround (get_route_level (f, r, now_us)) : 0;
+}
+
+/**
+ * feedback_check - decides whether a request may be sent
+ * @f: feedback
+ * @route: name of its route
+ * @importance: 0..9
+ * @now_us: current time
+ *
+ * Return: the verdict; a probe is sent like any other request.
+ */
+enum feedback_verdict
+feedback_check (struct feedback *f, struct str route, uint32_t importance,
+                int64_t now_us)
+{
+  if (importance >= feedback_get_level (f, route, now_us))
+    return FEEDBACK_PASS;
+  if (!is_off (f, FEEDBACK_RULE_PROBE)
+      && g_rand_double (f->rand) < f->settings.probe_fraction)
+    return FEEDBACK_PROBE;
+  return FEEDBACK_REJECT;
+}
+
+void
+feedback_expire (struct feedback *f, int64_t now_us)
+{
+  void *row;
+
+  for (uint64_t id = table_next (&f->services, 0, &row); id != 0;
+       id = table_next (&f->services, id, &row))
+    {
+      struct feedback_service *s = row;
+
+      if (now_us - s->noted_us <= FEEDBACK_IDLE_US)
+        continue;
+      g_hash_table_remove (f->service_by_name, &s->name);
+      str_free (&s->name);
+      table_remove (&f->services, id);
+    }
+  for (uint64_t id = table_next (&f->routes, 0, &row); id != 0;
+       id = table_next (&f->routes, id, &row))
+    {
+      struct feedback_route *r = row;
+
+      if (now_us - r->used_us <= FEEDBACK_IDLE_US)
+        continue;
+      g_hash_table_remove (f->route_by_name, &r->name);
+      str_free (&r->name);
+      table_remove (&f->routes, id);
+    }
+}
--- /dev/null
+++ b/src/route.c
@@ -0,0 +1,599 @@
+/* route: which service a path belongs to, and which of its backend servers
+   gets a request.  */
+
+#include "route.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* Constants */
+
+/* A report older than this says nothing about the load now.  */
+#define ROUTE_REPORT_US 1000000
+/* Limit of an endpoint that has not reported one.  */
+#define ROUTE_LIMIT_UNKNOWN 100.0
+/* A new endpoint reaches its full weight after this time; the slow start of
+   the concurrency limit takes as long.  */
+#define ROUTE_COLD_US 5000000
+#define ROUTE_COLD_WEIGHT_MIN 0.1
+/* Avoidance after one failure; doubled by each further failure in a row.  */
+#define ROUTE_AVOID_US 100000
+#define ROUTE_AVOID_DOUBLINGS_MAX 6u
+
+/* Types */
+
+/* Candidates of one choice.  */
+struct candidates
+{
+  struct route_endpoint *all[ROUTE_SUBSET_MAX];
+  uint32_t len;
+  struct route_endpoint *near[ROUTE_SUBSET_MAX]; /* same failure domain */
+  uint32_t near_len;
+  struct route_endpoint *soonest; /* avoided, for the shortest time */
+};
+
+/* State */
+
+static const struct
+{
+  struct str name;
+  uint32_t bit;
+} methods[] = {
+  { STR_LIT ("GET"), ROUTE_GET },         { STR_LIT ("HEAD"), ROUTE_HEAD },
+  { STR_LIT ("POST"), ROUTE_POST },       { STR_LIT ("PUT"), ROUTE_PUT },
+  { STR_LIT ("PATCH"), ROUTE_PATCH },     { STR_LIT ("DELETE"), ROUTE_DELETE },
+  { STR_LIT ("OPTIONS"), ROUTE_OPTIONS },
+};
+
+/* Internal functions: matching */
+
+static guint
+hash_str (gconstpointer p)
+{
+  const struct str *s = p;
+
+  return (guint)str_hash (*s);
+}
+
+static gboolean
+equal_str (gconstpointer p, gconstpointer q)
+{
+  const struct str *a = p;
+  const struct str *b = q;
+
+  return str_equal (*a, *b);
+}
+
+static struct str
+cut_query (struct str path)
+{
+  const char *mark = memchr (path.data, '?', path.len);
+
+  return mark != NULL ? str_slice (path, 0, (size_t)(mark - path.data)) : path;
+}
+
+/* End of the segment that begins at `from`.  */
+static size_t
+find_segment_end (struct str path, size_t from)
+{
+  while (from < path.len && path.data[from] != '/')
+    from++;
+  return from;
+}
+
+/* A backend server may resolve dot and empty segments to the path of another
+   route, so a path with one of them is refused.  */
+static bool
+is_plain (struct str path)
+{
+  if (path.len == 0 || path.data[0] != '/')
+    return false;
+  if (memchr (path.data, '\0', path.len) != NULL
+      || memchr (path.data, '\\', path.len) != NULL)
+    return false;
+  for (size_t from = 1; from < path.len;)
+    {
+      size_t end = find_segment_end (path, from);
+      struct str segment = str_slice (path, from, end);
+
+      if (segment.len == 0 || str_equal (segment, STR_LIT ("."))
+          || str_equal (segment, STR_LIT ("..")))
+        return false;
+      from = end + 1;
+    }
+  return true;
+}
+
+static const struct route_entry *
+find_entry (const struct route_map *m, struct str prefix)
+{
+  uint64_t *id = g_hash_table_lookup (m->by_prefix, &prefix);
+
+  return id != NULL ? table_get (&m->entries, *id) : NULL;
+}
+
+static const struct route_entry *
+find_longest (const struct route_map *m, struct str path)
+{
+  const struct route_entry *e = NULL;
+  size_t end = path.len;
+
+  while (e == NULL)
+    {
+      if (end <= m->prefix_max)
+        e = find_entry (m, str_slice (path, 0, end));
+      if (end == 0)
+        break;
+      do
+        end--;
+      while (end > 0 && path.data[end] != '/');
+    }
+  return e;
+}
+
+static enum route_match
+match_plain (const struct route_map *m, uint32_t method, struct str path,
+             uint64_t *route)
+{
+  const struct route_entry *e;
+
+  if (!is_plain (path))
+    return ROUTE_BAD_PATH;
+  e = find_longest (m, path);
+  if (e == NULL)
+    return ROUTE_NO_PATH;
+  while (e != NULL && (e->methods & method) == 0)
+    e = table_get (&m->entries, e->next);
+  if (e == NULL)
+    return ROUTE_NO_METHOD;
+  *route = e->route;
+  return ROUTE_MATCHED;
+}
+
+/* Internal functions: endpoints */
+
+static bool
+is_off (const struct route_pool *p, enum route_rule rule)
+{
+  return (p->rules_off & rule) != 0;
+}
+
+static struct route_endpoint *
+find_endpoint (const struct route_pool *p, uint64_t member)
+{
+  uint64_t *id = g_hash_table_lookup (p->by_member, &member);
+
+  return id != NULL ? table_get (&p->endpoints, *id) : NULL;
+}
+
+static uint64_t
+hash_rank (uint64_t self, uint64_t member)
+{
+  uint64_t pair[2] = { self, member };
+
+  return XXH64 (pair, sizeof pair, 0);
+}
+
+/* Inserts by rank; the highest rank falls out of a full subset.  */
+static void
+insert_into_subset (struct route_pool *p, uint64_t id, uint64_t rank)
+{
+  uint32_t at = p->subset_len;
+
+  if (p->subset_len < ROUTE_SUBSET_MAX)
+    p->subset_len++;
+  else
+    at--;
+  for (; at > 0; at--)
+    {
+      const struct route_endpoint *before
+          = table_get (&p->endpoints, p->subset[at - 1]);
+
+      if (before->rank <= rank)
+        break;
+      p->subset[at] = p->subset[at - 1];
+    }
+  p->subset[at] = id;
+}
+
+static void
+build_subset (struct route_pool *p)
+{
+  void *row;
+
+  if (!p->subset_stale)
+    return;
+  p->subset_stale = false;
+  p->subset_len = 0;
+  for (uint64_t id = table_next (&p->endpoints, 0, &row); id != 0;
+       id = table_next (&p->endpoints, id, &row))
+    {
+      uint64_t rank = ((struct route_endpoint *)row)->rank;
+      const struct route_endpoint *last;
+
+      if (p->subset_len == ROUTE_SUBSET_MAX)
+        {
+          last = table_get (&p->endpoints, p->subset[ROUTE_SUBSET_MAX - 1]);
+          if (last->rank <= rank)
+            continue;
+        }
+      insert_into_subset (p, id, rank);
+    }
+}
+
+static bool
+is_tried (uint64_t member, const uint64_t *tried, uint32_t tried_len)
+{
+  for (uint32_t i = 0; i < tried_len; i++)
+    if (tried[i] == member)
+      return true;
+  return false;
+}
+
+static double
+get_weight (const struct route_pool *p, const struct route_endpoint *e,
+            int64_t now_us)
+{
+  double age_us = (double)(now_us - e->announced_us);
+
+  if (is_off (p, ROUTE_RULE_COLD))
+    return 1;
+  return CLAMP (age_us / ROUTE_COLD_US, ROUTE_COLD_WEIGHT_MIN, 1.0);
+}
+
+/* Requests per slot if the next one were sent there.  The report includes
+   requests of this daemon, so the larger of both counts is taken.  */
+static double
+get_load (const struct route_pool *p, const struct route_endpoint *e,
+          int64_t now_us)
+{
+  double limit = e->limit > 0 ? e->limit : ROUTE_LIMIT_UNKNOWN;
+  double busy = e->outstanding;
+
+  if (now_us - e->reported_us <= ROUTE_REPORT_US)
+    busy = MAX (busy, e->in_flight);
+  return (busy + 1) / (limit * get_weight (p, e, now_us));
+}
+
+static void
+add_candidate (const struct route_pool *p, struct candidates *c,
+               struct route_endpoint *e, int64_t now_us)
+{
+  if (now_us < e->avoid_until_us && !is_off (p, ROUTE_RULE_AVOID))
+    {
+      if (c->soonest == NULL || e->avoid_until_us < c->soonest->avoid_until_us)
+        c->soonest = e;
+      return;
+    }
+  c->all[c->len++] = e;
+  if (e->domain == p->domain && !is_off (p, ROUTE_RULE_DOMAIN))
+    c->near[c->near_len++] = e;
+}
+
+static struct candidates
+collect_candidates (struct route_pool *p, const uint64_t *tried,
+                    uint32_t tried_len, int64_t now_us)
+{
+  struct candidates c = { .len = 0 };
+
+  build_subset (p);
+  for (uint32_t i = 0; i < p->subset_len; i++)
+    {
+      struct route_endpoint *e = table_get (&p->endpoints, p->subset[i]);
+
+      if (!is_tried (e->member, tried, tried_len))
+        add_candidate (p, &c, e, now_us);
+    }
+  return c;
+}
+
+static struct route_endpoint *
+pick (struct route_pool *p, struct route_endpoint *const *from, uint32_t len)
+{
+  return from[g_rand_int_range (p->rand, 0, (gint32)len)];
+}
+
+/* Two random candidates, the first from the same failure domain if there is
+   one; the second wins only if it is less loaded.  */
+static struct route_endpoint *
+pick_of_two (struct route_pool *p, const struct candidates *c, int64_t now_us)
+{
+  struct route_endpoint *first = c->near_len > 0
+                                     ? pick (p, c->near, c->near_len)
+                                     : pick (p, c->all, c->len);
+  struct route_endpoint *second = pick (p, c->all, c->len);
+
+  if (is_off (p, ROUTE_RULE_LOAD))
+    return second;
+  return get_load (p, second, now_us) < get_load (p, first, now_us) ? second
+                                                                    : first;
+}
+
+static uint64_t
+choose_least_loaded (struct route_pool *p, const uint64_t *tried,
+                     uint32_t tried_len, int64_t now_us)
+{
+  struct candidates c = collect_candidates (p, tried, tried_len, now_us);
+
+  if (c.len > 0)
+    return pick_of_two (p, &c, now_us)->member;
+  return c.soonest != NULL ? c.soonest->member : 0;
+}
+
+static uint64_t
+choose_round_robin (struct route_pool *p, const uint64_t *tried,
+                    uint32_t tried_len, int64_t now_us)
+{
+  uint32_t turn = p->turn++ % MAX (p->endpoints.count, 1);
+  uint64_t chosen = 0;
+  void *row;
+
+  for (uint64_t id = table_next (&p->endpoints, 0, &row); id != 0;
+       id = table_next (&p->endpoints, id, &row))
+    {
+      uint64_t member = ((struct route_endpoint *)row)->member;
+
+      if (is_tried (member, tried, tried_len))
+        continue;
+      if (turn == 0)
+        return member;
+      turn--;
+      chosen = member;
+    }
+  return chosen;
+}
+
+static const struct route_ops policies[] = {
+  { .name = STR_LIT ("least_loaded"), .choose = choose_least_loaded },
+  { .name = STR_LIT ("round_robin"), .choose = choose_round_robin },
+};
+
+static int64_t
+get_avoid_time (const struct route_endpoint *e)
+{
+  uint32_t doublings = MIN (e->failures - 1, ROUTE_AVOID_DOUBLINGS_MAX);
+
+  return (int64_t)ROUTE_AVOID_US << doublings;
+}
+
+static void
+end_request (struct route_endpoint *e)
+{
+  if (e->outstanding > 0)
+    e->outstanding--;
+}
+
+/* Public functions: matching */
+
+void
+route_init_map (struct route_map *m)
+{
+  *m = (struct route_map){ .prefix_max = 0 };
+  table_init (&m->entries, sizeof (struct route_entry));
+  m->by_prefix = g_hash_table_new_full (hash_str, equal_str, NULL, g_free);
+}
+
+void
+route_close_map (struct route_map *m)
+{
+  void *row;
+
+  g_hash_table_unref (m->by_prefix);
+  for (uint64_t id = table_next (&m->entries, 0, &row); id != 0;
+       id = table_next (&m->entries, id, &row))
+    str_free (&((struct route_entry *)row)->prefix);
+  table_close (&m->entries);
+}
+
+/**
+ * route_add - adds a route
+ * @m: map
+ * @prefix: path prefix; a slash at its end makes no difference
+ * @method_bits: enum route_method bits
+ * @route: id that route_find gives
+ */
+void
+route_add (struct route_map *m, struct str prefix, uint32_t method_bits,
+           uint64_t route)
+{
+  uint64_t *first;
+  uint64_t id;
+  void *row;
+  struct route_entry *e;
+
+  if (prefix.len > 0 && prefix.data[prefix.len - 1] == '/')
+    prefix.len--;
+  id = table_add (&m->entries, &row);
+  e = row;
+  *e = (struct route_entry){ .prefix = str_copy (prefix),
+                             .methods = method_bits,
+                             .route = route };
+  m->prefix_max = MAX (m->prefix_max, prefix.len);
+  first = g_hash_table_lookup (m->by_prefix, &prefix);
+  if (first != NULL)
+    {
+      e->next = *first;
+      *first = id;
+      return;
+    }
+  first = g_new (uint64_t, 1);
+  *first = id;
+  g_hash_table_insert (m->by_prefix, &e->prefix, first);
+}
+
+/**
+ * route_find - finds the route of a request
+ * @m: map
+ * @method: method name
+ * @path: path with the query, as received
+ * @route: receives the id
+ *
+ * The path is matched percent-decoded, as the backend server reads it:
+ * otherwise "/%61dmin" would pass under the rules of "/".
+ *
+ * Return: whether and why not.
+ */
+enum route_match
+route_find (const struct route_map *m, struct str method, struct str path,
+            uint64_t *route)
+{
+  struct str_buf decoded = { 0 };
+  enum route_match match;
+
+  path = cut_query (path);
+  if (memchr (path.data, '%', path.len) == NULL)
+    return match_plain (m, route_parse_method (method), path, route);
+  str_append_percent_decoded (&decoded, path);
+  match = match_plain (m, route_parse_method (method), str_view (&decoded),
+                       route);
+  str_reset (&decoded);
+  return match;
+}
+
+uint32_t
+route_parse_method (struct str method)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (methods); i++)
+    if (str_equal (methods[i].name, method))
+      return methods[i].bit;
+  return 0;
+}
+
+/* Public functions: endpoints */
+
+/**
+ * route_find_ops - looks up a policy
+ * @name: value of the settings member policy.route
+ *
+ * "round_robin" runs over all endpoints and ignores what was learned.
+ *
+ * Return: its functions, or NULL if there is no such policy.
+ */
+const struct route_ops *
+route_find_ops (struct str name)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (policies); i++)
+    if (str_equal (policies[i].name, name))
+      return &policies[i];
+  return NULL;
+}
+
+/**
+ * route_init_pool - makes an empty pool of one service
+ * @p: pool
+ * @self: member id of this daemon; selects the subset of a large service
+ * @domain: failure domain of this daemon
+ * @seed: of the random choices
+ */
+void
+route_init_pool (struct route_pool *p, uint64_t self, uint32_t domain,
+                 uint32_t seed)
+{
+  *p = (struct route_pool){ .self = self, .domain = domain };
+  table_init (&p->endpoints, sizeof (struct route_endpoint));
+  p->by_member
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  p->rand = g_rand_new_with_seed (seed);
+}
+
+void
+route_close_pool (struct route_pool *p)
+{
+  g_hash_table_unref (p->by_member);
+  table_close (&p->endpoints);
+  g_rand_free (p->rand);
+}
+
+void
+route_set_endpoint (struct route_pool *p, uint64_t member, uint32_t domain,
+                    int64_t announced_us)
+{
+  struct route_endpoint *e = find_endpoint (p, member);
+
+  if (e == NULL)
+    {
+      uint64_t *id = g_new (uint64_t, 1);
+      void *row;
+
+      *id = table_add (&p->endpoints, &row);
+      e = row;
+      e->member = member;
+      e->rank = hash_rank (p->self, member);
+      e->reported_us = INT64_MIN / 2;
+      g_hash_table_insert (p->by_member, &e->member, id);
+      p->subset_stale = true;
+    }
+  e->domain = domain;
+  e->announced_us = announced_us;
+}
+
+void
+route_remove_endpoint (struct route_pool *p, uint64_t member)
+{
+  uint64_t *id = g_hash_table_lookup (p->by_member, &member);
+
+  if (id == NULL)
+    return;
+  table_remove (&p->endpoints, *id);
+  g_hash_table_remove (p->by_member, &member);
+  p->subset_stale = true;
+}
+
+/**
+ * route_note_sent - counts a request
+ * @p: pool
+ * @member: endpoint
+ * @now_us: current time
+ *
+ * An endpoint that failed last is tried with one request at a time.
+ */
+void
+route_note_sent (struct route_pool *p, uint64_t member, int64_t now_us)
+{
+  struct route_endpoint *e = find_endpoint (p, member);
+
+  if (e == NULL)
+    return;
+  e->outstanding++;
+  if (e->failures > 0)
+    e->avoid_until_us = now_us + get_avoid_time (e);
+}
+
+void
+route_note_answer (struct route_pool *p, uint64_t member, uint32_t in_flight,
+                   uint32_t limit, int64_t now_us)
+{
+  struct route_endpoint *e = find_endpoint (p, member);
+
+  if (e == NULL)
+    return;
+  end_request (e);
+  e->failures = 0;
+  e->avoid_until_us = 0;
+  if (limit == 0)
+    return;
+  e->in_flight = in_flight;
+  e->limit = limit;
+  e->reported_us = now_us;
+}
+
+void
+route_note_failure (struct route_pool *p, uint64_t member, int64_t now_us)
+{
+  struct route_endpoint *e = find_endpoint (p, member);
+
+  if (e == NULL)
+    return;
+  end_request (e);
+  e->failures++;
+  e->avoid_until_us = now_us + get_avoid_time (e);
+}
+
+void
+route_note_cancel (struct route_pool *p, uint64_t member)
+{
+  struct route_endpoint *e = find_endpoint (p, member);
+
+  if (e != NULL)
+    end_request (e);
+}
--- a/src/route.h
+++ b/src/route.h
@@ -33,20 +33,21 @@
   ROUTE_MATCHED,
   ROUTE_NO_PATH,   /* no prefix matches */
   ROUTE_NO_METHOD, /* a prefix matches, but not with this method */
-  ROUTE_BAD_PATH   /* not absolute, or with dot segments */
+  ROUTE_BAD_PATH   /* not absolute, or with dot or empty segments */
 };
 
 struct route_entry
 {
-  struct str prefix; /* owned copy */
+  struct str prefix; /* owned copy, without a slash at the end */
   uint32_t methods;  /* enum route_method bits */
   uint64_t route;    /* the owner's route id */
+  uint64_t next;     /* entry of the same prefix with other methods */
 };
 
 struct route_map
 {
   struct table entries;
-  GHashTable *by_prefix; /* prefix -> first entry; entries of one chain */
+  GHashTable *by_prefix; /* prefix -> row id of the first entry */
   size_t prefix_max;     /* bytes of the longest prefix */
 };
 
@@ -69,6 +70,7 @@
   uint32_t outstanding;   /* sent from here, not answered */
   uint32_t in_flight;     /* reported on its last response */
   uint32_t limit;         /* reported on its last response; 0 unknown */
+  int64_t reported_us;    /* time of that response */
   uint32_t failures;      /* in a row */
   int64_t avoid_until_us; /* after failures */
   uint64_t rank;          /* rendezvous hash with this daemon */
@@ -80,6 +82,7 @@
   GHashTable *by_member; /* member -> row id */
   uint32_t subset_len;
   uint64_t subset[ROUTE_SUBSET_MAX]; /* row ids, by rank */
+  bool subset_stale;                 /* endpoints were added or removed */
   uint64_t self;                     /* this daemon's member id */
   uint32_t domain;                   /* this daemon's failure domain */
   uint32_t turn;                     /* of round_robin */
@@ -102,7 +105,8 @@
 /* adds a prefix that begins with '/' */
 void route_add (struct route_map *m, struct str prefix, uint32_t methods,
                 uint64_t route);
-/* longest prefix that ends at a segment border; the query is ignored */
+/* longest prefix that ends at a segment border of the percent-decoded path;
+   the query is ignored */
 enum route_match route_find (const struct route_map *m, struct str method,
                              struct str path, uint64_t *route);
 /* bit of a method name, or 0 */
@@ -120,7 +124,7 @@
                          uint32_t domain, int64_t announced_us);
 void route_remove_endpoint (struct route_pool *p, uint64_t member);
 /* a request was sent to it */
-void route_note_sent (struct route_pool *p, uint64_t member);
+void route_note_sent (struct route_pool *p, uint64_t member, int64_t now_us);
 /* it answered, whatever the status; limit 0: nothing reported */
 void route_note_answer (struct route_pool *p, uint64_t member,
                         uint32_t in_flight, uint32_t limit, int64_t now_us);
--- a/src/str.c
+++ b/src/str.c
@@ -167,6 +167,28 @@
   b->len += (size_t)n;
 }
 
+void
+str_append_percent_decoded (struct str_buf *b, struct str s)
+{
+  for (size_t i = 0; i < s.len; i++)
+    {
+      int high = -1, low = -1;
+
+      if (s.data[i] == '%' && s.len - i > 2)
+        {
+          high = g_ascii_xdigit_value (s.data[i + 1]);
+          low = g_ascii_xdigit_value (s.data[i + 2]);
+        }
+      if (high < 0 || low < 0)
+        {
+          str_append_char (b, s.data[i]);
+          continue;
+        }
+      str_append_char (b, (char)(high * 16 + low));
+      i += 2;
+    }
+}
+
 struct str
 str_view (const struct str_buf *b)
 {
--- a/src/str.h
+++ b/src/str.h
@@ -65,6 +65,8 @@
 /* appends as printf does */
 void str_append_format (struct str_buf *b, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
+/* appends with each "%XX" replaced by its byte */
+void str_append_percent_decoded (struct str_buf *b, struct str s);
 /* view of the buffer, valid until the next append */
 struct str str_view (const struct str_buf *b);
 /* moves the bytes out; free with str_free */
