--- /dev/null
+++ b/src/logger.h
@@ -0,0 +1,67 @@
+/* logger: JSON lines on standard error through GLib's structured logging.
+
+   A line holds time, level, event and fields.  A line that standard error
+   cannot take at once is dropped and counted, so that a stalled log reader
+   does not stall a thread.  */
+
+#ifndef ALMONDVALE_LOGGER_H
+#define ALMONDVALE_LOGGER_H
+
+#include "str.h"
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* Constants */
+
+#define LOGGER_LINE_MAX_BYTES 4096
+#define LOGGER_TEXT_MAX_BYTES 512
+
+/* Types */
+
+enum logger_level
+{
+  LOGGER_ERROR,
+  LOGGER_WARNING,
+  LOGGER_INFO,
+  LOGGER_DEBUG
+};
+
+/* One field of a line; made by the macros below.  */
+struct logger_field
+{
+  const char *name;
+  bool is_text;
+  struct str text;
+  int64_t number;
+};
+
+#define LOGGER_TEXT(name, text) ((struct logger_field){ name, true, text, 0 })
+#define LOGGER_NUMBER(name, number)                                           \
+  ((struct logger_field){ name, false, STR_EMPTY, number })
+
+/* Writes an event with at least one field.  */
+#define LOGGER_WRITE(level, event, ...)                                       \
+  logger_write (level, event,                                                 \
+                sizeof ((struct logger_field[]){ __VA_ARGS__ })               \
+                    / sizeof (struct logger_field),                           \
+                (const struct logger_field[]){ __VA_ARGS__ })
+
+/* Public functions */
+
+/* takes over GLib's log output; once in a process, before other threads */
+void logger_init (enum logger_level level);
+/* level of a name: error, warning, info, debug; false if there is none */
+bool logger_find_level (struct str name, enum logger_level *level);
+/* changes the least severe level written; any thread */
+void logger_set_level (enum logger_level level);
+/* true if a line of this level is written now; any thread */
+bool logger_is_enabled (enum logger_level level);
+/* writes one line; any thread */
+void logger_write (enum logger_level level, const char *event, size_t len,
+                   const struct logger_field *fields);
+/* lines dropped because standard error was not ready */
+uint64_t logger_get_dropped (void);
+
+#endif
