--- /dev/null
+++ b/src/admin.c
@@ -0,0 +1,241 @@
+/* admin: the daemon's own resources at the local port, below /almondvale/.  */
+
+#include "admin.h"
+
+#include "logger.h"
+
+#include <json-glib/json-glib.h>
+
+/* Constants */
+
+#define ADMIN_PREFIX STR_LIT ("/almondvale/")
+#define ADMIN_PORT_MAX 65535
+#define ADMIN_COUNT_MAX 1000000
+
+/* Types */
+
+struct resource
+{
+  struct str method;
+  struct str path;
+  void (*handle) (struct front *f, struct httpd_exchange *x);
+};
+
+/* Internal functions */
+
+static void
+answer_text (struct httpd_exchange *x, int status, struct str type,
+             struct str body)
+{
+  struct wire_header header = { STR_LIT ("Content-Type"), type };
+
+  httpd_answer (x, status, &header, 1, body);
+}
+
+static void
+answer_error (struct httpd_exchange *x, enum err_kind error, struct str detail)
+{
+  struct str_buf body = { 0 };
+
+  err_append_body (&body, error, detail);
+  answer_text (x, err_get_answer (error)->status, STR_LIT ("application/json"),
+               str_view (&body));
+  str_reset (&body);
+}
+
+static void
+answer_ok (struct httpd_exchange *x)
+{
+  answer_text (x, 200, STR_LIT ("application/json"), STR_LIT ("{}\n"));
+}
+
+/* Sends a note to the control and serve threads.  */
+static void
+notify (struct front *f, struct note *n)
+{
+  mailbox_send (f->shared->serve, note_copy (n));
+  mailbox_send (f->shared->control, n);
+}
+
+static bool
+read_text (JsonObject *o, const char *name, struct str *value)
+{
+  JsonNode *node = json_object_get_member (o, name);
+
+  if (node == NULL || !JSON_NODE_HOLDS_VALUE (node)
+      || json_node_get_value_type (node) != G_TYPE_STRING)
+    return false;
+  *value = str_copy (str_from_cstr (json_node_get_string (node)));
+  return value->len > 0;
+}
+
+static bool
+read_number (JsonObject *o, const char *name, int64_t max, int64_t *value)
+{
+  JsonNode *node = json_object_get_member (o, name);
+
+  if (node == NULL || !JSON_NODE_HOLDS_VALUE (node)
+      || json_node_get_value_type (node) != G_TYPE_INT64)
+    return false;
+  *value = json_node_get_int (node);
+  return *value >= 1 && *value <= max;
+}
+
+static bool
+read_backend (JsonNode *root, struct note_backend *b)
+{
+  int64_t port, slots, connections;
+  JsonObject *o;
+
+  if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root))
+    return false;
+  o = json_node_get_object (root);
+  if (!read_text (o, "service", &b->service)
+      || !read_text (o, "address", &b->address)
+      || !read_number (o, "port", ADMIN_PORT_MAX, &port)
+      || !read_number (o, "slots", ADMIN_COUNT_MAX, &slots)
+      || !read_number (o, "connections", ADMIN_COUNT_MAX, &connections))
+    return false;
+  b->port = (uint16_t)port;
+  b->slots = (uint32_t)slots;
+  b->connections = (uint32_t)connections;
+  return true;
+}
+
+static void
+handle_announce (struct front *f, struct httpd_exchange *x)
+{
+  struct note *n = note_load (NOTE_ANNOUNCE);
+  JsonParser *parser = json_parser_new ();
+  bool ok = json_parser_load_from_data (
+                parser, x->body.data != NULL ? x->body.data : "",
+                (gssize)x->body.len, NULL)
+            && read_backend (json_parser_get_root (parser), &n->backend);
+
+  g_object_unref (parser);
+  if (!ok)
+    {
+      note_unload (n);
+      answer_error (x, ERR_BAD_REQUEST,
+                    STR_LIT ("expected an object with service and address "
+                             "(text), port 1..65535, slots and connections "
+                             "1..1000000"));
+      return;
+    }
+  notify (f, n);
+  answer_ok (x);
+}
+
+static void
+handle_drain (struct front *f, struct httpd_exchange *x)
+{
+  notify (f, note_load (NOTE_DRAIN));
+  answer_ok (x);
+}
+
+static void
+handle_leave (struct front *f, struct httpd_exchange *x)
+{
+  notify (f, note_load (NOTE_LEAVE));
+  answer_ok (x);
+}
+
+static void
+handle_metrics (struct front *f, struct httpd_exchange *x)
+{
+  struct str_buf body = { 0 };
+
+  metrics_append_text (&f->shared->metrics, &body);
+  answer_text (x, 200, STR_LIT ("text/plain; version=0.0.4"),
+               str_view (&body));
+  str_reset (&body);
+}
+
+static void
+handle_log_level (struct front *f, struct httpd_exchange *x)
+{
+  enum logger_level level;
+
+  if (!logger_find_level (str_view (&x->body), &level))
+    {
+      answer_error (x, ERR_BAD_REQUEST,
+                    STR_LIT ("expected error, warning, info or debug"));
+      return;
+    }
+  logger_set_level (level);
+  answer_ok (x);
+}
+
+/* The status is the control thread's; the exchange waits in a call row that
+   no system serves.  */
+static void
+handle_status (struct front *f, struct httpd_exchange *x)
+{
+  struct note *n = note_load (NOTE_STATUS);
+  struct front_call *call;
+
+  n->call = table_add (&f->calls, (void **)&call);
+  n->front = f->index;
+  call->id = n->call;
+  call->state = FRONT_STATES;
+  call->exchange = x;
+  x->call = call->id;
+  mailbox_send (f->shared->control, n);
+}
+
+static const struct resource resources[] = {
+  { STR_LIT ("POST"), STR_LIT ("/almondvale/announce"), handle_announce },
+  { STR_LIT ("POST"), STR_LIT ("/almondvale/drain"), handle_drain },
+  { STR_LIT ("POST"), STR_LIT ("/almondvale/leave"), handle_leave },
+  { STR_LIT ("GET"), STR_LIT ("/almondvale/metrics"), handle_metrics },
+  { STR_LIT ("GET"), STR_LIT ("/metrics"), handle_metrics },
+  { STR_LIT ("GET"), STR_LIT ("/almondvale/status"), handle_status },
+  { STR_LIT ("PUT"), STR_LIT ("/almondvale/log-level"), handle_log_level },
+};
+
+/* Public functions */
+
+/**
+ * admin_handle - answers requests for the daemon itself
+ * @f: front
+ * @x: exchange of the local port
+ *
+ * Return: false if the request is a call to a service.
+ */
+bool
+admin_handle (struct front *f, struct httpd_exchange *x)
+{
+  bool known = false;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (resources); i++)
+    if (str_equal (x->target, resources[i].path))
+      {
+        known = true;
+        if (!str_equal (x->method, resources[i].method))
+          continue;
+        resources[i].handle (f, x);
+        return true;
+      }
+  if (!known && !str_has_prefix (x->target, ADMIN_PREFIX))
+    return false;
+  answer_error (x, known ? ERR_METHOD_NOT_ALLOWED : ERR_ROUTE_UNKNOWN,
+                STR_EMPTY);
+  return true;
+}
+
+void
+admin_reply (struct front *f, struct note *n)
+{
+  struct front_call *call = table_get (&f->calls, n->call);
+
+  if (call == NULL || call->state != FRONT_STATES)
+    return;
+  answer_text (call->exchange, 200, STR_LIT ("application/json"), n->text);
+  table_remove (&f->calls, call->id);
+}
+
+void
+admin_forget (struct front *f, struct httpd_exchange *x)
+{
+  table_remove (&f->calls, x->call);
+}
--- a/src/attempt.c
+++ b/src/attempt.c
@@ -211,6 +211,16 @@
   return WIRE_OUTCOME_VOID;
 }
 
+uint64_t
+attempt_get_job (const struct attempt_table *t, struct wire_attempt_id id)
+{
+  const struct attempt_row *r = find_row (t, id);
+
+  if (r == NULL || r->state == ATTEMPT_DONE || r->state == ATTEMPT_VOID)
+    return 0;
+  return r->job;
+}
+
 /**
  * attempt_expire - removes rows past their time
  * @t: table
--- a/src/attempt.h
+++ b/src/attempt.h
@@ -81,6 +81,9 @@
                                        struct wire_attempt_id id,
                                        int64_t timeout_us, int64_t age_us,
                                        int64_t now_us, uint64_t *job);
+/* job of an attempt that is queued or started, or 0 */
+uint64_t attempt_get_job (const struct attempt_table *t,
+                          struct wire_attempt_id id);
 /* system: removes rows past their time, at most `rows` of them looked at */
 void attempt_expire (struct attempt_table *t, uint32_t rows, int64_t now_us);
 
--- /dev/null
+++ b/src/dispatch.c
@@ -0,0 +1,641 @@
+/* dispatch: sends attempts to serving daemons and takes their responses.  */
+
+#include "dispatch.h"
+
+#include "clock.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* Constants */
+
+/* Time for the outcome of an attempt after its link broke: the round-trip
+   bound of the control plane.  */
+#define QUERY_TIMEOUT_US 500000
+
+/* Internal functions: peers and services */
+
+static struct front_peer *
+find_peer (const struct front *f, uint64_t member)
+{
+  uint64_t *id = g_hash_table_lookup (f->peer_by_member, &member);
+
+  return id != NULL ? table_get (&f->peers, *id) : NULL;
+}
+
+static struct front_service *
+find_service (const struct front *f, struct str name)
+{
+  uint64_t *id = g_hash_table_lookup (f->service_by_name, &name);
+
+  return id != NULL ? table_get (&f->services, *id) : NULL;
+}
+
+static guint
+hash_str (gconstpointer s)
+{
+  return (guint)str_hash (*(const struct str *)s);
+}
+
+static gboolean
+equal_str (gconstpointer a, gconstpointer b)
+{
+  return str_equal (*(const struct str *)a, *(const struct str *)b);
+}
+
+static struct front_peer *
+add_peer (struct front *f, const struct snapshot_endpoint *e)
+{
+  struct front_peer *peer;
+  uint64_t *id = g_new (uint64_t, 1);
+
+  *id = table_add (&f->peers, (void **)&peer);
+  peer->member = e->member;
+  peer->address = str_copy (e->address);
+  peer->port = e->peer_port;
+  g_hash_table_insert (f->peer_by_member, &peer->member, id);
+  return peer;
+}
+
+static void
+remove_peer (struct front *f, struct front_peer *peer)
+{
+  uint64_t *id = g_hash_table_lookup (f->peer_by_member, &peer->member);
+  uint64_t row = *id;
+
+  g_hash_table_remove (f->peer_by_member, &peer->member);
+  str_free (&peer->address);
+  table_remove (&f->peers, row);
+}
+
+static struct front_service *
+add_service (struct front *f, struct str name)
+{
+  const struct settings *settings = f->shared->settings;
+  struct front_service *service;
+  uint64_t *id = g_new (uint64_t, 1);
+
+  *id = table_add (&f->services, (void **)&service);
+  service->name = str_copy (name);
+  route_init_pool (&service->pool, f->shared->member,
+                   (uint32_t)str_hash (settings->failure_domain),
+                   (uint32_t)f->attempt_origin);
+  g_hash_table_insert (f->service_by_name, &service->name, id);
+  return service;
+}
+
+static bool
+has_endpoint (const struct snapshot *s, struct str service, uint64_t member)
+{
+  for (uint32_t i = 0; i < s->endpoints_len; i++)
+    if (s->endpoints[i].member == member
+        && (service.len == 0 || str_equal (s->endpoints[i].service, service)))
+      return true;
+  return false;
+}
+
+static void
+remove_endpoints (struct front *f, const struct snapshot *s)
+{
+  struct front_service *service;
+
+  for (uint64_t id = table_next (&f->services, 0, (void **)&service); id != 0;
+       id = table_next (&f->services, id, (void **)&service))
+    {
+      struct route_endpoint *e;
+
+      for (uint64_t row
+           = table_next (&service->pool.endpoints, 0, (void **)&e);
+           row != 0;
+           row = table_next (&service->pool.endpoints, row, (void **)&e))
+        if (!has_endpoint (s, service->name, e->member))
+          route_remove_endpoint (&service->pool, e->member);
+    }
+}
+
+/* Links of members that left are closed when nothing is under way there.  */
+static void
+remove_idle_peers (struct front *f)
+{
+  struct front_peer *peer;
+
+  if (f->snapshot == NULL)
+    return;
+  for (uint64_t id = table_next (&f->peers, 0, (void **)&peer); id != 0;
+       id = table_next (&f->peers, id, (void **)&peer))
+    {
+      struct front_call *call;
+      bool used = has_endpoint (f->snapshot, STR_EMPTY, peer->member);
+
+      for (uint64_t c = table_next (&f->calls, 0, (void **)&call);
+           c != 0 && !used; c = table_next (&f->calls, c, (void **)&call))
+        used = call->member == peer->member;
+      if (used)
+        continue;
+      link_disconnect (&f->links, peer->link);
+      remove_peer (f, peer);
+    }
+}
+
+static uint64_t
+open_link (struct front *f, struct front_peer *peer)
+{
+  if (!link_is_open (&f->links, peer->link))
+    peer->link = link_connect (&f->links, peer->address, peer->port);
+  return peer->link;
+}
+
+/* Internal functions: sending */
+
+static void
+send_body_parts (struct front *f, const struct front_call *call,
+                 struct str body)
+{
+  size_t sent = WIRE_PART_MAX_BYTES;
+
+  while (sent < body.len)
+    {
+      struct str part = str_slice (body, sent, sent + WIRE_PART_MAX_BYTES);
+      struct wire_message m = { .type = WIRE_BODY };
+      struct str_buf out = { 0 };
+
+      sent += part.len;
+      m.u.body = (struct wire_body){ .request_id = call->id,
+                                     .attempt = call->attempt,
+                                     .last = sent == body.len,
+                                     .bytes = part };
+      wire_append_message (&out, &m);
+      link_send (&f->links, call->link, str_view (&out));
+      str_reset (&out);
+    }
+}
+
+static void
+send_request (struct front *f, struct front_call *call, int64_t now_us)
+{
+  struct str body = str_view (&call->exchange->body);
+  struct wire_message m = { .type = WIRE_REQUEST };
+  struct str_buf parent = { 0 };
+  struct str_buf out = { 0 };
+
+  trace_begin_child (&call->attempt_trace, &call->trace);
+  trace_append_parent (&parent, &call->attempt_trace);
+  m.u.request = (struct wire_request){
+    .request_id = call->id,
+    .attempt = call->attempt,
+    .service = call->route->service,
+    .route = call->route->name,
+    .method = call->exchange->method,
+    .path = call->exchange->target,
+    .headers_len = call->headers_len,
+    .headers = call->headers,
+    .workspace = call->workspace,
+    .importance = call->importance,
+    .timeout_us = call->deadline_us - now_us,
+    .retry_budget = call->part,
+    .depth = call->depth,
+    .idempotent = call->route->idempotent,
+    .traceparent = str_view (&parent),
+    .last = body.len <= WIRE_PART_MAX_BYTES,
+    .body = str_slice (body, 0, WIRE_PART_MAX_BYTES),
+  };
+  wire_append_message (&out, &m);
+  link_send (&f->links, call->link, str_view (&out));
+  send_body_parts (f, call, body);
+  str_reset (&out);
+  str_reset (&parent);
+}
+
+static void
+start_attempt (struct front *f, struct front_call *call,
+               struct front_service *service, struct front_peer *peer,
+               int64_t now_us)
+{
+  call->member = peer->member;
+  call->link = peer->link;
+  call->attempt
+      = (struct wire_attempt_id){ f->attempt_origin, ++f->attempt_number };
+  call->part = budget_hand_down (&call->budget);
+  call->sent_us = now_us;
+  call->receiving = false;
+  call->attempts++;
+  if (call->tried_len < FRONT_TRIED_MAX)
+    call->tried[call->tried_len++] = peer->member;
+  route_note_sent (&service->pool, peer->member, now_us);
+  if (call->attempts == 1)
+    budget_note_request (&f->ratio, call->route->service, now_us);
+  else
+    metrics_count (f->shared->stats.retries, 1);
+  metrics_count (f->shared->stats.attempts, 1);
+  front_set_state (f, call, FRONT_SENT);
+  send_request (f, call, now_us);
+}
+
+/* Chooses an endpoint and sends; one whose address cannot be used counts as
+   tried.  */
+static void
+dispatch_call (struct front *f, struct front_call *call, int64_t now_us)
+{
+  struct front_service *service = find_service (f, call->route->service);
+  uint64_t member = 0;
+  struct front_peer *peer;
+
+  if (service != NULL)
+    member = f->route_ops->choose (&service->pool, call->tried,
+                                   call->tried_len, now_us);
+  if (member == 0)
+    {
+      front_fail (f, call,
+                  call->attempts > 0 ? ERR_BACKEND_UNREACHABLE
+                                     : ERR_NO_BACKEND,
+                  STR_EMPTY);
+      return;
+    }
+  peer = find_peer (f, member);
+  if (peer == NULL || open_link (f, peer) == 0)
+    {
+      route_note_failure (&service->pool, member, now_us);
+      front_fail (f, call, ERR_BACKEND_UNREACHABLE, STR_EMPTY);
+      return;
+    }
+  start_attempt (f, call, service, peer, now_us);
+}
+
+/* Internal functions: outcomes */
+
+/* Responses after which the endpoint is avoided for a while.  */
+static bool
+has_no_capacity (enum err_kind error)
+{
+  return error == ERR_BACKEND_LEAVING || error == ERR_BACKEND_UNREACHABLE
+         || error == ERR_NO_BACKEND || error == ERR_SHUTTING_DOWN;
+}
+
+static void
+note_endpoint (struct front *f, const struct front_call *call, bool answered,
+               const struct wire_response *r, int64_t now_us)
+{
+  struct front_service *service = find_service (f, call->route->service);
+
+  if (service == NULL)
+    return;
+  if (answered && !has_no_capacity (r->error))
+    route_note_answer (&service->pool, call->member, r->in_flight, r->limit,
+                       now_us);
+  else
+    route_note_failure (&service->pool, call->member, now_us);
+}
+
+static void
+note_thresholds (struct front *f, const struct front_call *call,
+                 const struct wire_response *r, int64_t now_us)
+{
+  feedback_note (&f->feedback, call->route->name, r->thresholds,
+                 r->thresholds_len, now_us);
+  if (call->hop == 0)
+    return;
+  for (uint32_t i = 0; i < r->thresholds_len; i++)
+    hop_note_threshold (&f->shared->hops, call->hop, r->thresholds[i].service,
+                        r->thresholds[i].level);
+}
+
+static void
+record_attempt (struct front *f, const struct front_call *call,
+                enum err_kind error, uint32_t status, int64_t now_us)
+{
+  struct trace_span span = { .context = call->attempt_trace,
+                             .has_parent = true,
+                             .kind = TRACE_CLIENT,
+                             .name = STR_LIT ("attempt"),
+                             .service = call->route->service,
+                             .route = call->route->name,
+                             .error = error,
+                             .status = status,
+                             .importance = call->importance,
+                             .depth = call->depth,
+                             .attempt = call->attempts,
+                             .duration_us = now_us - call->sent_us };
+
+  if (!call->attempt_trace.sampled)
+    return;
+  memcpy (span.parent_id, call->trace.span_id, sizeof span.parent_id);
+  span.start_us = clock_wall_ms () * CLOCK_US_PER_MS - span.duration_us;
+  trace_record (&f->shared->trace, &span);
+}
+
+static struct front_call *
+find_call (struct front *f, uint64_t id, struct wire_attempt_id attempt)
+{
+  struct front_call *call = table_get (&f->calls, id);
+
+  if (call != NULL && call->state == FRONT_SENT
+      && wire_equal_attempt (call->attempt, attempt))
+    return call;
+  metrics_count (f->shared->stats.late_responses, 1);
+  return NULL;
+}
+
+static void
+complete_response (struct front *f, struct front_call *call)
+{
+  call->member = 0;
+  call->result.status = (int)call->result.message.u.response.status;
+  front_set_state (f, call, FRONT_ANSWERED);
+}
+
+static void
+receive_response (struct front *f, const struct wire_response *r,
+                  struct str frame)
+{
+  struct front_call *call = find_call (f, r->request_id, r->attempt);
+  int64_t now_us = clock_now_us ();
+
+  if (call == NULL || call->receiving)
+    return;
+  note_endpoint (f, call, true, r, now_us);
+  note_thresholds (f, call, r, now_us);
+  record_attempt (f, call, r->error, r->status, now_us);
+  budget_return (&call->budget, call->part, r->unused_budget);
+  if (r->error != ERR_NONE)
+    {
+      dispatch_fail_attempt (f, call, r->error, now_us);
+      return;
+    }
+  call->result.frame = str_copy (frame);
+  wire_load_message (&call->result.message, call->result.frame);
+  call->receiving = true;
+  if (r->last)
+    complete_response (f, call);
+  else
+    str_append (&call->result.body, r->body);
+}
+
+static void
+receive_body (struct front *f, const struct wire_body *b)
+{
+  struct front_call *call = find_call (f, b->request_id, b->attempt);
+
+  if (call == NULL || !call->receiving)
+    return;
+  str_append (&call->result.body, b->bytes);
+  if (call->result.body.len > (size_t)f->shared->settings->limits.answer_bytes)
+    dispatch_fail_attempt (f, call, ERR_ANSWER_TOO_LARGE, clock_now_us ());
+  else if (b->last)
+    complete_response (f, call);
+}
+
+/* An attempt known to be void may be followed by another one; what has started
+   has no answer any more.  */
+static void
+receive_outcome (struct front *f, const struct wire_outcome *o)
+{
+  struct front_call *call;
+
+  for (uint64_t id = table_next (&f->calls, 0, (void **)&call); id != 0;
+       id = table_next (&f->calls, id, (void **)&call))
+    if (call->state == FRONT_QUERYING
+        && wire_equal_attempt (call->attempt, o->attempt))
+      {
+        dispatch_fail_attempt (f, call,
+                               o->state == WIRE_OUTCOME_VOID
+                                   ? ERR_BACKEND_UNREACHABLE
+                                   : ERR_OUTCOME_UNKNOWN,
+                               clock_now_us ());
+        return;
+      }
+}
+
+static void
+on_frame (void *owner, uint64_t link, struct str frame)
+{
+  struct front *f = owner;
+  struct wire_message m;
+
+  if (!wire_load_message (&m, frame))
+    {
+      metrics_count (f->shared->stats.bad_frames, 1);
+      return;
+    }
+  switch (m.type)
+    {
+    case WIRE_RESPONSE:
+      receive_response (f, &m.u.response, frame);
+      break;
+    case WIRE_BODY:
+      receive_body (f, &m.u.body);
+      break;
+    case WIRE_OUTCOME:
+      receive_outcome (f, &m.u.outcome);
+      break;
+    default:
+      metrics_count (f->shared->stats.bad_frames, 1);
+      break;
+    }
+  wire_unload_message (&m);
+}
+
+/* Asks the serving daemon over a new link what became of the attempt.  */
+static void
+query_attempt (struct front *f, struct front_call *call, int64_t now_us)
+{
+  struct front_peer *peer = find_peer (f, call->member);
+  struct wire_message m = { .type = WIRE_QUERY };
+  struct str_buf out = { 0 };
+
+  if (peer == NULL || open_link (f, peer) == 0)
+    {
+      dispatch_fail_attempt (f, call, ERR_OUTCOME_UNKNOWN, now_us);
+      return;
+    }
+  m.u.query.attempt = call->attempt;
+  m.u.query.timeout_us = call->deadline_us - now_us;
+  m.u.query.age_us = now_us - call->sent_us;
+  wire_append_message (&out, &m);
+  call->link = peer->link;
+  call->query_until_us = now_us + QUERY_TIMEOUT_US;
+  front_set_state (f, call, FRONT_QUERYING);
+  metrics_count (f->shared->stats.queries, 1);
+  link_send (&f->links, call->link, str_view (&out));
+  str_reset (&out);
+}
+
+static void
+lose_attempt (struct front *f, struct front_call *call, bool connected,
+              int64_t now_us)
+{
+  record_attempt (f, call, ERR_OUTCOME_UNKNOWN, 0, now_us);
+  note_endpoint (f, call, false, NULL, now_us);
+  if (!connected)
+    dispatch_fail_attempt (f, call, ERR_BACKEND_UNREACHABLE, now_us);
+  else if (call->route->idempotent || call->receiving)
+    dispatch_fail_attempt (f, call, ERR_OUTCOME_UNKNOWN, now_us);
+  else
+    query_attempt (f, call, now_us);
+}
+
+static void
+on_link_close (void *owner, uint64_t link, bool connected)
+{
+  struct front *f = owner;
+  struct front_call *call;
+  int64_t now_us = clock_now_us ();
+
+  for (uint64_t id = table_next (&f->calls, 0, (void **)&call); id != 0;
+       id = table_next (&f->calls, id, (void **)&call))
+    {
+      if (call->link != link)
+        continue;
+      if (call->state == FRONT_SENT)
+        lose_attempt (f, call, connected, now_us);
+      else if (call->state == FRONT_QUERYING)
+        dispatch_fail_attempt (f, call, ERR_OUTCOME_UNKNOWN, now_us);
+    }
+}
+
+static const struct link_ops link_ops = { on_frame, on_link_close };
+
+static void
+expire_queries (struct front *f, int64_t now_us)
+{
+  struct front_call *call;
+
+  for (uint64_t id = table_next (&f->calls, 0, (void **)&call); id != 0;
+       id = table_next (&f->calls, id, (void **)&call))
+    if (call->state == FRONT_QUERYING && now_us >= call->query_until_us)
+      dispatch_fail_attempt (f, call, ERR_OUTCOME_UNKNOWN, now_us);
+}
+
+/* Public functions */
+
+void
+dispatch_init (struct front *f, GRand *rand)
+{
+  table_init (&f->peers, sizeof (struct front_peer));
+  table_init (&f->services, sizeof (struct front_service));
+  f->peer_by_member
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  f->service_by_name
+      = g_hash_table_new_full (hash_str, equal_str, NULL, g_free);
+  f->attempt_origin = ((uint64_t)g_rand_int (rand) << 32) | g_rand_int (rand);
+  budget_init_ratio (&f->ratio);
+  link_init_set (&f->links, f->loop.base, &link_ops, f);
+}
+
+void
+dispatch_close (struct front *f)
+{
+  struct front_service *service;
+  struct front_peer *peer;
+
+  link_close_set (&f->links);
+  g_hash_table_unref (f->service_by_name);
+  g_hash_table_unref (f->peer_by_member);
+  for (uint64_t id = table_next (&f->services, 0, (void **)&service); id != 0;
+       id = table_next (&f->services, id, (void **)&service))
+    {
+      str_free (&service->name);
+      route_close_pool (&service->pool);
+    }
+  for (uint64_t id = table_next (&f->peers, 0, (void **)&peer); id != 0;
+       id = table_next (&f->peers, id, (void **)&peer))
+    str_free (&peer->address);
+  table_close (&f->services);
+  table_close (&f->peers);
+  budget_close_ratio (&f->ratio);
+}
+
+/**
+ * dispatch_set_endpoints - takes over the endpoints of a new snapshot
+ * @f: front
+ * @s: snapshot
+ *
+ * Attempts under way at endpoints that are gone go on.
+ */
+void
+dispatch_set_endpoints (struct front *f, const struct snapshot *s)
+{
+  remove_endpoints (f, s);
+  for (uint32_t i = 0; i < s->endpoints_len; i++)
+    {
+      const struct snapshot_endpoint *e = &s->endpoints[i];
+      struct front_service *service = find_service (f, e->service);
+
+      if (service == NULL)
+        service = add_service (f, e->service);
+      if (find_peer (f, e->member) == NULL)
+        add_peer (f, e);
+      route_set_endpoint (&service->pool, e->member, e->domain,
+                          e->announced_us);
+    }
+  remove_idle_peers (f);
+}
+
+void
+dispatch_run (void *owner, int64_t now_us)
+{
+  struct front *f = owner;
+  GArray *queue = f->queues[FRONT_DISPATCH];
+
+  for (guint i = 0; i < queue->len; i++)
+    {
+      struct front_call *call
+          = table_get (&f->calls, g_array_index (queue, uint64_t, i));
+
+      if (call != NULL && call->state == FRONT_DISPATCH)
+        dispatch_call (f, call, now_us);
+    }
+  g_array_set_size (queue, 0);
+  expire_queries (f, now_us);
+}
+
+void
+dispatch_cancel (struct front *f, struct front_call *call)
+{
+  struct wire_message m = { .type = WIRE_CANCEL };
+  struct front_service *service = find_service (f, call->route->service);
+  struct str_buf out = { 0 };
+
+  m.u.cancel.request_id = call->id;
+  m.u.cancel.attempt = call->attempt;
+  wire_append_message (&out, &m);
+  link_send (&f->links, call->link, str_view (&out));
+  str_reset (&out);
+  if (service != NULL && !call->receiving)
+    route_note_cancel (&service->pool, call->member);
+}
+
+/**
+ * dispatch_fail_attempt - ends an attempt that brought no answer
+ * @f: front
+ * @call: call in state sent or querying
+ * @error: what is known
+ * @now_us: current time
+ *
+ * Another attempt follows if the retry policy allows it and there is time.
+ */
+void
+dispatch_fail_attempt (struct front *f, struct front_call *call,
+                       enum err_kind error, int64_t now_us)
+{
+  struct retry_case c = { .error = error,
+                          .idempotent = call->route->idempotent,
+                          .attempts = call->attempts,
+                          .destination = call->route->service,
+                          .pool = &call->budget,
+                          .ratio = &f->ratio };
+
+  call->member = 0;
+  call->link = 0;
+  if (call->receiving)
+    {
+      wire_unload_message (&call->result.message);
+      str_free (&call->result.frame);
+      str_reset (&call->result.body);
+      call->receiving = false;
+    }
+  if (now_us < call->deadline_us && call->exchange != NULL
+      && f->retry_ops->allow (&c, now_us))
+    front_set_state (f, call, FRONT_DISPATCH);
+  else
+    front_fail (f, call, error, STR_EMPTY);
+}
--- /dev/null
+++ b/src/front.c
@@ -0,0 +1,562 @@
+/* front: a traffic thread that takes requests of callers and nested calls.  */
+
+#include "front.h"
+
+#include "admin.h"
+#include "clock.h"
+#include "dispatch.h"
+#include "intake.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* Constants */
+
+#define FRONT_TICK_US 10000
+/* The serving daemon answers at the deadline whether the request ran; this is
+   the time for that answer to arrive.  */
+#define FRONT_DEADLINE_GRACE_US 20000
+#define FRONT_ANSWER_HEADERS_MAX (WIRE_HEADERS_MAX + 4)
+
+/* Internal functions: rows */
+
+static void
+free_result (struct front_result *r)
+{
+  wire_unload_message (&r->message);
+  str_free (&r->frame);
+  str_free (&r->content_type);
+  str_reset (&r->body);
+}
+
+static void
+free_call (struct front *f, struct front_call *call)
+{
+  free_result (&call->result);
+  g_free (call->headers);
+  snapshot_put (call->snapshot);
+  table_remove (&f->calls, call->id);
+  atomic_fetch_sub (&f->shared->open_calls, 1);
+}
+
+static void
+leave_token_queue (struct front *f, struct front_call *call)
+{
+  if (!call->tokens_wanted)
+    return;
+  call->tokens_wanted = false;
+  g_mutex_lock (&f->shared->quota_mutex);
+  quota_cancel (&f->shared->quotas, call->workspace);
+  g_mutex_unlock (&f->shared->quota_mutex);
+}
+
+/* Internal functions: callers */
+
+static void
+on_request (void *owner, struct httpd_exchange *x)
+{
+  struct front *f = owner;
+  struct front_call *call;
+  uint64_t id;
+
+  if (x->source == FRONT_LOCAL && admin_handle (f, x))
+    return;
+  id = table_add (&f->calls, (void **)&call);
+  atomic_fetch_add (&f->shared->open_calls, 1);
+  call->id = id;
+  call->exchange = x;
+  call->arrived_us = clock_now_us ();
+  call->deadline_us = INT64_MAX;
+  call->workspace = STR_EMPTY;
+  call->idempotency_key = STR_EMPTY;
+  call->result.frame = STR_EMPTY;
+  call->result.content_type = STR_EMPTY;
+  x->call = id;
+  if (f->calls.count > (uint32_t)f->shared->settings->limits.open_requests)
+    front_fail (f, call, ERR_TOO_MANY_REQUESTS_OPEN, STR_EMPTY);
+  else
+    front_set_state (f, call, FRONT_ARRIVED);
+}
+
+static void
+on_gone (void *owner, struct httpd_exchange *x)
+{
+  struct front *f = owner;
+  struct front_call *call = table_get (&f->calls, x->call);
+
+  if (call == NULL)
+    return;
+  if (call->state == FRONT_STATES)
+    {
+      admin_forget (f, x);
+      return;
+    }
+  if (call->state == FRONT_SENT)
+    dispatch_cancel (f, call);
+  leave_token_queue (f, call);
+  front_fail (f, call,
+              call->state == FRONT_SENT || call->state == FRONT_QUERYING
+                  ? ERR_CANCELLED_RUNNING
+                  : ERR_CANCELLED_NOT_RUN,
+              STR_EMPTY);
+  call->exchange = NULL;
+}
+
+static const struct httpd_ops httpd_ops = { on_request, on_gone };
+
+/* Internal functions: systems */
+
+static void
+apply_registered (struct front *f, struct note *n)
+{
+  struct front_call *call = table_get (&f->calls, n->call);
+
+  if (call == NULL || call->state != FRONT_REGISTERING)
+    return;
+  switch (n->registered)
+    {
+    case NOTE_REGISTERED_NEW:
+      call->registered = true;
+      front_set_state (f, call, FRONT_DISPATCH);
+      break;
+    case NOTE_REGISTERED_DONE:
+      call->result.recorded = true;
+      call->result.status = n->status;
+      call->result.content_type = n->content_type;
+      n->content_type = STR_EMPTY;
+      str_append (&call->result.body, n->text);
+      front_set_state (f, call, FRONT_ANSWERED);
+      break;
+    case NOTE_REGISTERED_REJECTED:
+      front_fail (f, call, n->error, STR_EMPTY);
+      break;
+    }
+}
+
+static void
+run_notes (void *owner, int64_t now_us)
+{
+  struct front *f = owner;
+  struct note *n;
+
+  while ((n = mailbox_take (&f->loop.inbox)) != NULL)
+    {
+      if (n->kind == NOTE_STATUS)
+        admin_reply (f, n);
+      if (n->kind == NOTE_REGISTERED)
+        apply_registered (f, n);
+      if (n->kind == NOTE_SHUTDOWN && !f->stopped_listening)
+        {
+          f->stopped_listening = true;
+          httpd_stop_listening (f->callers);
+        }
+      note_unload (n);
+    }
+}
+
+static void
+run_snapshot (void *owner, int64_t now_us)
+{
+  struct front *f = owner;
+  uint64_t generation = atomic_load (&f->shared->board.generation);
+
+  if (generation == f->snapshot_generation)
+    return;
+  snapshot_put (f->snapshot);
+  f->snapshot = snapshot_get (&f->shared->board);
+  f->snapshot_generation = generation;
+  if (f->snapshot != NULL)
+    dispatch_set_endpoints (f, f->snapshot);
+}
+
+static enum quota_result
+take_token (struct front *f, struct front_call *call, int64_t now_us)
+{
+  struct shared *shared = f->shared;
+  enum quota_result result;
+
+  if (!atomic_load (&shared->rate_limited))
+    return QUOTA_TAKEN;
+  g_mutex_lock (&shared->quota_mutex);
+  if (call->tokens_wanted)
+    result = quota_poll (&shared->quotas, call->workspace, call->arrived_us,
+                         now_us);
+  else
+    result = quota_begin (&shared->quotas, call->workspace, now_us);
+  g_mutex_unlock (&shared->quota_mutex);
+  if (result == QUOTA_WAIT && !call->tokens_wanted)
+    mailbox_wake (shared->control);
+  call->tokens_wanted = result == QUOTA_WAIT;
+  return result;
+}
+
+static void
+apply_token (struct front *f, struct front_call *call,
+             enum quota_result result)
+{
+  switch (result)
+    {
+    case QUOTA_TAKEN:
+      front_set_state (f, call,
+                       call->idempotency_key.len > 0 ? FRONT_REGISTER
+                                                     : FRONT_DISPATCH);
+      break;
+    case QUOTA_EXCEEDED:
+      front_fail (f, call, ERR_RATE_EXCEEDED, STR_EMPTY);
+      break;
+    case QUOTA_UNAVAILABLE:
+      front_fail (f, call, ERR_RATE_UNAVAILABLE, STR_EMPTY);
+      break;
+    case QUOTA_WAIT:
+      break;
+    }
+}
+
+/* Calls that wait for a token stay in the queue.  */
+static void
+run_tokens (void *owner, int64_t now_us)
+{
+  struct front *f = owner;
+  GArray *queue = f->queues[FRONT_TOKENS];
+  guint kept = 0;
+
+  for (guint i = 0; i < queue->len; i++)
+    {
+      uint64_t id = g_array_index (queue, uint64_t, i);
+      struct front_call *call = table_get (&f->calls, id);
+
+      if (call == NULL || call->state != FRONT_TOKENS)
+        continue;
+      apply_token (f, call, take_token (f, call, now_us));
+      if (call->state == FRONT_TOKENS)
+        g_array_index (queue, uint64_t, kept++) = id;
+    }
+  g_array_set_size (queue, kept);
+}
+
+static void
+register_call (struct front *f, struct front_call *call)
+{
+  struct note *n;
+
+  if (!atomic_load (&f->shared->registry))
+    {
+      front_fail (f, call, ERR_REGISTRY_UNAVAILABLE, STR_EMPTY);
+      return;
+    }
+  n = note_load (NOTE_REGISTER);
+  n->front = f->index;
+  n->call = call->id;
+  n->key = str_copy (call->idempotency_key);
+  n->fingerprint = call->fingerprint;
+  front_set_state (f, call, FRONT_REGISTERING);
+  mailbox_send (f->shared->control, n);
+}
+
+static void
+run_register (void *owner, int64_t now_us)
+{
+  struct front *f = owner;
+  GArray *queue = f->queues[FRONT_REGISTER];
+
+  for (guint i = 0; i < queue->len; i++)
+    {
+      struct front_call *call
+          = table_get (&f->calls, g_array_index (queue, uint64_t, i));
+
+      if (call != NULL && call->state == FRONT_REGISTER)
+        register_call (f, call);
+    }
+  g_array_set_size (queue, 0);
+}
+
+static void
+expire_call (struct front *f, struct front_call *call, int64_t now_us)
+{
+  bool sent = call->state == FRONT_SENT || call->state == FRONT_QUERYING;
+
+  if (call->state >= FRONT_ANSWERED || now_us < call->deadline_us)
+    return;
+  if (sent && now_us < call->deadline_us + FRONT_DEADLINE_GRACE_US)
+    return;
+  if (call->state == FRONT_SENT)
+    dispatch_cancel (f, call);
+  leave_token_queue (f, call);
+  front_fail (f, call, sent ? ERR_DEADLINE_RUNNING : ERR_DEADLINE_NOT_RUN,
+              STR_EMPTY);
+}
+
+static void
+run_expiry (void *owner, int64_t now_us)
+{
+  struct front *f = owner;
+  struct front_call *call;
+
+  if (now_us < f->next_tick_us)
+    return;
+  f->next_tick_us = now_us + FRONT_TICK_US;
+  for (uint64_t id = table_next (&f->calls, 0, (void **)&call); id != 0;
+       id = table_next (&f->calls, id, (void **)&call))
+    expire_call (f, call, now_us);
+  feedback_expire (&f->feedback, now_us);
+  budget_expire_ratio (&f->ratio, now_us);
+  metrics_set (f->shared->stats.calls_open, f->calls.count);
+}
+
+/* Internal functions: answers */
+
+static void
+record_call (struct front *f, const struct front_call *call, int64_t now_us)
+{
+  struct trace_span span = { .context = call->trace,
+                             .has_parent = call->has_parent,
+                             .kind = TRACE_SERVER,
+                             .name = STR_LIT ("request"),
+                             .service = call->route->service,
+                             .route = call->route->name,
+                             .error = call->result.error,
+                             .status = (uint32_t)call->result.status,
+                             .importance = call->importance,
+                             .depth = call->depth,
+                             .attempt = call->attempts,
+                             .duration_us = now_us - call->arrived_us };
+
+  memcpy (span.parent_id, call->parent_id, sizeof span.parent_id);
+  span.start_us = clock_wall_ms () * CLOCK_US_PER_MS - span.duration_us;
+  trace_record (&f->shared->trace, &span);
+}
+
+static struct str
+get_body (const struct front_call *call)
+{
+  const struct front_result *r = &call->result;
+
+  if (r->recorded || !r->message.u.response.last)
+    return str_view (&r->body);
+  return r->message.u.response.body;
+}
+
+static struct str
+get_content_type (const struct front_call *call)
+{
+  const struct wire_response *r = &call->result.message.u.response;
+
+  for (uint32_t i = 0; i < r->headers_len; i++)
+    if (str_equal_nocase (r->headers[i].name, STR_LIT ("content-type")))
+      return r->headers[i].value;
+  return STR_EMPTY;
+}
+
+/* Tells the registry what a repeat of the request is to get.  */
+static void
+complete_registration (struct front *f, const struct front_call *call)
+{
+  struct note *n = note_load (NOTE_COMPLETE);
+
+  n->front = f->index;
+  n->call = call->id;
+  n->key = str_copy (call->idempotency_key);
+  n->fingerprint = call->fingerprint;
+  n->error = call->result.error;
+  n->status = call->result.status;
+  if (call->result.error == ERR_NONE)
+    {
+      n->content_type = str_copy (get_content_type (call));
+      n->text = str_copy (get_body (call));
+    }
+  mailbox_send (f->shared->control, n);
+}
+
+static void
+answer_error (struct front_call *call)
+{
+  const struct err_answer *a = err_get_answer (call->result.error);
+  struct wire_header headers[3]
+      = { { STR_LIT ("Content-Type"), STR_LIT ("application/json") },
+          { STR_LIT ("Almondvale-Outcome"), a->ran == ERR_RAN_NO
+                                                ? STR_LIT ("not_run")
+                                                : STR_LIT ("may_have_run") } };
+  uint32_t headers_len = 2;
+  struct str_buf body = { 0 };
+  char seconds[16];
+
+  if (a->retry_after_ms > 0)
+    {
+      g_snprintf (seconds, sizeof seconds, "%d",
+                  (a->retry_after_ms + 999) / 1000);
+      headers[headers_len++] = (struct wire_header){ STR_LIT ("Retry-After"),
+                                                     str_from_cstr (seconds) };
+    }
+  err_append_body (&body, call->result.error, call->result.detail);
+  httpd_answer (call->exchange, a->status, headers, headers_len,
+                str_view (&body));
+  str_reset (&body);
+}
+
+static void
+answer_result (struct front_call *call)
+{
+  const struct front_result *r = &call->result;
+  struct wire_header recorded = { STR_LIT ("Content-Type"), r->content_type };
+
+  if (r->recorded)
+    httpd_answer (call->exchange, r->status, &recorded,
+                  r->content_type.len > 0, get_body (call));
+  else
+    httpd_answer (call->exchange, r->status, r->message.u.response.headers,
+                  r->message.u.response.headers_len, get_body (call));
+}
+
+static void
+end_call (struct front *f, struct front_call *call, int64_t now_us)
+{
+  if (call->registered)
+    complete_registration (f, call);
+  if (call->hop != 0)
+    hop_end_nested (&f->shared->hops, call->hop, call->hop_part,
+                    call->budget.left, now_us);
+  if (call->route != NULL && call->trace.sampled)
+    record_call (f, call, now_us);
+  metrics_count (f->shared->stats.answers[call->result.error], 1);
+  metrics_observe (f->shared->stats.call_time, now_us - call->arrived_us);
+  if (call->exchange != NULL && call->result.error != ERR_NONE)
+    answer_error (call);
+  else if (call->exchange != NULL)
+    answer_result (call);
+  free_call (f, call);
+}
+
+static void
+run_answers (void *owner, int64_t now_us)
+{
+  struct front *f = owner;
+  GArray *queue = f->queues[FRONT_ANSWERED];
+
+  for (guint i = 0; i < queue->len; i++)
+    {
+      struct front_call *call
+          = table_get (&f->calls, g_array_index (queue, uint64_t, i));
+
+      if (call != NULL && call->state == FRONT_ANSWERED)
+        end_call (f, call, now_us);
+    }
+  g_array_set_size (queue, 0);
+  loop_set_tick (&f->loop, f->calls.count > 0 ? FRONT_TICK_US : 0);
+}
+
+static const struct system systems[] = {
+  { "notes", run_notes },       { "snapshot", run_snapshot },
+  { "intake", intake_run },     { "tokens", run_tokens },
+  { "register", run_register }, { "dispatch", dispatch_run },
+  { "expiry", run_expiry },     { "answers", run_answers },
+};
+
+/* Public functions */
+
+static bool
+listen_http (struct front *f, GError **error)
+{
+  const struct settings *s = f->shared->settings;
+  struct httpd_limits limits
+      = { .headers_bytes = (size_t)s->limits.headers_bytes,
+          .body_bytes = (size_t)s->limits.body_bytes,
+          .connections = (uint32_t)s->limits.connections,
+          .idle_timeout_s
+          = (uint32_t)((s->limits.idle_timeout_ms + 999) / CLOCK_US_PER_MS) };
+
+  f->callers = httpd_load (f->loop.base, s->address, (uint16_t)s->ports.caller,
+                           &limits, &httpd_ops, f, FRONT_CALLER);
+  f->local = httpd_load (f->loop.base, STR_LIT ("127.0.0.1"),
+                         (uint16_t)s->ports.local, &limits, &httpd_ops, f,
+                         FRONT_LOCAL);
+  if (f->callers != NULL && f->local != NULL)
+    return true;
+  g_set_error (error, ERR_QUARK, ERR_SETTINGS_INVALID,
+               "cannot listen at port %d (caller) or %d (local)",
+               (int)s->ports.caller, (int)s->ports.local);
+  return false;
+}
+
+/**
+ * front_init - sets up a front thread
+ * @f: thread's state
+ * @shared: shared state; its mailbox of this front is set here
+ * @index: number of this front, below settings' front_threads
+ * @error: receives the reason
+ *
+ * Return: false if a port cannot be had or a policy is unknown.
+ */
+bool
+front_init (struct front *f, struct shared *shared, uint32_t index,
+            GError **error)
+{
+  const struct settings *settings = shared->settings;
+  struct feedback_settings feedback = feedback_get_defaults ();
+  GRand *rand = g_rand_new ();
+
+  memset (f, 0, sizeof *f);
+  f->shared = shared;
+  f->index = index;
+  f->route_ops = route_find_ops (settings->policy.route);
+  f->retry_ops = retry_find_ops (settings->policy.retry);
+  if (f->route_ops == NULL || f->retry_ops == NULL
+      || !loop_init (&f->loop, systems, G_N_ELEMENTS (systems), f))
+    {
+      g_rand_free (rand);
+      g_set_error (error, ERR_QUARK, ERR_SETTINGS_INVALID,
+                   "unknown route or retry policy");
+      return false;
+    }
+  table_init (&f->calls, sizeof (struct front_call));
+  for (int i = 0; i < FRONT_STATES; i++)
+    f->queues[i] = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  dispatch_init (f, rand);
+  feedback.seed = g_rand_int (rand);
+  feedback_init (&f->feedback, &feedback);
+  g_rand_free (rand);
+  shared->fronts[index] = &f->loop.inbox;
+  return listen_http (f, error);
+}
+
+void
+front_close (struct front *f)
+{
+  struct front_call *call;
+
+  for (uint64_t id = table_next (&f->calls, 0, (void **)&call); id != 0;
+       id = table_next (&f->calls, id, (void **)&call))
+    if (call->exchange != NULL)
+      {
+        call->result.error = ERR_SHUTTING_DOWN;
+        answer_error (call);
+        free_call (f, call);
+      }
+  if (f->callers != NULL)
+    httpd_unload (f->callers);
+  if (f->local != NULL)
+    httpd_unload (f->local);
+  dispatch_close (f);
+  feedback_close (&f->feedback);
+  table_close (&f->calls);
+  for (int i = 0; i < FRONT_STATES; i++)
+    g_array_unref (f->queues[i]);
+  snapshot_put (f->snapshot);
+  loop_close (&f->loop);
+}
+
+void
+front_set_state (struct front *f, struct front_call *call,
+                 enum front_state state)
+{
+  call->state = state;
+  g_array_append_val (f->queues[state], call->id);
+}
+
+void
+front_fail (struct front *f, struct front_call *call, enum err_kind error,
+            struct str detail)
+{
+  call->result.error = error;
+  call->result.detail = detail;
+  front_set_state (f, call, FRONT_ANSWERED);
+}
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -57,6 +57,16 @@
   schedule_timer (h);
 }
 
+/* With an external loop libmicrohttpd sees a resumed connection only when it
+   is run again.  */
+static void
+resume (struct httpd_exchange *x)
+{
+  x->suspended = false;
+  MHD_resume_connection (x->connection);
+  event_active (x->httpd->timer, EV_TIMEOUT, 0);
+}
+
 /* libmicrohttpd does not watch suspended connections, so the loop does.  */
 static void
 on_closed (evutil_socket_t fd, short what, void *data)
@@ -68,8 +78,7 @@
   x->handed_over = false;
   x->httpd->ops->on_gone (x->httpd->owner, x);
   x->status = 0;
-  x->suspended = false;
-  MHD_resume_connection (x->connection);
+  resume (x);
 }
 
 static void
@@ -255,10 +264,10 @@
       return NULL;
     }
   h->daemon = MHD_start_daemon (
-      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, 0, NULL, NULL,
-      on_access, h, MHD_OPTION_LISTEN_SOCKET, h->listen_fd,
-      MHD_OPTION_URI_LOG_CALLBACK, on_uri, h, MHD_OPTION_NOTIFY_COMPLETED,
-      on_completed, h, MHD_OPTION_CONNECTION_LIMIT, limits->connections,
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access, h,
+      MHD_OPTION_LISTEN_SOCKET, h->listen_fd, MHD_OPTION_URI_LOG_CALLBACK,
+      on_uri, h, MHD_OPTION_NOTIFY_COMPLETED, on_completed, h,
+      MHD_OPTION_CONNECTION_LIMIT, limits->connections,
       MHD_OPTION_CONNECTION_TIMEOUT, limits->idle_timeout_s,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT,
       limits->headers_bytes + CONNECTION_MEMORY_SPARE_BYTES, MHD_OPTION_END);
@@ -325,8 +334,7 @@
   x->handed_over = false;
   x->response = r;
   x->status = status;
-  x->suspended = false;
-  MHD_resume_connection (x->connection);
+  resume (x);
 }
 
 struct str
--- /dev/null
+++ b/src/intake.c
@@ -0,0 +1,285 @@
+/* intake: decides what a request is and whether it may go on.  */
+
+#include "intake.h"
+
+#include "clock.h"
+
+#include <glib.h>
+
+/* Constants */
+
+#define HEADER_HOP STR_LIT ("X-Almondvale-Hop")
+#define HEADER_TIMEOUT STR_LIT ("X-Almondvale-Timeout-Ms")
+#define HEADER_IDEMPOTENCY_KEY STR_LIT ("Idempotency-Key")
+#define HEADER_TRACEPARENT STR_LIT ("traceparent")
+
+/* Internal functions */
+
+static bool
+is_nested (const struct front_call *call)
+{
+  return call->hop != 0;
+}
+
+static enum err_kind
+check_size (const struct front_call *call)
+{
+  if (call->exchange->body_too_large)
+    return ERR_BODY_TOO_LARGE;
+  if (call->exchange->headers_too_many)
+    return ERR_HEADERS_TOO_LARGE;
+  return ERR_NONE;
+}
+
+static enum err_kind
+find_route (struct front_call *call, enum front_source source)
+{
+  const struct httpd_exchange *x = call->exchange;
+  bool path_known = false;
+
+  call->route
+      = inventory_match_route (&call->snapshot->config->inventory, x->target,
+                               inventory_find_method (x->method), &path_known);
+  if (call->route == NULL)
+    return path_known ? ERR_METHOD_NOT_ALLOWED : ERR_ROUTE_UNKNOWN;
+  if (call->route->internal && source == FRONT_CALLER)
+    return ERR_ROUTE_UNKNOWN;
+  return ERR_NONE;
+}
+
+/* A nested call takes everything from the request that makes it.  */
+static enum err_kind
+inherit_hop (struct front *f, struct front_call *call, struct str token,
+             int64_t now_us)
+{
+  if (!hop_resolve (&f->shared->hops, token, now_us, &call->inherited,
+                    &call->hop))
+    {
+      call->hop = 0;
+      return ERR_HOP_TOKEN_INVALID;
+    }
+  call->workspace = hop_view_text (&call->inherited.workspace);
+  call->importance = call->inherited.importance;
+  call->depth = call->inherited.depth + 1;
+  call->deadline_us = call->inherited.deadline_us;
+  call->hop_part = hop_begin_nested (&f->shared->hops, call->hop, now_us);
+  budget_init_pool (&call->budget, call->hop_part);
+  return ERR_NONE;
+}
+
+static enum err_kind
+check_workspace (struct front *f, struct front_call *call, int64_t now_us)
+{
+  const struct inventory_workspace *w;
+
+  if (now_us >= atomic_load (&f->shared->keyed_until_us))
+    return ERR_STALE_CONFIGURATION;
+  w = inventory_find (&call->snapshot->config->inventory, INVENTORY_WORKSPACE,
+                      call->workspace);
+  if (w == NULL)
+    return ERR_KEY_UNKNOWN;
+  if (!inventory_allows (w, call->route->name))
+    return ERR_WORKSPACE_FORBIDDEN;
+  return ERR_NONE;
+}
+
+static bool
+shows_key (const struct front_call *call, struct str key)
+{
+  struct auth_scan scan;
+  bool found;
+
+  if (auth_contains_key (key, call->exchange->target, call->headers,
+                         call->headers_len))
+    return true;
+  auth_init_scan (&scan, key);
+  found = auth_scan_part (&scan, str_view (&call->exchange->body));
+  auth_close_scan (&scan);
+  return found;
+}
+
+static enum err_kind
+check_key (struct front *f, struct front_call *call, int64_t now_us)
+{
+  struct auth_lookup lookup = snapshot_get_key_lookup (call->snapshot);
+  const struct httpd_exchange *x = call->exchange;
+  struct auth_grant grant = { 0 };
+  struct str key = STR_EMPTY;
+  enum err_kind error;
+
+  if (call->route->open)
+    {
+      error = auth_find_key (x->headers, x->headers_len, &key);
+      if (error == ERR_KEY_MISSING)
+        return ERR_NONE;
+    }
+  else
+    error = auth_check (x->headers, x->headers_len, &lookup, &key, &grant);
+  if (error != ERR_NONE)
+    return error;
+  if (shows_key (call, key))
+    return ERR_KEY_IN_REQUEST;
+  if (call->route->open)
+    return ERR_NONE;
+  call->workspace = grant.workspace;
+  return check_workspace (f, call, now_us);
+}
+
+static void
+set_importance (struct front_call *call)
+{
+  const struct inventory_rule *rule = inventory_match_rule (
+      &call->snapshot->config->inventory, call->workspace, call->route->name,
+      inventory_find_method (call->exchange->method));
+
+  call->importance = rule != NULL ? rule->importance : call->route->importance;
+}
+
+/* The caller may shorten the time, never lengthen it.  */
+static enum err_kind
+set_deadline (struct front_call *call, int64_t now_us)
+{
+  struct str text = httpd_get_header (call->exchange, HEADER_TIMEOUT);
+  uint64_t ms = call->route->timeout_ms;
+  uint64_t asked;
+  int64_t deadline_us;
+
+  if (text.len > 0)
+    {
+      if (!str_parse_u64 (text, &asked))
+        return ERR_BAD_REQUEST;
+      ms = MIN (ms, asked);
+    }
+  deadline_us = now_us + (int64_t)ms * CLOCK_US_PER_MS;
+  if (!is_nested (call) || deadline_us < call->deadline_us)
+    call->deadline_us = deadline_us;
+  return call->deadline_us > now_us ? ERR_NONE : ERR_DEADLINE_NOT_RUN;
+}
+
+static enum err_kind
+set_idempotency_key (struct front_call *call)
+{
+  const struct inventory_route *route = call->route;
+  const struct httpd_exchange *x = call->exchange;
+
+  if (route->idempotent || route->idempotency_key == INVENTORY_IDEMPOTENCY_NONE
+      || is_nested (call))
+    return ERR_NONE;
+  call->idempotency_key = httpd_get_header (x, HEADER_IDEMPOTENCY_KEY);
+  if (call->idempotency_key.len == 0
+      && route->idempotency_key == INVENTORY_IDEMPOTENCY_REQUIRED)
+    return ERR_IDEMPOTENCY_KEY_INVALID;
+  call->fingerprint = str_hash (x->target)
+                      ^ (str_hash (str_view (&x->body)) * 31)
+                      ^ str_hash (x->method) ^ str_hash (call->workspace);
+  return ERR_NONE;
+}
+
+static void
+begin_trace (struct front *f, struct front_call *call)
+{
+  struct str text = httpd_get_header (call->exchange, HEADER_TRACEPARENT);
+  struct trace_context parent;
+
+  if (is_nested (call))
+    text = hop_view_text (&call->inherited.traceparent);
+  if (!trace_parse_parent (text, &parent))
+    {
+      trace_begin (&call->trace, f->shared->settings->trace.sample_ratio);
+      return;
+    }
+  trace_begin_child (&call->trace, &parent);
+  call->has_parent = true;
+  memcpy (call->parent_id, parent.span_id, sizeof call->parent_id);
+}
+
+static enum err_kind
+check_overload (struct front *f, struct front_call *call, int64_t now_us)
+{
+  if (feedback_check (&f->feedback, call->route->name, call->importance,
+                      now_us)
+      == FEEDBACK_REJECT)
+    return ERR_OVERLOADED;
+  return ERR_NONE;
+}
+
+static enum err_kind
+identify (struct front *f, struct front_call *call, int64_t now_us)
+{
+  enum front_source source = (enum front_source)call->exchange->source;
+  struct str token = STR_EMPTY;
+  enum err_kind error;
+
+  if (source == FRONT_LOCAL)
+    token = httpd_get_header (call->exchange, HEADER_HOP);
+  if (token.len > 0)
+    return inherit_hop (f, call, token, now_us);
+  budget_init_pool (&call->budget, call->route->retry_budget);
+  call->depth = 1;
+  error = check_key (f, call, now_us);
+  if (error == ERR_NONE)
+    set_importance (call);
+  return error;
+}
+
+/* The first check that fails decides; nothing has run then.  */
+static enum err_kind
+check_call (struct front *f, struct front_call *call, int64_t now_us)
+{
+  const struct httpd_exchange *x = call->exchange;
+  enum err_kind error;
+
+  if (f->snapshot == NULL)
+    return ERR_STALE_CONFIGURATION;
+  ref_get (&f->snapshot->ref);
+  call->snapshot = f->snapshot;
+  if ((error = check_size (call)) != ERR_NONE)
+    return error;
+  if ((error = find_route (call, (enum front_source)x->source)) != ERR_NONE)
+    return error;
+  call->headers = g_new (struct wire_header, WIRE_HEADERS_MAX);
+  call->headers_len = auth_filter_headers (x->headers, x->headers_len,
+                                           call->headers, WIRE_HEADERS_MAX);
+  if ((error = identify (f, call, now_us)) != ERR_NONE)
+    return error;
+  begin_trace (f, call);
+  if (call->depth > (uint32_t)f->shared->settings->limits.depth)
+    return ERR_DEPTH_EXCEEDED;
+  if ((error = set_deadline (call, now_us)) != ERR_NONE)
+    return error;
+  if ((error = set_idempotency_key (call)) != ERR_NONE)
+    return error;
+  return check_overload (f, call, now_us);
+}
+
+static void
+take_in (struct front *f, struct front_call *call, int64_t now_us)
+{
+  enum err_kind error = check_call (f, call, now_us);
+
+  if (error != ERR_NONE)
+    front_fail (f, call, error, STR_EMPTY);
+  else if (is_nested (call) || call->workspace.len == 0)
+    front_set_state (f, call, FRONT_DISPATCH);
+  else
+    front_set_state (f, call, FRONT_TOKENS);
+}
+
+/* Public functions */
+
+void
+intake_run (void *owner, int64_t now_us)
+{
+  struct front *f = owner;
+  GArray *queue = f->queues[FRONT_ARRIVED];
+
+  for (guint i = 0; i < queue->len; i++)
+    {
+      struct front_call *call
+          = table_get (&f->calls, g_array_index (queue, uint64_t, i));
+
+      if (call != NULL && call->state == FRONT_ARRIVED)
+        take_in (f, call, now_us);
+    }
+  g_array_set_size (queue, 0);
+}
--- a/src/link.c
+++ b/src/link.c
@@ -12,7 +12,7 @@
 
 /* Constants */
 
-#define LINK_PENDING_MAX_BYTES ((size_t)64 * 1024 * 1024)
+#define LINK_PENDING_MAX_BYTES ((size_t)64 << 20)
 #define LINK_ACCEPTED_MAX 65536u
 #define LINK_BACKLOG 1024
 
--- a/src/loop.c
+++ b/src/loop.c
@@ -34,15 +34,11 @@
 loop_init (struct loop *l, const struct system *systems, size_t systems_len,
            void *owner)
 {
-  struct event_config *config = event_config_new ();
-
   *l = (struct loop){ .systems = systems,
                       .systems_len = systems_len,
                       .owner = owner };
   atomic_init (&l->stop, false);
-  event_config_set_flag (config, EVENT_BASE_FLAG_PRECISE_TIMER);
-  l->base = event_base_new_with_config (config);
-  event_config_free (config);
+  l->base = event_base_new ();
   if (l->base == NULL)
     return false;
   l->tick = event_new (l->base, -1, EV_PERSIST, ignore_event, l);
--- /dev/null
+++ b/src/node_static.h
@@ -0,0 +1,13 @@
+/* node_static: configuration from a file, for use without a platform, and the
+   own backend server as endpoint.  */
+
+#ifndef ALMONDVALE_NODE_STATIC_H
+#define ALMONDVALE_NODE_STATIC_H
+
+#include "control.h"
+
+/* State */
+
+extern const struct control_node_ops node_static_ops;
+
+#endif
--- /dev/null
+++ b/src/note.c
@@ -0,0 +1,54 @@
+/* note: messages between the threads of the daemon.  */
+
+#include "note.h"
+
+/* Public functions */
+
+struct note *
+note_load (enum note_kind kind)
+{
+  struct note *n = g_new0 (struct note, 1);
+
+  n->kind = kind;
+  n->backend.service = STR_EMPTY;
+  n->backend.address = STR_EMPTY;
+  n->key = STR_EMPTY;
+  n->content_type = STR_EMPTY;
+  n->text = STR_EMPTY;
+  return n;
+}
+
+struct note *
+note_copy (const struct note *n)
+{
+  struct note *copy = g_new (struct note, 1);
+
+  *copy = *n;
+  copy->backend.service = str_copy (n->backend.service);
+  copy->backend.address = str_copy (n->backend.address);
+  copy->key = str_copy (n->key);
+  copy->content_type = str_copy (n->content_type);
+  copy->text = str_copy (n->text);
+  return copy;
+}
+
+bool
+note_equal_backend (const struct note_backend *a, const struct note_backend *b)
+{
+  return str_equal (a->service, b->service)
+         && str_equal (a->address, b->address) && a->port == b->port
+         && a->slots == b->slots && a->connections == b->connections;
+}
+
+void
+note_unload (struct note *n)
+{
+  if (n == NULL)
+    return;
+  str_free (&n->backend.service);
+  str_free (&n->backend.address);
+  str_free (&n->key);
+  str_free (&n->content_type);
+  str_free (&n->text);
+  g_free (n);
+}
--- /dev/null
+++ b/src/retry.c
@@ -0,0 +1,65 @@
+/* retry: whether a failed attempt is followed by another one.  */
+
+#include "retry.h"
+
+#include <glib.h>
+
+/* Constants */
+
+/* Attempts of the per_hop policy, as many client libraries make by default. */
+#define PER_HOP_ATTEMPTS 3u
+
+/* Internal functions */
+
+/* A second attempt is safe after an error that proves the first did not run,
+   and for an idempotent request.  */
+static bool
+is_safe (const struct retry_case *c)
+{
+  switch (c->error)
+    {
+    case ERR_BACKEND_LEAVING:
+    case ERR_BACKEND_UNREACHABLE:
+    case ERR_SHUTTING_DOWN:
+    case ERR_NO_BACKEND:
+    case ERR_OVERLOADED:
+      return true;
+    case ERR_BACKEND_FAILED:
+    case ERR_OUTCOME_UNKNOWN:
+      return c->idempotent;
+    default:
+      return false;
+    }
+}
+
+/* Another attempt after a rejection for overload would add to it.  */
+static bool
+allow_budget (const struct retry_case *c, int64_t now_us)
+{
+  if (c->error == ERR_OVERLOADED || !is_safe (c) || c->pool->left == 0)
+    return false;
+  return budget_allow_retry (c->ratio, c->destination, now_us)
+         && budget_spend (c->pool);
+}
+
+static bool
+allow_per_hop (const struct retry_case *c, int64_t now_us)
+{
+  return c->attempts < PER_HOP_ATTEMPTS && is_safe (c);
+}
+
+static const struct retry_ops policies[] = {
+  { STR_LIT ("budget"), allow_budget },
+  { STR_LIT ("per_hop"), allow_per_hop },
+};
+
+/* Public functions */
+
+const struct retry_ops *
+retry_find_ops (struct str name)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (policies); i++)
+    if (str_equal (name, policies[i].name))
+      return &policies[i];
+  return NULL;
+}
--- /dev/null
+++ b/src/retry.h
@@ -0,0 +1,38 @@
+/* retry: whether a failed attempt is followed by another one.  */
+
+#ifndef ALMONDVALE_RETRY_H
+#define ALMONDVALE_RETRY_H
+
+#include "budget.h"
+#include "err.h"
+#include "str.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Types */
+
+/* What is known when an attempt has failed.  */
+struct retry_case
+{
+  enum err_kind error;
+  bool idempotent;            /* running twice does no harm */
+  uint32_t attempts;          /* made so far, the failed one included */
+  struct str destination;     /* service */
+  struct budget_pool *pool;   /* of the call tree */
+  struct budget_ratio *ratio; /* of the front */
+};
+
+struct retry_ops
+{
+  struct str name;
+  /* takes what the retry costs and returns true, or returns false */
+  bool (*allow) (const struct retry_case *c, int64_t now_us);
+};
+
+/* Public functions */
+
+/* policy of a name ("budget", "per_hop"), or NULL */
+const struct retry_ops *retry_find_ops (struct str name);
+
+#endif
--- /dev/null
+++ b/src/serve.c
@@ -0,0 +1,772 @@
+/* serve: the traffic thread beside the backend server.  */
+
+#include "serve.h"
+
+#include "clock.h"
+#include "trace.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* Constants */
+
+#define SERVE_ATTEMPTS_MAX 65536u
+#define SERVE_TICK_US 10000
+#define SERVE_ATTEMPTS_SWEPT_PER_TICK 1024u
+#define SERVE_HEADERS_MAX (WIRE_HEADERS_MAX + 8)
+
+/* Internal functions: responses */
+
+/* Response headers that belong to one connection or are set anew.  */
+static bool
+is_connection_header (struct str name)
+{
+  static const struct str names[]
+      = { STR_LIT ("connection"),        STR_LIT ("keep-alive"),
+          STR_LIT ("transfer-encoding"), STR_LIT ("content-length"),
+          STR_LIT ("upgrade"),           STR_LIT ("te"),
+          STR_LIT ("trailer"),           STR_LIT ("proxy-connection") };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    if (str_equal_nocase (name, names[i]))
+      return true;
+  return false;
+}
+
+static void
+send_body_parts (struct serve *s, const struct serve_job *job, struct str body)
+{
+  const struct wire_request *q = &job->message.u.request;
+  size_t sent = WIRE_PART_MAX_BYTES;
+
+  while (sent < body.len)
+    {
+      struct str part = str_slice (body, sent, sent + WIRE_PART_MAX_BYTES);
+      struct wire_message m = { .type = WIRE_BODY };
+      struct str_buf out = { 0 };
+
+      sent += part.len;
+      m.u.body = (struct wire_body){ .request_id = q->request_id,
+                                     .attempt = q->attempt,
+                                     .last = sent == body.len,
+                                     .bytes = part };
+      wire_append_message (&out, &m);
+      link_send (&s->links, job->link, str_view (&out));
+      str_reset (&out);
+    }
+}
+
+static void
+send_response (struct serve *s, const struct serve_job *job,
+               struct wire_response *r)
+{
+  const struct wire_request *q = &job->message.u.request;
+  struct wire_message m = { .type = WIRE_RESPONSE };
+  struct str_buf out = { 0 };
+  struct str body = r->body;
+
+  r->request_id = q->request_id;
+  r->attempt = q->attempt;
+  r->in_flight = s->running + s->admit_ops->get_length (s->admit);
+  r->limit = s->limit_ops->get (&s->limit, clock_now_us ());
+  r->last = body.len <= WIRE_PART_MAX_BYTES;
+  r->body = str_slice (body, 0, WIRE_PART_MAX_BYTES);
+  m.u.response = *r;
+  wire_append_message (&out, &m);
+  link_send (&s->links, job->link, str_view (&out));
+  str_reset (&out);
+  send_body_parts (s, job, body);
+}
+
+/* Adds the own threshold to those that nested calls have brought back.  */
+static uint32_t
+collect_thresholds (struct serve *s, const struct hop_usage *usage,
+                    struct wire_threshold *out)
+{
+  uint32_t len = 0;
+
+  out[len++]
+      = (struct wire_threshold){ s->backend.service,
+                                 s->admit_ops->get_threshold (s->admit) };
+  if (usage == NULL)
+    return len;
+  for (uint32_t i = 0; i < usage->thresholds_len && len < WIRE_THRESHOLDS_MAX;
+       i++)
+    out[len++] = (struct wire_threshold){
+      hop_view_text (&usage->thresholds[i].service), usage->thresholds[i].level
+    };
+  return len;
+}
+
+static void
+finish_job (struct serve *s, struct serve_job *job)
+{
+  if (job->state == SERVE_FINISHED)
+    return;
+  job->state = SERVE_FINISHED;
+  g_array_append_val (s->finished, job->id);
+}
+
+/* Answers a job that did not run, or whose run brought no answer.  */
+static void
+fail_job (struct serve *s, struct serve_job *job, enum err_kind error,
+          const struct hop_usage *usage)
+{
+  struct wire_threshold thresholds[WIRE_THRESHOLDS_MAX];
+  struct wire_response r
+      = { .error = error, .thresholds = thresholds, .body = STR_EMPTY };
+
+  r.thresholds_len = collect_thresholds (s, usage, thresholds);
+  r.unused_budget = usage != NULL ? usage->unused_budget
+                                  : job->message.u.request.retry_budget;
+  if (err_is_not_run (error))
+    attempt_void (&s->attempts, job->message.u.request.attempt);
+  send_response (s, job, &r);
+  finish_job (s, job);
+}
+
+/* Internal functions: the backend server */
+
+static void
+record_span (struct serve *s, const struct serve_job *job, enum err_kind error,
+             int status, int64_t now_us)
+{
+  const struct wire_request *q = &job->message.u.request;
+  struct trace_span span = { .kind = TRACE_SERVER,
+                             .name = STR_LIT ("serve"),
+                             .service = q->service,
+                             .route = q->route,
+                             .error = error,
+                             .status = (uint32_t)status,
+                             .importance = q->importance,
+                             .depth = q->depth,
+                             .duration_us = now_us - job->arrived_us };
+  struct trace_context parent;
+
+  if (!trace_parse_parent (q->traceparent, &parent) || !parent.sampled)
+    return;
+  /* The hop's context is the span that nested calls name as their parent. */
+  span.context = parent;
+  span.start_us = clock_wall_ms () * CLOCK_US_PER_MS - span.duration_us;
+  if (job->started_us > 0)
+    span.queue_us = job->started_us - job->arrived_us;
+  trace_record (&s->shared->trace, &span);
+}
+
+static enum err_kind
+get_error (enum httpc_result result)
+{
+  switch (result)
+    {
+    case HTTPC_ANSWERED:
+      return ERR_NONE;
+    case HTTPC_NOT_CONNECTED:
+      return ERR_BACKEND_UNREACHABLE;
+    case HTTPC_TIMEOUT:
+      return ERR_DEADLINE_RUNNING;
+    case HTTPC_TOO_LARGE:
+      return ERR_ANSWER_TOO_LARGE;
+    default:
+      return ERR_BACKEND_FAILED;
+    }
+}
+
+static void
+answer_job (struct serve *s, struct serve_job *job,
+            const struct httpc_answer *answer, const struct hop_usage *usage)
+{
+  struct wire_header headers[WIRE_HEADERS_MAX];
+  struct wire_threshold thresholds[WIRE_THRESHOLDS_MAX];
+  struct wire_response r = { .error = ERR_NONE,
+                             .status = (uint32_t)answer->status,
+                             .headers = headers,
+                             .thresholds = thresholds,
+                             .unused_budget = usage->unused_budget,
+                             .body = answer->body };
+
+  for (uint32_t i = 0;
+       i < answer->headers_len && r.headers_len < WIRE_HEADERS_MAX; i++)
+    if (!is_connection_header (answer->headers[i].name))
+      headers[r.headers_len++]
+          = (struct wire_header){ answer->headers[i].name,
+                                  answer->headers[i].value };
+  r.thresholds_len = collect_thresholds (s, usage, thresholds);
+  attempt_finish (&s->attempts, job->message.u.request.attempt);
+  send_response (s, job, &r);
+  finish_job (s, job);
+}
+
+/* Gives back the slot and the hop token of a job that ran.  */
+static void
+release_slot (struct serve *s, struct serve_job *job, bool failed,
+              struct hop_usage *usage, int64_t now_us)
+{
+  struct limit_sample sample = { .service_us = now_us - job->started_us,
+                                 .in_flight = job->running,
+                                 .failed = failed };
+
+  hop_revoke (&s->shared->hops, job->hop, now_us, usage);
+  sample.nested_us = usage->nested_us;
+  s->running--;
+  s->limit_ops->note_done (&s->limit, &sample, now_us);
+  s->admit_ops->note_done (s->admit, sample.service_us, now_us);
+  metrics_observe (s->shared->stats.service_time, sample.service_us);
+}
+
+static void
+on_backend_done (void *data, const struct httpc_answer *answer)
+{
+  struct serve_job *job = data;
+  struct serve *s = job->serve;
+  int64_t now_us = clock_now_us ();
+  enum err_kind error = get_error (answer->result);
+  struct hop_usage usage = { 0 };
+
+  job->exchange = NULL;
+  release_slot (s, job, error != ERR_NONE, &usage, now_us);
+  record_span (s, job, error, answer->status, now_us);
+  if (error == ERR_NONE)
+    answer_job (s, job, answer, &usage);
+  else
+    fail_job (s, job, error, &usage);
+}
+
+static bool
+issue_hop (struct serve *s, struct serve_job *job, char *token)
+{
+  const struct wire_request *q = &job->message.u.request;
+  struct hop_context context;
+
+  if (!hop_init_context (&context, q->workspace, q->importance, q->depth,
+                         job->deadline_us, q->traceparent))
+    return false;
+  job->hop = hop_issue (&s->shared->hops, &context, q->retry_budget, token);
+  return job->hop != 0;
+}
+
+static void
+send_to_backend (struct serve *s, struct serve_job *job, int64_t now_us)
+{
+  const struct wire_request *q = &job->message.u.request;
+  struct httpc_header headers[SERVE_HEADERS_MAX];
+  struct httpc_request r
+      = { .headers = headers,
+          .body = job->body.len > 0 ? str_view (&job->body) : q->body,
+          .target = q->path,
+          .timeout_us = job->deadline_us - now_us,
+          .done = on_backend_done,
+          .data = job };
+  char token[HOP_TOKEN_LEN];
+  char importance[2] = { (char)('0' + q->importance), '\0' };
+  char timeout[24];
+  char *method;
+
+  if (!issue_hop (s, job, token))
+    {
+      fail_job (s, job, ERR_OVERLOADED, NULL);
+      return;
+    }
+  for (uint32_t i = 0; i < q->headers_len; i++)
+    headers[r.headers_len++]
+        = (struct httpc_header){ q->headers[i].name, q->headers[i].value };
+  g_snprintf (timeout, sizeof timeout, "%" G_GINT64_FORMAT,
+              (gint64)(r.timeout_us / CLOCK_US_PER_MS));
+  headers[r.headers_len++]
+      = (struct httpc_header){ STR_LIT ("X-Almondvale-Hop"),
+                               { HOP_TOKEN_LEN, token } };
+  headers[r.headers_len++]
+      = (struct httpc_header){ STR_LIT ("X-Almondvale-Workspace"),
+                               q->workspace };
+  headers[r.headers_len++]
+      = (struct httpc_header){ STR_LIT ("X-Almondvale-Importance"),
+                               { 1, importance } };
+  headers[r.headers_len++]
+      = (struct httpc_header){ STR_LIT ("X-Almondvale-Timeout-Ms"),
+                               str_from_cstr (timeout) };
+  if (q->traceparent.len > 0)
+    headers[r.headers_len++]
+        = (struct httpc_header){ STR_LIT ("traceparent"), q->traceparent };
+  method = str_dup_cstr (q->method);
+  r.method = method;
+  job->started_us = now_us;
+  job->state = SERVE_RUNNING;
+  job->running = ++s->running;
+  job->exchange = httpc_send (s->pool, &r);
+  g_free (method);
+  metrics_observe (s->shared->stats.queue_time, now_us - job->arrived_us);
+  if (job->exchange != NULL)
+    {
+      metrics_count (s->shared->stats.executions, 1);
+      return;
+    }
+  /* The limit keeps within the connections, so this is a refused connection
+     slot at a shrinking pool: nothing was sent.  */
+  s->running--;
+  hop_revoke (&s->shared->hops, job->hop, now_us, &(struct hop_usage){ 0 });
+  fail_job (s, job, ERR_OVERLOADED, NULL);
+}
+
+/* Internal functions: messages of fronts */
+
+static void
+receive_request (struct serve *s, uint64_t link, struct str frame)
+{
+  struct serve_job *job;
+  uint64_t id = table_add (&s->jobs, (void **)&job);
+  int64_t now_us = clock_now_us ();
+
+  job->id = id;
+  job->serve = s;
+  job->link = link;
+  job->frame = str_copy (frame);
+  job->arrived_us = now_us;
+  if (!wire_load_message (&job->message, job->frame))
+    {
+      str_free (&job->frame);
+      table_remove (&s->jobs, id);
+      return;
+    }
+  atomic_fetch_add (&s->shared->open_jobs, 1);
+  job->deadline_us = now_us + job->message.u.request.timeout_us;
+  switch (attempt_receive (&s->attempts, job->message.u.request.attempt, id,
+                           job->deadline_us, now_us))
+    {
+    case ATTEMPT_ACCEPTED:
+      break;
+    case ATTEMPT_FULL:
+      fail_job (s, job, ERR_OVERLOADED, NULL);
+      return;
+    default:
+      finish_job (s, job);
+      return;
+    }
+  if (!job->message.u.request.last)
+    {
+      job->state = SERVE_RECEIVING;
+      str_append (&job->body, job->message.u.request.body);
+      return;
+    }
+  job->state = SERVE_ARRIVED;
+  g_array_append_val (s->arrived, id);
+}
+
+static void
+receive_body (struct serve *s, uint64_t link, const struct wire_body *b)
+{
+  struct serve_job *job
+      = table_get (&s->jobs, attempt_get_job (&s->attempts, b->attempt));
+
+  if (job == NULL || job->state != SERVE_RECEIVING || job->link != link)
+    return;
+  if (job->body.len + b->bytes.len
+      > (size_t)s->shared->settings->limits.body_bytes)
+    {
+      fail_job (s, job, ERR_BODY_TOO_LARGE, NULL);
+      return;
+    }
+  str_append (&job->body, b->bytes);
+  if (!b->last)
+    return;
+  job->state = SERVE_ARRIVED;
+  g_array_append_val (s->arrived, job->id);
+}
+
+/* Ends a job whose caller no longer waits.  What has started may be stopped
+   only if running it again does no harm.  */
+static void
+abandon_job (struct serve *s, struct serve_job *job, bool cancelled)
+{
+  struct hop_usage usage = { 0 };
+
+  switch (job->state)
+    {
+    case SERVE_RECEIVING:
+    case SERVE_ARRIVED:
+      attempt_void (&s->attempts, job->message.u.request.attempt);
+      finish_job (s, job);
+      return;
+    case SERVE_QUEUED:
+      s->admit_ops->remove (s->admit, job->entry);
+      attempt_void (&s->attempts, job->message.u.request.attempt);
+      finish_job (s, job);
+      return;
+    case SERVE_RUNNING:
+      if (!cancelled && !job->message.u.request.idempotent)
+        return;
+      httpc_cancel (job->exchange);
+      job->exchange = NULL;
+      release_slot (s, job, false, &usage, clock_now_us ());
+      attempt_finish (&s->attempts, job->message.u.request.attempt);
+      finish_job (s, job);
+      return;
+    case SERVE_FINISHED:
+      return;
+    }
+}
+
+static void
+receive_query (struct serve *s, uint64_t link, const struct wire_query *q)
+{
+  struct wire_message m = { .type = WIRE_OUTCOME };
+  struct str_buf out = { 0 };
+  struct serve_job *job;
+  uint64_t id = 0;
+
+  m.u.outcome.attempt = q->attempt;
+  m.u.outcome.state = attempt_query (&s->attempts, q->attempt, q->timeout_us,
+                                     q->age_us, clock_now_us (), &id);
+  job = table_get (&s->jobs, id);
+  if (job != NULL)
+    abandon_job (s, job, true);
+  wire_append_message (&out, &m);
+  link_send (&s->links, link, str_view (&out));
+  str_reset (&out);
+}
+
+static void
+on_frame (void *owner, uint64_t link, struct str frame)
+{
+  struct serve *s = owner;
+  struct wire_message m;
+  struct serve_job *job;
+
+  if (!wire_load_message (&m, frame))
+    {
+      metrics_count (s->shared->stats.bad_frames, 1);
+      link_disconnect (&s->links, link);
+      return;
+    }
+  switch (m.type)
+    {
+    case WIRE_REQUEST:
+      receive_request (s, link, frame);
+      break;
+    case WIRE_BODY:
+      receive_body (s, link, &m.u.body);
+      break;
+    case WIRE_CANCEL:
+      job = table_get (&s->jobs,
+                       attempt_get_job (&s->attempts, m.u.cancel.attempt));
+      if (job != NULL && job->link == link)
+        abandon_job (s, job, true);
+      break;
+    case WIRE_QUERY:
+      receive_query (s, link, &m.u.query);
+      break;
+    default:
+      metrics_count (s->shared->stats.bad_frames, 1);
+      break;
+    }
+  wire_unload_message (&m);
+}
+
+static void
+on_link_close (void *owner, uint64_t link, bool connected)
+{
+  struct serve *s = owner;
+  struct serve_job *job;
+
+  for (uint64_t id = table_next (&s->jobs, 0, (void **)&job); id != 0;
+       id = table_next (&s->jobs, id, (void **)&job))
+    if (job->link == link)
+      abandon_job (s, job, false);
+}
+
+static const struct link_ops link_ops = { on_frame, on_link_close };
+
+/* Internal functions: systems */
+
+static void
+set_backend (struct serve *s, struct note *n, int64_t now_us)
+{
+  struct note_backend old = s->backend;
+  const struct settings *settings = s->shared->settings;
+
+  /* A backend server announces itself again and again; only a change begins a
+     new slow start.  */
+  if (s->backend_state == SERVE_BACKEND_SERVING
+      && note_equal_backend (&s->backend, &n->backend))
+    return;
+  if (s->pool != NULL
+      && (old.port != n->backend.port
+          || !str_equal (old.address, n->backend.address)))
+    {
+      struct serve_job *job;
+
+      for (uint64_t id = table_next (&s->jobs, 0, (void **)&job); id != 0;
+           id = table_next (&s->jobs, id, (void **)&job))
+        if (job->state == SERVE_RUNNING)
+          {
+            struct hop_usage usage = { 0 };
+
+            httpc_cancel (job->exchange);
+            job->exchange = NULL;
+            release_slot (s, job, true, &usage, now_us);
+            fail_job (s, job, ERR_BACKEND_FAILED, &usage);
+          }
+      httpc_unload_pool (s->pool);
+      s->pool = NULL;
+    }
+  if (s->pool == NULL)
+    s->pool
+        = httpc_load_pool (s->loop.base, n->backend.address, n->backend.port,
+                           MIN (n->backend.connections,
+                                (uint32_t)settings->backend_connections_max),
+                           (size_t)settings->limits.answer_bytes);
+  s->backend = n->backend;
+  n->backend = old;
+  s->backend_state = SERVE_BACKEND_SERVING;
+  s->limit_ops->announce (
+      &s->limit, MIN (s->backend.slots, s->backend.connections), now_us);
+}
+
+static void
+run_notes (void *owner, int64_t now_us)
+{
+  struct serve *s = owner;
+  struct note *n;
+
+  while ((n = mailbox_take (&s->loop.inbox)) != NULL)
+    {
+      if (n->kind == NOTE_ANNOUNCE)
+        set_backend (s, n, now_us);
+      if (n->kind == NOTE_DRAIN || n->kind == NOTE_LEAVE
+          || n->kind == NOTE_SHUTDOWN)
+        s->backend_state = SERVE_BACKEND_LEAVING;
+      note_unload (n);
+    }
+}
+
+static void
+run_snapshot (void *owner, int64_t now_us)
+{
+  struct serve *s = owner;
+  uint64_t generation = atomic_load (&s->shared->board.generation);
+
+  if (generation == s->snapshot_generation)
+    return;
+  snapshot_put (s->snapshot);
+  s->snapshot = snapshot_get (&s->shared->board);
+  s->snapshot_generation = generation;
+}
+
+static uint32_t
+get_weight (const struct serve *s, struct str workspace)
+{
+  const struct inventory_workspace *w = NULL;
+
+  if (s->snapshot != NULL && workspace.len > 0)
+    w = inventory_find (&s->snapshot->config->inventory, INVENTORY_WORKSPACE,
+                        workspace);
+  return w != NULL ? w->weight : 1;
+}
+
+static enum err_kind
+check_job (const struct serve *s, const struct serve_job *job, int64_t now_us)
+{
+  if (s->backend_state == SERVE_BACKEND_NONE)
+    return ERR_NO_BACKEND;
+  if (s->backend_state == SERVE_BACKEND_LEAVING)
+    return ERR_BACKEND_LEAVING;
+  if (!str_equal (job->message.u.request.service, s->backend.service))
+    return ERR_NO_BACKEND;
+  if (job->deadline_us <= now_us)
+    return ERR_DEADLINE_NOT_RUN;
+  return ERR_NONE;
+}
+
+static void
+admit_job (struct serve *s, struct serve_job *job, int64_t now_us)
+{
+  const struct wire_request *q = &job->message.u.request;
+  struct admit_item item
+      = { .job = job->id,
+          .workspace = q->workspace.len > 0 ? str_hash (q->workspace) : 0,
+          .weight = get_weight (s, q->workspace),
+          .importance = q->importance,
+          .deadline_us = job->deadline_us };
+  enum err_kind error = check_job (s, job, now_us);
+
+  if (error == ERR_NONE)
+    error = s->admit_ops->offer (s->admit, &item, now_us, &job->entry);
+  if (error != ERR_NONE)
+    fail_job (s, job, error, NULL);
+  else
+    job->state = SERVE_QUEUED;
+}
+
+static void
+run_admission (void *owner, int64_t now_us)
+{
+  struct serve *s = owner;
+
+  for (guint i = 0; i < s->arrived->len; i++)
+    {
+      struct serve_job *job
+          = table_get (&s->jobs, g_array_index (s->arrived, uint64_t, i));
+
+      if (job != NULL && job->state == SERVE_ARRIVED)
+        admit_job (s, job, now_us);
+    }
+  g_array_set_size (s->arrived, 0);
+}
+
+/* Answers what the queue has dropped.  */
+static void
+fail_dropped (struct serve *s)
+{
+  struct admit_drop drop;
+
+  while (s->admit_ops->take_drop (s->admit, &drop))
+    {
+      struct serve_job *job = table_get (&s->jobs, drop.job);
+
+      if (job != NULL && job->state == SERVE_QUEUED)
+        fail_job (s, job, drop.error, NULL);
+    }
+}
+
+static void
+run_dispatch (void *owner, int64_t now_us)
+{
+  struct serve *s = owner;
+  uint32_t limit = s->limit_ops->get (&s->limit, now_us);
+  struct admit_item item;
+
+  s->admit_ops->set_limit (s->admit, limit);
+  while (s->pool != NULL && s->running < limit
+         && s->admit_ops->next (s->admit, now_us, &item))
+    {
+      struct serve_job *job = table_get (&s->jobs, item.job);
+
+      if (job == NULL || job->state != SERVE_QUEUED)
+        continue;
+      if (attempt_start (&s->attempts, job->message.u.request.attempt))
+        send_to_backend (s, job, now_us);
+      else
+        finish_job (s, job);
+    }
+  fail_dropped (s);
+}
+
+static void
+run_tick (void *owner, int64_t now_us)
+{
+  struct serve *s = owner;
+  struct stats *stats = &s->shared->stats;
+
+  if (now_us < s->next_tick_us)
+    return;
+  s->next_tick_us = now_us + SERVE_TICK_US;
+  s->admit_ops->tick (s->admit, now_us);
+  s->limit_ops->tick (&s->limit, s->admit_ops->get_length (s->admit), now_us);
+  attempt_expire (&s->attempts, SERVE_ATTEMPTS_SWEPT_PER_TICK, now_us);
+  fail_dropped (s);
+  metrics_set (stats->jobs_open, s->jobs.count);
+  metrics_set (stats->jobs_queued, s->admit_ops->get_length (s->admit));
+  metrics_set (stats->jobs_running, s->running);
+  metrics_set (stats->job_limit, s->limit_ops->get (&s->limit, now_us));
+  metrics_set (stats->threshold, s->admit_ops->get_threshold (s->admit));
+}
+
+static void
+free_job (struct serve *s, struct serve_job *job)
+{
+  wire_unload_message (&job->message);
+  str_free (&job->frame);
+  str_reset (&job->body);
+  table_remove (&s->jobs, job->id);
+  atomic_fetch_sub (&s->shared->open_jobs, 1);
+}
+
+static void
+run_removal (void *owner, int64_t now_us)
+{
+  struct serve *s = owner;
+
+  for (guint i = 0; i < s->finished->len; i++)
+    {
+      struct serve_job *job
+          = table_get (&s->jobs, g_array_index (s->finished, uint64_t, i));
+
+      if (job != NULL)
+        free_job (s, job);
+    }
+  g_array_set_size (s->finished, 0);
+  loop_set_tick (&s->loop, SERVE_TICK_US);
+}
+
+static const struct system systems[] = {
+  { "notes", run_notes },         { "snapshot", run_snapshot },
+  { "admission", run_admission }, { "dispatch", run_dispatch },
+  { "tick", run_tick },           { "removal", run_removal },
+};
+
+/* Public functions */
+
+/**
+ * serve_init - sets up the serve thread
+ * @s: thread's state
+ * @shared: shared state; its serve mailbox is set here
+ * @error: receives the reason
+ *
+ * Return: false if the peer port cannot be had or a policy is unknown.
+ */
+bool
+serve_init (struct serve *s, struct shared *shared, GError **error)
+{
+  const struct settings *settings = shared->settings;
+  struct admit_settings admit_settings = admit_get_defaults ();
+  struct limit_settings limit_settings = limit_get_defaults ();
+
+  memset (s, 0, sizeof *s);
+  s->shared = shared;
+  s->backend.service = STR_EMPTY;
+  s->backend.address = STR_EMPTY;
+  s->admit_ops = admit_find_ops (settings->policy.admit);
+  s->limit_ops = limit_find_ops (settings->policy.limit);
+  if (s->admit_ops == NULL || s->limit_ops == NULL
+      || !loop_init (&s->loop, systems, G_N_ELEMENTS (systems), s))
+    {
+      g_set_error (error, ERR_QUARK, ERR_SETTINGS_INVALID,
+                   "unknown admit or limit policy");
+      return false;
+    }
+  s->admit = s->admit_ops->init (&admit_settings);
+  s->limit_ops->init (&s->limit, &limit_settings);
+  attempt_init (&s->attempts, SERVE_ATTEMPTS_MAX, clock_now_us ());
+  table_init (&s->jobs, sizeof (struct serve_job));
+  s->arrived = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  s->finished = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  link_init_set (&s->links, s->loop.base, &link_ops, s);
+  shared->serve = &s->loop.inbox;
+  if (link_listen (&s->links, settings->address,
+                   (uint16_t)settings->ports.peer))
+    return true;
+  g_set_error (error, ERR_QUARK, ERR_SETTINGS_INVALID,
+               "cannot listen at %.*s port %d (peer)",
+               STR_ARG (settings->address), (int)settings->ports.peer);
+  return false;
+}
+
+void
+serve_close (struct serve *s)
+{
+  struct serve_job *job;
+
+  if (s->pool != NULL)
+    httpc_unload_pool (s->pool);
+  for (uint64_t id = table_next (&s->jobs, 0, (void **)&job); id != 0;
+       id = table_next (&s->jobs, id, (void **)&job))
+    free_job (s, job);
+  link_close_set (&s->links);
+  table_close (&s->jobs);
+  g_array_unref (s->arrived);
+  g_array_unref (s->finished);
+  attempt_close (&s->attempts);
+  s->admit_ops->close (s->admit);
+  str_free (&s->backend.service);
+  str_free (&s->backend.address);
+  snapshot_put (s->snapshot);
+  loop_close (&s->loop);
+}
--- /dev/null
+++ b/src/serve.h
@@ -0,0 +1,87 @@
+/* serve: the traffic thread beside the backend server.
+
+   Takes requests of other daemons over peer links, queues them, hands them to
+   the backend server and returns the responses.  */
+
+#ifndef ALMONDVALE_SERVE_H
+#define ALMONDVALE_SERVE_H
+
+#include "admit.h"
+#include "attempt.h"
+#include "httpc.h"
+#include "limit.h"
+#include "link.h"
+#include "loop.h"
+#include "note.h"
+#include "shared.h"
+
+#include <stdbool.h>
+
+/* Types */
+
+enum serve_job_state
+{
+  SERVE_RECEIVING, /* BODY messages are missing */
+  SERVE_ARRIVED,   /* waits for the admission system */
+  SERVE_QUEUED,    /* in the admission queue */
+  SERVE_RUNNING,   /* handed to the backend server */
+  SERVE_FINISHED   /* response sent; removed by the next system */
+};
+
+/* One request received from a front.  */
+struct serve_job
+{
+  uint64_t id;
+  struct serve *serve;
+  enum serve_job_state state;
+  uint64_t link;
+  struct str frame; /* owned; the message points into it */
+  struct wire_message message;
+  struct str_buf body; /* of a request in parts */
+  int64_t arrived_us;
+  int64_t started_us;
+  int64_t deadline_us;
+  uint32_t weight;
+  uint64_t entry;   /* in the admission queue */
+  uint64_t hop;     /* row of its hop token */
+  uint32_t running; /* jobs running when it started */
+  struct httpc_exchange *exchange;
+};
+
+enum serve_backend_state
+{
+  SERVE_BACKEND_NONE,
+  SERVE_BACKEND_SERVING,
+  SERVE_BACKEND_LEAVING
+};
+
+struct serve
+{
+  struct loop loop;
+  struct shared *shared;
+  struct link_set links;
+  struct table jobs;
+  GArray *arrived;  /* ids of jobs in SERVE_ARRIVED */
+  GArray *finished; /* ids of jobs in SERVE_FINISHED */
+  struct attempt_table attempts;
+  const struct admit_ops *admit_ops;
+  struct admit *admit;
+  const struct limit_ops *limit_ops;
+  struct limit limit;
+  struct httpc_pool *pool;
+  struct note_backend backend;
+  enum serve_backend_state backend_state;
+  uint32_t running;
+  struct snapshot *snapshot;
+  uint64_t snapshot_generation;
+  int64_t next_tick_us;
+};
+
+/* Public functions */
+
+/* listens at the peer port; false with an error if that fails */
+bool serve_init (struct serve *s, struct shared *shared, GError **error);
+/* frees everything after the thread has ended */
+void serve_close (struct serve *s);
+
+#endif
--- /dev/null
+++ b/src/snapshot.c
@@ -0,0 +1,200 @@
+/* snapshot: the immutable view of configuration and endpoints that traffic
+   threads use.  */
+
+#include "snapshot.h"
+
+#include <string.h>
+
+/* Internal functions */
+
+static guint
+hash_digest (gconstpointer digest)
+{
+  guint h;
+
+  memcpy (&h, digest, sizeof h);
+  return h;
+}
+
+static gboolean
+equal_digest (gconstpointer a, gconstpointer b)
+{
+  return memcmp (a, b, AUTH_DIGEST_BYTES) == 0;
+}
+
+static void
+release_config (struct ref *ref)
+{
+  struct snapshot_config *c = (struct snapshot_config *)ref;
+
+  g_hash_table_unref (c->keys);
+  inventory_close (&c->inventory);
+  g_free (c);
+}
+
+static void
+release_snapshot (struct ref *ref)
+{
+  struct snapshot *s = (struct snapshot *)ref;
+
+  for (uint32_t i = 0; i < s->endpoints_len; i++)
+    {
+      str_free (&s->endpoints[i].address);
+      str_free (&s->endpoints[i].service);
+    }
+  g_free (s->endpoints);
+  ref_put (&s->config->ref);
+  g_free (s);
+}
+
+static bool
+parse_digest (struct str hex, uint8_t *digest)
+{
+  if (hex.len != 2 * (size_t)AUTH_DIGEST_BYTES)
+    return false;
+  for (uint32_t i = 0; i < AUTH_DIGEST_BYTES; i++)
+    {
+      int high = g_ascii_xdigit_value (hex.data[2 * (size_t)i]);
+      int low = g_ascii_xdigit_value (hex.data[2 * (size_t)i + 1]);
+
+      if (high < 0 || low < 0)
+        return false;
+      digest[i] = (uint8_t)(high * 16 + low);
+    }
+  return true;
+}
+
+static void
+index_keys (struct snapshot_config *c)
+{
+  const struct table *keys = &c->inventory.tables[INVENTORY_KEY];
+  struct inventory_key *key;
+
+  for (uint64_t id = table_next (keys, 0, (void **)&key); id != 0;
+       id = table_next (keys, id, (void **)&key))
+    {
+      uint8_t *digest = g_malloc (AUTH_DIGEST_BYTES);
+
+      if (parse_digest (key->sha256, digest))
+        g_hash_table_insert (c->keys, digest, key);
+      else
+        g_free (digest);
+    }
+}
+
+static bool
+find_key (void *owner, const uint8_t digest[AUTH_DIGEST_BYTES],
+          struct auth_grant *grant)
+{
+  struct snapshot *s = owner;
+  const struct inventory_key *key
+      = g_hash_table_lookup (s->config->keys, digest);
+
+  if (key == NULL)
+    return false;
+  grant->key = str_hash (key->id);
+  grant->workspace = key->workspace;
+  return true;
+}
+
+/* Public functions */
+
+/**
+ * snapshot_load_config - makes a shareable copy of the configuration
+ * @inventory: validated inventory
+ *
+ * Return: the copy, with one reference.
+ */
+struct snapshot_config *
+snapshot_load_config (const struct inventory *inventory)
+{
+  struct snapshot_config *c = g_new0 (struct snapshot_config, 1);
+
+  ref_init (&c->ref, release_config);
+  inventory_copy (&c->inventory, inventory);
+  c->keys = g_hash_table_new_full (hash_digest, equal_digest, g_free, NULL);
+  index_keys (c);
+  return c;
+}
+
+/**
+ * snapshot_load - makes a snapshot
+ * @config: configuration; gets one reference more
+ * @endpoints: endpoints, copied
+ * @endpoints_len: number of endpoints
+ *
+ * Return: the snapshot, with one reference.
+ */
+struct snapshot *
+snapshot_load (struct snapshot_config *config,
+               const struct snapshot_endpoint *endpoints,
+               uint32_t endpoints_len)
+{
+  struct snapshot *s = g_new0 (struct snapshot, 1);
+
+  ref_init (&s->ref, release_snapshot);
+  ref_get (&config->ref);
+  s->config = config;
+  s->endpoints_len = endpoints_len;
+  s->endpoints = g_new (struct snapshot_endpoint, endpoints_len);
+  for (uint32_t i = 0; i < endpoints_len; i++)
+    {
+      s->endpoints[i] = endpoints[i];
+      s->endpoints[i].address = str_copy (endpoints[i].address);
+      s->endpoints[i].service = str_copy (endpoints[i].service);
+    }
+  return s;
+}
+
+void
+snapshot_init_board (struct snapshot_board *b)
+{
+  *b = (struct snapshot_board){ 0 };
+  g_mutex_init (&b->mutex);
+}
+
+void
+snapshot_close_board (struct snapshot_board *b)
+{
+  snapshot_put (b->current);
+  g_mutex_clear (&b->mutex);
+}
+
+void
+snapshot_publish (struct snapshot_board *b, struct snapshot *s)
+{
+  struct snapshot *old;
+
+  g_mutex_lock (&b->mutex);
+  old = b->current;
+  b->current = s;
+  g_mutex_unlock (&b->mutex);
+  atomic_fetch_add (&b->generation, 1);
+  snapshot_put (old);
+}
+
+struct snapshot *
+snapshot_get (struct snapshot_board *b)
+{
+  struct snapshot *s;
+
+  g_mutex_lock (&b->mutex);
+  s = b->current;
+  if (s != NULL)
+    ref_get (&s->ref);
+  g_mutex_unlock (&b->mutex);
+  return s;
+}
+
+void
+snapshot_put (struct snapshot *s)
+{
+  if (s != NULL)
+    ref_put (&s->ref);
+}
+
+struct auth_lookup
+snapshot_get_key_lookup (struct snapshot *s)
+{
+  return (struct auth_lookup){ find_key, s };
+}
--- /dev/null
+++ b/src/stats.c
@@ -0,0 +1,82 @@
+/* stats: the daemon's own counters.  */
+
+#include "stats.h"
+
+#include <stddef.h>
+
+/* Types */
+
+struct stats_row
+{
+  struct metrics_definition definition;
+  size_t offset; /* of the row pointer in struct stats */
+};
+
+/* Constants */
+
+static const struct metrics_definition answers
+    = { METRICS_COUNTER, "almondvale_answers_total",
+        "Answers given to callers and nested calls.", "error" };
+
+#define ROW(type, name, help, member)                                         \
+  {                                                                           \
+    { METRICS_##type, name, help, NULL }, offsetof (struct stats, member)     \
+  }
+
+static const struct stats_row rows[] = {
+  ROW (HISTOGRAM, "almondvale_call_seconds",
+       "Time from the whole request to its answer at the front.", call_time),
+  ROW (COUNTER, "almondvale_attempts_total",
+       "Requests sent to serving daemons, retries included.", attempts),
+  ROW (COUNTER, "almondvale_retries_total", "Attempts after the first one.",
+       retries),
+  ROW (COUNTER, "almondvale_queries_total",
+       "Questions about the outcome of attempts after a broken link.",
+       queries),
+  ROW (COUNTER, "almondvale_late_responses_total",
+       "Responses without a waiting call, dropped.", late_responses),
+  ROW (COUNTER, "almondvale_bad_frames_total",
+       "Frames that could not be decoded; the link is closed.", bad_frames),
+  ROW (GAUGE, "almondvale_calls_open", "Calls open at the fronts.",
+       calls_open),
+  ROW (GAUGE, "almondvale_jobs_open", "Jobs open at the serve thread.",
+       jobs_open),
+  ROW (GAUGE, "almondvale_jobs_queued", "Jobs in the admission queue.",
+       jobs_queued),
+  ROW (GAUGE, "almondvale_jobs_running", "Jobs at the backend server.",
+       jobs_running),
+  ROW (GAUGE, "almondvale_job_limit", "Concurrency limit in force.",
+       job_limit),
+  ROW (GAUGE, "almondvale_admission_threshold",
+       "Lowest importance accepted; 10 rejects everything.", threshold),
+  ROW (HISTOGRAM, "almondvale_queue_seconds", "Time in the admission queue.",
+       queue_time),
+  ROW (HISTOGRAM, "almondvale_service_seconds",
+       "Time of the backend server for one request.", service_time),
+  ROW (COUNTER, "almondvale_executions_total",
+       "Requests handed to the backend server.", executions),
+  ROW (GAUGE, "almondvale_configuration_revision",
+       "Configuration revision in force.", revision),
+  ROW (GAUGE, "almondvale_members", "Daemons known, this one included.",
+       members),
+  ROW (COUNTER, "almondvale_control_sent_bytes_total",
+       "Bytes of control messages sent, without IP headers.",
+       control_bytes_sent),
+  ROW (COUNTER, "almondvale_control_received_bytes_total",
+       "Bytes of control messages received, without IP headers.",
+       control_bytes_received),
+};
+
+/* Public functions */
+
+void
+stats_init (struct stats *s, struct metrics *m)
+{
+  for (int kind = 0; kind < ERR_KINDS; kind++)
+    s->answers[kind] = metrics_add (
+        m, &answers,
+        str_from_cstr (err_get_answer ((enum err_kind)kind)->name));
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    *(struct metrics_row **)((char *)s + rows[i].offset)
+        = metrics_add (m, &rows[i].definition, STR_EMPTY);
+}
--- /dev/null
+++ b/src/stats.h
@@ -0,0 +1,40 @@
+/* stats: the daemon's own counters.  */
+
+#ifndef ALMONDVALE_STATS_H
+#define ALMONDVALE_STATS_H
+
+#include "err.h"
+#include "metrics.h"
+
+/* Types */
+
+struct stats
+{
+  struct metrics_row *answers[ERR_KINDS]; /* by error kind; none: passed on */
+  struct metrics_row *call_time;          /* request to answer at the front */
+  struct metrics_row *attempts;
+  struct metrics_row *retries;
+  struct metrics_row *queries;
+  struct metrics_row *late_responses;
+  struct metrics_row *bad_frames;
+  struct metrics_row *calls_open;
+  struct metrics_row *jobs_open;
+  struct metrics_row *jobs_queued;
+  struct metrics_row *jobs_running;
+  struct metrics_row *job_limit;
+  struct metrics_row *threshold;
+  struct metrics_row *queue_time;
+  struct metrics_row *service_time;
+  struct metrics_row *executions; /* requests handed to the backend server */
+  struct metrics_row *revision;
+  struct metrics_row *members;
+  struct metrics_row *control_bytes_sent;
+  struct metrics_row *control_bytes_received;
+};
+
+/* Public functions */
+
+/* registers all rows */
+void stats_init (struct stats *s, struct metrics *m);
+
+#endif
--- a/src/wire.c
+++ b/src/wire.c
@@ -127,10 +127,11 @@
       pack_attempt (p, m->u.cancel.attempt);
       break;
     case WIRE_QUERY:
-      msgpack_pack_array (p, 4);
+      msgpack_pack_array (p, 5);
       msgpack_pack_int (p, WIRE_QUERY);
       pack_attempt (p, m->u.query.attempt);
       msgpack_pack_int64 (p, m->u.query.timeout_us);
+      msgpack_pack_int64 (p, m->u.query.age_us);
       break;
     case WIRE_OUTCOME:
       msgpack_pack_array (p, 4);
@@ -358,6 +359,7 @@
     case WIRE_QUERY:
       m->u.query.attempt = read_attempt (r);
       m->u.query.timeout_us = read_i64 (r);
+      m->u.query.age_us = read_i64 (r);
       break;
     case WIRE_OUTCOME:
       m->u.outcome.attempt = read_attempt (r);
@@ -452,6 +454,24 @@
   memset (m, 0, sizeof *m);
 }
 
+/* The type is a small integer in the one byte after the array header.  */
+uint32_t
+wire_peek_type (struct str frame)
+{
+  const unsigned char *bytes = (const unsigned char *)frame.data;
+  size_t at = 1;
+
+  if (frame.len < 2)
+    return 0;
+  if (bytes[0] == 0xdc)
+    at = 3;
+  else if (bytes[0] < 0x90 || bytes[0] > 0x9f)
+    return 0;
+  if (at >= frame.len || bytes[at] > 0x7f)
+    return 0;
+  return bytes[at];
+}
+
 bool
 wire_equal_attempt (struct wire_attempt_id a, struct wire_attempt_id b)
 {
--- a/src/wire.h
+++ b/src/wire.h
@@ -15,8 +15,8 @@
 
 /* Constants */
 
-#define WIRE_FRAME_MAX_BYTES (1024u * 1024u)
-#define WIRE_PART_MAX_BYTES (256u * 1024u)
+#define WIRE_FRAME_MAX_BYTES 1048576u
+#define WIRE_PART_MAX_BYTES 262144u
 #define WIRE_HEADERS_MAX 64u
 #define WIRE_THRESHOLDS_MAX 32u
 
@@ -101,6 +101,7 @@
 {
   struct wire_attempt_id attempt;
   int64_t timeout_us; /* how long a void attempt has to be remembered */
+  int64_t age_us;     /* time since the attempt was sent */
 };
 
 enum wire_outcome_state
@@ -147,6 +148,8 @@
 bool wire_load_message (struct wire_message *m, struct str frame);
 /* frees what wire_load_message allocated */
 void wire_unload_message (struct wire_message *m);
+/* type of a message of either plane without decoding it; 0 if malformed */
+uint32_t wire_peek_type (struct str frame);
 /* same attempt */
 bool wire_equal_attempt (struct wire_attempt_id a, struct wire_attempt_id b);
 
