--- /dev/null
+++ b/src/asset.c
@@ -0,0 +1,742 @@
+/* asset: import from an operators' asset register, as CSV or JSON.  */
+
+#include "asset.h"
+
+#include "inventory_json.h"
+#include "jsonscan.h"
+
+#include <stdarg.h>
+#include <string.h>
+
+/* Constants */
+
+#define COLUMNS_MAX 64u
+
+static const char byte_order_mark[] = "\xef\xbb\xbf";
+
+/* Types */
+
+/* Position in CSV text.  */
+struct reader
+{
+  struct str text;
+  size_t pos;
+  uint32_t line;
+  uint32_t column;
+};
+
+struct cell
+{
+  struct str_buf text;
+  uint32_t line; /* where it begins */
+  uint32_t column;
+};
+
+struct record
+{
+  uint32_t cells_len;
+  struct cell cells[COLUMNS_MAX];
+};
+
+/* Internal functions: problems */
+
+static void add_problem (struct asset *a, uint32_t line, uint32_t column,
+                         const char *format, ...)
+    __attribute__ ((format (printf, 4, 5)));
+
+static void
+add_problem (struct asset *a, uint32_t line, uint32_t column,
+             const char *format, ...)
+{
+  va_list args;
+  char *text;
+
+  if (a->problems_len++ >= ASSET_PROBLEMS_MAX)
+    return;
+  va_start (args, format);
+  text = g_strdup_vprintf (format, args);
+  va_end (args);
+  str_append_format (&a->problems, "%.*s:%u:%u: %s\n", STR_ARG (a->file), line,
+                     column, text);
+  g_free (text);
+}
+
+static char *
+quote (struct str s)
+{
+  struct str_buf text = { 0 };
+
+  inventory_append_quoted (&text, s);
+  return text.data;
+}
+
+/* Line and column of a field, or of the row if the field is not there.  */
+static void
+find_place (const struct asset *a, enum inventory_kind kind,
+            const struct asset_place *p, uint32_t field, uint32_t *line,
+            uint32_t *column)
+{
+  bool present = p->columns[field] != 0;
+  struct jsonscan_place place;
+  char *path;
+
+  *line = p->line;
+  *column = present ? p->columns[field] : 1;
+  if (!a->json)
+    return;
+  path = g_strdup_printf (
+      "[%u].%s", p->line - 1,
+      present ? inventory_get_schema (kind)->fields[field].name : "");
+  place = jsonscan_locate (a->text, str_from_cstr (path));
+  *line = place.line;
+  *column = place.column;
+  g_free (path);
+}
+
+static const struct change_op *
+get_op (const struct asset *a, guint op)
+{
+  return &g_array_index (a->change.ops, struct change_op, op);
+}
+
+static const struct asset_place *
+get_place (const struct asset *a, guint op)
+{
+  return &g_array_index (a->places, struct asset_place, op);
+}
+
+/* Internal functions: rows */
+
+/* Kind of a row, or INVENTORY_KINDS; a key in a register would have to be its
+   secret.  */
+static enum inventory_kind
+find_kind (struct str text)
+{
+  enum inventory_kind kind = inventory_find_kind (text);
+
+  return kind == INVENTORY_KEY ? INVENTORY_KINDS : kind;
+}
+
+static void
+add_kind_problem (struct asset *a, uint32_t line, uint32_t column,
+                  struct str text)
+{
+  char *found = quote (text);
+
+  add_problem (a, line, column,
+               "kind: found %s, allowed: service, route, workspace, rule",
+               found);
+  g_free (found);
+}
+
+/* True if the register may have a column of that name for other uses.  */
+static bool
+is_ignored (struct str ignored, struct str name)
+{
+  while (ignored.len > 0)
+    {
+      const char *comma = memchr (ignored.data, ',', ignored.len);
+      size_t end
+          = comma != NULL ? (size_t)(comma - ignored.data) : ignored.len;
+
+      if (str_equal (str_slice (ignored, 0, end), name))
+        return true;
+      ignored = str_slice (ignored, end + 1, ignored.len);
+    }
+  return false;
+}
+
+/* A field of any kind, or the column that tells the kind.  */
+static bool
+is_column (struct str name)
+{
+  if (str_equal (name, STR_LIT ("kind")))
+    return true;
+  for (int kind = 0; kind < INVENTORY_KINDS; kind++)
+    if (kind != INVENTORY_KEY && inventory_find_field (kind, name) != NULL)
+      return true;
+  return false;
+}
+
+/* Adds the checked row to the change, unless the register has it already.  */
+static void
+add_row (struct asset *a, enum inventory_kind kind,
+         const union inventory_row *row, uint32_t set,
+         const struct asset_place *place)
+{
+  char *key = g_strdup_printf ("%d/%.*s", kind, STR_ARG (row->name));
+  gpointer earlier;
+  uint32_t line, column, first, unused;
+
+  if (!g_hash_table_lookup_extended (a->rows, key, NULL, &earlier))
+    {
+      g_hash_table_insert (a->rows, key, GUINT_TO_POINTER (a->places->len));
+      g_array_append_val (a->places, *place);
+      change_put (&a->change, kind, row, set);
+      return;
+    }
+  find_place (a, kind, get_place (a, GPOINTER_TO_UINT (earlier)), 0, &first,
+              &unused);
+  find_place (a, kind, place, 0, &line, &column);
+  add_problem (a, line, column, "%s \"%.*s\" is also in line %u",
+               inventory_get_schema (kind)->singular, STR_ARG (row->name),
+               first);
+  g_free (key);
+}
+
+static void
+check_values (struct asset *a, enum inventory_kind kind, guint op)
+{
+  const struct inventory_schema *s = inventory_get_schema (kind);
+  const struct change_op *o = get_op (a, op);
+
+  for (uint32_t i = 0; i < s->fields_len; i++)
+    {
+      struct str_buf text = { 0 };
+      uint32_t line, column;
+
+      if ((o->set & 1u << i) == 0
+          || inventory_check_field (kind, &s->fields[i], &o->row, &text))
+        continue;
+      find_place (a, kind, get_place (a, op), i, &line, &column);
+      add_problem (a, line, column, "%.*s", (int)text.len - 1, text.data);
+      str_reset (&text);
+    }
+}
+
+/* Internal functions: CSV */
+
+static int
+peek (const struct reader *r)
+{
+  return r->pos < r->text.len ? (unsigned char)r->text.data[r->pos] : -1;
+}
+
+static void
+advance (struct reader *r)
+{
+  unsigned char c = (unsigned char)r->text.data[r->pos++];
+
+  if (c == '\n')
+    {
+      r->line++;
+      r->column = 1;
+    }
+  else if ((c & 0xc0) != 0x80)
+    r->column++;
+}
+
+static bool
+at_line_end (const struct reader *r)
+{
+  int c = peek (r);
+
+  if (c == '\r')
+    return r->pos + 1 < r->text.len && r->text.data[r->pos + 1] == '\n';
+  return c == '\n';
+}
+
+static bool
+read_quoted (struct asset *a, struct reader *r, struct cell *cell)
+{
+  advance (r);
+  for (;;)
+    {
+      int c = peek (r);
+
+      if (c < 0)
+        {
+          add_problem (a, cell->line, cell->column,
+                       "the quoted cell does not end");
+          return false;
+        }
+      advance (r);
+      if (c == '"')
+        {
+          if (peek (r) != '"')
+            break;
+          advance (r);
+        }
+      str_append_char (&cell->text, (char)c);
+    }
+  if (peek (r) < 0 || peek (r) == ',' || at_line_end (r))
+    return true;
+  add_problem (a, r->line, r->column, "text after the closing quote");
+  return false;
+}
+
+static bool
+read_cell (struct asset *a, struct reader *r, struct cell *cell)
+{
+  *cell = (struct cell){ .line = r->line, .column = r->column };
+  if (peek (r) == '"')
+    return read_quoted (a, r, cell);
+  while (peek (r) >= 0 && peek (r) != ',' && !at_line_end (r))
+    {
+      if (peek (r) == '"')
+        {
+          add_problem (a, r->line, r->column,
+                       "quote inside a cell that does not begin with one");
+          return false;
+        }
+      str_append_char (&cell->text, (char)peek (r));
+      advance (r);
+    }
+  return true;
+}
+
+static void
+reset_record (struct record *record)
+{
+  for (uint32_t i = 0; i < record->cells_len; i++)
+    str_reset (&record->cells[i].text);
+  record->cells_len = 0;
+}
+
+/* Reads one record; false if the file cannot be read further.  */
+static bool
+read_record (struct asset *a, struct reader *r, struct record *record)
+{
+  reset_record (record);
+  for (;;)
+    {
+      if (record->cells_len == COLUMNS_MAX)
+        {
+          add_problem (a, r->line, r->column, "more than %u columns",
+                       COLUMNS_MAX);
+          return false;
+        }
+      if (!read_cell (a, r, &record->cells[record->cells_len++]))
+        return false;
+      if (peek (r) != ',')
+        break;
+      advance (r);
+    }
+  while (peek (r) >= 0 && peek (r) != '\n')
+    advance (r);
+  if (peek (r) == '\n')
+    advance (r);
+  return true;
+}
+
+static const struct cell *
+find_cell (const struct record *head, const struct record *record,
+           const char *column)
+{
+  for (uint32_t i = 0; i < head->cells_len; i++)
+    if (str_equal (str_view (&head->cells[i].text), str_from_cstr (column)))
+      return &record->cells[i];
+  return NULL;
+}
+
+static void
+check_head (struct asset *a, const struct record *head, struct str ignored)
+{
+  static const char *const needed[] = { "kind", "name" };
+
+  for (uint32_t i = 0; i < head->cells_len; i++)
+    {
+      const struct cell *cell = &head->cells[i];
+      struct str name = str_view (&cell->text);
+      char *found = quote (name);
+
+      if (find_cell (head, head,
+                     cell->text.data == NULL ? "" : cell->text.data)
+          != cell)
+        add_problem (a, cell->line, cell->column, "column %s occurs twice",
+                     found);
+      else if (!is_column (name) && !is_ignored (ignored, name))
+        add_problem (a, cell->line, cell->column,
+                     "unknown column %s; name it as ignored if it has "
+                     "another use",
+                     found);
+      g_free (found);
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (needed); i++)
+    if (find_cell (head, head, needed[i]) == NULL)
+      add_problem (a, 1, 1, "there is no column \"%s\"", needed[i]);
+}
+
+static bool
+set_cell (struct asset *a, enum inventory_kind kind, struct str column,
+          const struct cell *cell, union inventory_row *row, uint32_t *set,
+          struct asset_place *place)
+{
+  const struct inventory_schema *s = inventory_get_schema (kind);
+  const struct inventory_field *f = inventory_find_field (kind, column);
+  struct str_buf allowed = { 0 };
+  uint32_t index;
+  char *found;
+
+  if (f == NULL)
+    {
+      add_problem (a, cell->line, cell->column, "a %s has no \"%.*s\"",
+                   s->singular, STR_ARG (column));
+      return false;
+    }
+  index = (uint32_t)(f - s->fields);
+  place->columns[index] = cell->column;
+  *set |= 1u << index;
+  if (inventory_parse_value (f, row, str_view (&cell->text)))
+    return true;
+  inventory_append_allowed (&allowed, f);
+  found = quote (str_view (&cell->text));
+  add_problem (a, cell->line, cell->column, "%s: found %s, allowed: %s",
+               f->name, found, allowed.data);
+  g_free (found);
+  str_reset (&allowed);
+  return false;
+}
+
+/* Reads the cells that are fields; empty ones are left out.  */
+static bool
+set_cells (struct asset *a, const struct record *head,
+           const struct record *record, struct str ignored,
+           enum inventory_kind kind, union inventory_row *row, uint32_t *set,
+           struct asset_place *place)
+{
+  bool valid = true;
+
+  for (uint32_t i = 0; i < head->cells_len; i++)
+    {
+      struct str column = str_view (&head->cells[i].text);
+      const struct cell *cell = &record->cells[i];
+
+      if (cell->text.len == 0 || str_equal (column, STR_LIT ("kind"))
+          || is_ignored (ignored, column))
+        continue;
+      valid = set_cell (a, kind, column, cell, row, set, place) && valid;
+    }
+  return valid;
+}
+
+static void
+load_record (struct asset *a, const struct record *head,
+             const struct record *record, struct str ignored)
+{
+  const struct cell *kind_cell = find_cell (head, record, "kind");
+  const struct cell *name_cell = find_cell (head, record, "name");
+  struct asset_place place = { .line = record->cells[0].line };
+  enum inventory_kind kind = find_kind (str_view (&kind_cell->text));
+  union inventory_row row;
+  uint32_t set = 0;
+  guint ops = a->change.ops->len;
+
+  if (kind == INVENTORY_KINDS)
+    {
+      add_kind_problem (a, kind_cell->line, kind_cell->column,
+                        str_view (&kind_cell->text));
+      return;
+    }
+  if (name_cell->text.len == 0)
+    {
+      add_problem (a, name_cell->line, name_cell->column, "name is empty");
+      return;
+    }
+  inventory_init_row (kind, &row);
+  if (set_cells (a, head, record, ignored, kind, &row, &set, &place))
+    add_row (a, kind, &row, set, &place);
+  inventory_close_row (kind, &row);
+  if (a->change.ops->len > ops)
+    check_values (a, kind, ops);
+}
+
+static void
+load_records (struct asset *a, struct reader *r, const struct record *head,
+              struct str ignored)
+{
+  struct record record = { 0 };
+
+  while (peek (r) >= 0)
+    {
+      if (!read_record (a, r, &record))
+        break;
+      if (record.cells_len == 1 && record.cells[0].text.len == 0)
+        continue;
+      if (record.cells_len != head->cells_len)
+        add_problem (a, record.cells[0].line, 1,
+                     "%u cells, but the first line has %u columns",
+                     record.cells_len, head->cells_len);
+      else
+        load_record (a, head, &record, ignored);
+    }
+  reset_record (&record);
+}
+
+/* Internal functions: JSON */
+
+/* Reports an error of a decoder, whose text may begin with a path.  */
+static void
+add_json_error (struct asset *a, const char *path, GError *error)
+{
+  struct jsonscan_place place
+      = jsonscan_locate (a->text, str_from_cstr (path));
+
+  add_problem (a, place.line, place.column, "%s", error->message);
+  g_error_free (error);
+}
+
+/* Removes the members that the decoder of rows does not know.  */
+static JsonNode *
+strip_object (JsonObject *object, struct str ignored)
+{
+  JsonNode *node = json_node_new (JSON_NODE_OBJECT);
+  JsonObject *copy = json_object_new ();
+  GList *members = json_object_get_members (object);
+
+  for (GList *m = members; m != NULL; m = m->next)
+    if (strcmp (m->data, "kind") != 0
+        && !is_ignored (ignored, str_from_cstr (m->data)))
+      json_object_set_member (
+          copy, m->data,
+          json_node_copy (json_object_get_member (object, m->data)));
+  g_list_free (members);
+  json_node_take_object (node, copy);
+  return node;
+}
+
+static void
+load_object (struct asset *a, JsonObject *object, const char *path,
+             uint32_t index, enum inventory_kind kind, struct str ignored)
+{
+  struct asset_place place = { .line = index + 1 };
+  JsonNode *stripped = strip_object (object, ignored);
+  guint ops = a->change.ops->len;
+  GError *error = NULL;
+  union inventory_row row;
+  uint32_t set;
+
+  if (!inventory_json_load_part (kind, stripped, str_from_cstr (path), &row,
+                                 &set, &error))
+    {
+      char *end = g_strndup (error->message, strcspn (error->message, ":"));
+
+      add_json_error (a, end, error);
+      g_free (end);
+      json_node_unref (stripped);
+      return;
+    }
+  json_node_unref (stripped);
+  for (uint32_t i = 0; i < ASSET_FIELDS_MAX; i++)
+    place.columns[i] = set >> i & 1;
+  add_row (a, kind, &row, set, &place);
+  inventory_close_row (kind, &row);
+  if (a->change.ops->len > ops)
+    check_values (a, kind, ops);
+}
+
+/* Text of the member "kind"; false if the node is no object with one.  */
+static bool
+find_kind_text (JsonNode *node, struct str *text)
+{
+  JsonNode *member;
+
+  if (!JSON_NODE_HOLDS_OBJECT (node))
+    return false;
+  member = json_object_get_member (json_node_get_object (node), "kind");
+  if (member == NULL || json_node_get_value_type (member) != G_TYPE_STRING)
+    return false;
+  *text = str_from_cstr (json_node_get_string (member));
+  return true;
+}
+
+/* Places are looked up only for problems: each look-up scans the text.  */
+static void
+load_item (struct asset *a, JsonNode *node, uint32_t index, struct str ignored)
+{
+  char *path = g_strdup_printf ("[%u]", index);
+  struct jsonscan_place place;
+  struct str text = STR_EMPTY;
+  bool has_kind = find_kind_text (node, &text);
+  enum inventory_kind kind = find_kind (text);
+
+  if (has_kind && kind != INVENTORY_KINDS)
+    load_object (a, json_node_get_object (node), path, index, kind, ignored);
+  else
+    {
+      place = jsonscan_locate (a->text, str_from_cstr (path));
+      if (has_kind)
+        add_kind_problem (a, place.line, place.column, text);
+      else
+        add_problem (a, place.line, place.column,
+                     "expected an object with a member \"kind\"");
+    }
+  g_free (path);
+}
+
+/* Internal functions: checks against the inventory */
+
+static bool
+is_known (const struct asset *a, const struct inventory *inv,
+          enum inventory_kind kind, struct str name)
+{
+  char *key = g_strdup_printf ("%d/%.*s", kind, STR_ARG (name));
+  bool known = g_hash_table_contains (a->rows, key)
+               || inventory_find (inv, kind, name) != NULL;
+
+  g_free (key);
+  return known;
+}
+
+static void
+check_name (struct asset *a, const struct inventory *inv, guint op,
+            uint32_t field, enum inventory_kind kind, struct str name)
+{
+  uint32_t line, column;
+  char *found;
+
+  if (name.len == 0 || is_known (a, inv, kind, name))
+    return;
+  found = quote (name);
+  find_place (a, get_op (a, op)->kind, get_place (a, op), field, &line,
+              &column);
+  add_problem (a, line, column, "there is no %s %s",
+               inventory_get_schema (kind)->singular, found);
+  g_free (found);
+}
+
+static void
+check_field (struct asset *a, const struct inventory *inv, guint op,
+             uint32_t field)
+{
+  const struct change_op *o = get_op (a, op);
+  const struct inventory_schema *s = inventory_get_schema (o->kind);
+  const struct inventory_field *f = &s->fields[field];
+  const void *value = (const char *)&o->row + f->offset;
+  const struct inventory_names *names = value;
+  uint32_t line, column;
+
+  if ((o->set & 1u << field) == 0)
+    {
+      if (!f->required || inventory_find (inv, o->kind, o->row.name) != NULL)
+        return;
+      find_place (a, o->kind, get_place (a, op), field, &line, &column);
+      add_problem (a, line, column, "%s \"%.*s\" is new and has no %s",
+                   s->singular, STR_ARG (o->row.name), f->name);
+      return;
+    }
+  if (f->refers == INVENTORY_KINDS)
+    return;
+  if (f->type == INVENTORY_TYPE_STR)
+    check_name (a, inv, op, field, f->refers, *(const struct str *)value);
+  else
+    for (uint32_t i = 0; i < names->len; i++)
+      check_name (a, inv, op, field, f->refers, names->items[i]);
+}
+
+/* Internal functions: life cycle */
+
+static void
+init_asset (struct asset *a, struct str file, struct str text, bool json)
+{
+  *a = (struct asset){ .file = str_copy (file), .text = text, .json = json };
+  change_init (&a->change);
+  a->places = g_array_new (FALSE, TRUE, sizeof (struct asset_place));
+  a->rows = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+}
+
+/* Public functions */
+
+/**
+ * asset_load_csv - reads a register in CSV (RFC 4180, UTF-8)
+ * @a: uninitialized asset
+ * @file: name of the file for problems
+ * @text: its text, which has to outlive @a
+ * @ignored: columns of other uses, separated by commas
+ *
+ * Return: false if @a->problems is not empty.
+ */
+bool
+asset_load_csv (struct asset *a, struct str file, struct str text,
+                struct str ignored)
+{
+  struct reader r = { .text = text, .line = 1, .column = 1 };
+  struct record head = { 0 };
+  const char *end;
+
+  init_asset (a, file, text, false);
+  if (!g_utf8_validate_len (text.data, text.len, &end))
+    {
+      struct jsonscan_place place
+          = jsonscan_get_place (text, (size_t)(end - text.data));
+
+      add_problem (a, place.line, place.column, "not UTF-8");
+      return false;
+    }
+  if (str_has_prefix (text, STR_LIT (byte_order_mark)))
+    r.pos = sizeof byte_order_mark - 1;
+  if (read_record (a, &r, &head))
+    {
+      check_head (a, &head, ignored);
+      if (a->problems_len == 0)
+        load_records (a, &r, &head, ignored);
+    }
+  reset_record (&head);
+  return a->problems_len == 0;
+}
+
+/**
+ * asset_load_json - reads a register in JSON
+ * @a: uninitialized asset
+ * @file: name of the file for problems
+ * @text: its text, which has to outlive @a
+ * @ignored: members of other uses, separated by commas
+ *
+ * Return: false if @a->problems is not empty.
+ */
+bool
+asset_load_json (struct asset *a, struct str file, struct str text,
+                 struct str ignored)
+{
+  struct jsonscan_place place;
+  const char *fault;
+  JsonNode *root;
+
+  init_asset (a, file, text, true);
+  if (!jsonscan_check (text, &place, &fault))
+    {
+      add_problem (a, place.line, place.column, "%s", fault);
+      return false;
+    }
+  root = jsonscan_parse (text, NULL);
+  if (root == NULL || !JSON_NODE_HOLDS_ARRAY (root))
+    add_problem (a, 1, 1, "an asset register is an array of objects");
+  else
+    for (guint i = 0; i < json_array_get_length (json_node_get_array (root));
+         i++)
+      load_item (a, json_array_get_element (json_node_get_array (root), i), i,
+                 ignored);
+  if (root != NULL)
+    json_node_unref (root);
+  return a->problems_len == 0;
+}
+
+void
+asset_unload (struct asset *a)
+{
+  str_free (&a->file);
+  change_close (&a->change);
+  g_array_unref (a->places);
+  g_hash_table_unref (a->rows);
+  str_reset (&a->problems);
+}
+
+/**
+ * asset_check - checks a register against the inventory it is for
+ * @a: register that was read without problems
+ * @inv: inventory
+ *
+ * Return: false if problems were added.
+ */
+bool
+asset_check (struct asset *a, const struct inventory *inv)
+{
+  for (guint i = 0; i < a->change.ops->len; i++)
+    {
+      const struct change_op *o = get_op (a, i);
+
+      for (uint32_t f = 0; f < inventory_get_schema (o->kind)->fields_len; f++)
+        check_field (a, inv, i, f);
+    }
+  return a->problems_len == 0;
+}
--- a/src/jsonscan.c
+++ b/src/jsonscan.c
@@ -275,7 +275,7 @@
 }
 
 static bool
-check (struct scanner *s)
+scan_text (struct scanner *s)
 {
   const char *end;
 
@@ -364,6 +364,19 @@
 
 /* Public functions */
 
+bool
+jsonscan_check (struct str text, struct jsonscan_place *place,
+                const char **fault)
+{
+  struct scanner s = { .text = text };
+
+  if (scan_text (&s))
+    return true;
+  *place = jsonscan_get_place (text, s.pos);
+  *fault = s.fault;
+  return false;
+}
+
 /**
  * jsonscan_parse - parses strict JSON
  * @text: UTF-8 text
@@ -379,7 +392,7 @@
   JsonParser *parser;
   JsonNode *root = NULL;
 
-  if (!check (&s))
+  if (!scan_text (&s))
     {
       place = jsonscan_get_place (text, s.pos);
       g_set_error (error, ERR_QUARK, ERR_BAD_REQUEST, "line %u, column %u: %s",
--- a/src/jsonscan.h
+++ b/src/jsonscan.h
@@ -26,6 +26,9 @@
 
 /* Public functions */
 
+/* true if the text is strict JSON in UTF-8; else gives place and fault */
+bool jsonscan_check (struct str text, struct jsonscan_place *place,
+                     const char **fault);
 /* parses strict JSON; NULL with line and column in the error; free with
    json_node_unref */
 JsonNode *jsonscan_parse (struct str text, GError **error);
