--- /dev/null
+++ b/src/wire_control.c
@@ -0,0 +1,497 @@
+/* wire_control: msgpack encoding of the control messages between daemons.  */
+
+#include "wire_control.h"
+
+#include "clock.h"
+#include "frame.h"
+#include "reader.h"
+#include "wire.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <msgpack.h>
+#include <string.h>
+
+/* Constants */
+
+#define LIVENESS_BITS 2
+#define BRIEF_MEMBERS 7u
+#define FULL_MEMBERS 12u
+#define STATEMENT_MEMBERS 3u
+#define IPV4_BYTES 4u
+/* An entry takes at least this much of a frame.  */
+#define ENTRY_MIN_BYTES 12u
+
+/* An IPv4 address as IPv6.  */
+static const unsigned char mapped[MEMBER_IP_BYTES - IPV4_BYTES]
+    = { 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xff };
+
+/* Internal functions: encoding */
+
+static void
+pack_str (msgpack_packer *p, struct str s)
+{
+  msgpack_pack_str_with_body (p, s.data, s.len);
+}
+
+static void
+pack_bool (msgpack_packer *p, bool value)
+{
+  if (value)
+    msgpack_pack_true (p);
+  else
+    msgpack_pack_false (p);
+}
+
+static void
+pack_ip (msgpack_packer *p, const unsigned char *ip)
+{
+  size_t skip = memcmp (ip, mapped, sizeof mapped) == 0 ? sizeof mapped : 0;
+
+  msgpack_pack_bin_with_body (p, ip + skip, MEMBER_IP_BYTES - skip);
+}
+
+static void
+pack_entry (msgpack_packer *p, const struct member_entry *e)
+{
+  msgpack_pack_array (p, e->full ? FULL_MEMBERS : BRIEF_MEMBERS);
+  msgpack_pack_uint64 (p, e->id);
+  msgpack_pack_uint64 (p, e->incarnation);
+  msgpack_pack_uint32 (p, (uint32_t)e->liveness
+                              | ((uint32_t)e->backend << LIVENESS_BITS));
+  msgpack_pack_uint32 (p, e->domain);
+  msgpack_pack_uint64 (p, e->service_hash);
+  pack_ip (p, e->address.ip);
+  msgpack_pack_uint16 (p, e->address.ports[MEMBER_PORT_CONTROL]);
+  if (!e->full)
+    return;
+  pack_str (p, e->service);
+  msgpack_pack_uint32 (p, e->slots);
+  msgpack_pack_uint16 (p, e->address.ports[MEMBER_PORT_CALLER]);
+  msgpack_pack_uint16 (p, e->address.ports[MEMBER_PORT_LOCAL]);
+  msgpack_pack_uint16 (p, e->address.ports[MEMBER_PORT_PEER]);
+}
+
+static void
+pack_entries (msgpack_packer *p, const struct member_entry *entries,
+              uint32_t len)
+{
+  msgpack_pack_array (p, len);
+  for (uint32_t i = 0; i < len; i++)
+    pack_entry (p, &entries[i]);
+}
+
+static void
+pack_changes (msgpack_packer *p, const struct gossip_change *changes,
+              uint32_t len)
+{
+  msgpack_pack_array (p, (size_t)len * 2);
+  for (uint32_t i = 0; i < len; i++)
+    {
+      msgpack_pack_uint64 (p, changes[i].revision);
+      msgpack_pack_bin_with_body (p, changes[i].bytes.data,
+                                  changes[i].bytes.len);
+    }
+}
+
+/* Ages are rounded up, so that evidence never gets younger.  */
+static void
+pack_age (msgpack_packer *p, int64_t age_us)
+{
+  int64_t age_ms = (age_us + CLOCK_US_PER_MS - 1) / CLOCK_US_PER_MS;
+
+  msgpack_pack_uint32 (p, (uint32_t)CLAMP (age_ms, 0, UINT32_MAX));
+}
+
+static void
+pack_evidence (msgpack_packer *p, const struct fresh_evidence *e)
+{
+  msgpack_pack_array (p, (e->stamped ? 2 : 0)
+                             + (size_t)e->statements_len * STATEMENT_MEMBERS);
+  if (e->stamped)
+    {
+      msgpack_pack_uint64 (p, e->revision);
+      pack_age (p, e->age_us);
+    }
+  for (uint32_t i = 0; i < e->statements_len; i++)
+    {
+      msgpack_pack_uint32 (p, e->statements[i].domain);
+      msgpack_pack_uint64 (p, e->statements[i].revision);
+      pack_age (p, e->statements[i].age_us);
+    }
+}
+
+static void
+pack_header (msgpack_packer *p, size_t members, enum wire_control_type type,
+             const struct gossip_datagram *d)
+{
+  msgpack_pack_array (p, members);
+  msgpack_pack_int (p, (int)type);
+  msgpack_pack_uint64 (p, d->from);
+  msgpack_pack_uint64 (p, d->incarnation);
+  msgpack_pack_uint32 (p, d->seq);
+  msgpack_pack_uint64 (p, d->revision);
+}
+
+static void
+pack_datagram (msgpack_packer *p, const struct gossip_datagram *d)
+{
+  switch (d->type)
+    {
+    case GOSSIP_PROBE:
+      pack_header (p, 9, WIRE_PROBE, d);
+      msgpack_pack_uint32 (p, d->hold_ms);
+      msgpack_pack_uint32 (p, d->age_ms);
+      break;
+    case GOSSIP_ACK:
+      pack_header (p, 9, WIRE_ACK, d);
+      msgpack_pack_uint32 (p, d->hold_ms);
+      pack_evidence (p, &d->evidence);
+      break;
+    case GOSSIP_PROBE_REQ:
+      pack_header (p, 6, WIRE_PROBE_REQ, d);
+      msgpack_pack_uint64 (p, d->target);
+      return;
+    }
+  pack_entries (p, d->entries, d->entries_len);
+  pack_changes (p, d->changes, d->changes_len);
+}
+
+static void
+pack_sync (msgpack_packer *p, const struct wire_sync_members *s)
+{
+  uint32_t digests[MEMBER_BUCKETS];
+
+  for (uint32_t i = 0; i < MEMBER_BUCKETS; i++)
+    digests[i] = htonl (s->digests[i]);
+  msgpack_pack_array (p, 4);
+  msgpack_pack_int (p, WIRE_SYNC_MEMBERS);
+  msgpack_pack_uint64 (p, s->service_hash);
+  msgpack_pack_uint32 (p, s->max_bytes);
+  msgpack_pack_bin_with_body (p, digests,
+                              s->service_hash == 0 ? sizeof digests : 0);
+}
+
+static void
+pack_message (msgpack_packer *p, const struct wire_control_message *m)
+{
+  switch (m->type)
+    {
+    case WIRE_SYNC_MEMBERS:
+      pack_sync (p, &m->u.sync);
+      break;
+    case WIRE_MEMBERS:
+      msgpack_pack_array (p, 4);
+      msgpack_pack_int (p, WIRE_MEMBERS);
+      msgpack_pack_uint64 (p, m->u.members.service_hash);
+      pack_bool (p, m->u.members.complete);
+      pack_entries (p, m->u.members.entries, m->u.members.entries_len);
+      break;
+    case WIRE_PULL_CHANGES:
+      msgpack_pack_array (p, 2);
+      msgpack_pack_int (p, WIRE_PULL_CHANGES);
+      msgpack_pack_uint64 (p, m->u.pull.revision);
+      break;
+    case WIRE_CHANGES:
+      msgpack_pack_array (p, 3);
+      msgpack_pack_int (p, WIRE_CHANGES);
+      pack_bool (p, m->u.changes.held);
+      pack_changes (p, m->u.changes.changes, m->u.changes.changes_len);
+      break;
+    default:
+      pack_datagram (p, &m->u.datagram);
+      break;
+    }
+}
+
+/* Internal functions: decoding */
+
+static void
+read_ip (struct reader *r, unsigned char *ip)
+{
+  struct str bytes = reader_take_bin (r);
+  size_t skip = bytes.len == IPV4_BYTES ? sizeof mapped : 0;
+
+  if (bytes.len + skip != MEMBER_IP_BYTES)
+    {
+      r->failed = true;
+      return;
+    }
+  memcpy (ip, mapped, skip);
+  memcpy (ip + skip, bytes.data, bytes.len);
+}
+
+static uint16_t
+read_port (struct reader *r)
+{
+  return (uint16_t)reader_take_u32 (r, UINT16_MAX);
+}
+
+static void
+read_details (struct reader *r, struct member_entry *e)
+{
+  e->full = true;
+  e->service = reader_take_str (r);
+  e->slots = reader_take_u32 (r, UINT32_MAX);
+  e->address.ports[MEMBER_PORT_CALLER] = read_port (r);
+  e->address.ports[MEMBER_PORT_LOCAL] = read_port (r);
+  e->address.ports[MEMBER_PORT_PEER] = read_port (r);
+  if (e->service.len > MEMBER_SERVICE_MAX_BYTES
+      || (e->service.len > 0) != (e->service_hash != 0))
+    r->failed = true;
+}
+
+static bool
+read_entry (struct reader *outer, struct member_entry *e)
+{
+  struct reader r = reader_take_array (outer, FULL_MEMBERS);
+  uint32_t state;
+
+  memset (e, 0, sizeof *e);
+  e->service = STR_EMPTY;
+  e->id = reader_take_u64 (&r);
+  e->incarnation = reader_take_u64 (&r);
+  state = reader_take_u32 (&r, (MEMBER_BACKEND_LEAVING << LIVENESS_BITS)
+                                   | MEMBER_DEAD);
+  e->liveness = (enum member_liveness) (state & ((1u << LIVENESS_BITS) - 1));
+  e->backend = (enum member_backend) (state >> LIVENESS_BITS);
+  e->domain = reader_take_u32 (&r, UINT32_MAX);
+  e->service_hash = reader_take_u64 (&r);
+  read_ip (&r, e->address.ip);
+  e->address.ports[MEMBER_PORT_CONTROL] = read_port (&r);
+  if (!r.failed && r.len > BRIEF_MEMBERS)
+    read_details (&r, e);
+  if (!reader_is_done (&r) || e->id == 0 || e->liveness > MEMBER_DEAD)
+    outer->failed = true;
+  return !outer->failed;
+}
+
+static uint32_t
+read_entries (struct reader *outer, struct member_entry *entries, uint32_t max)
+{
+  struct reader r = reader_take_array (outer, max);
+  uint32_t len = 0;
+
+  while (!r.failed && r.next < r.len && read_entry (&r, &entries[len]))
+    len++;
+  outer->failed = outer->failed || r.failed;
+  return len;
+}
+
+static uint32_t
+read_changes (struct reader *outer, struct gossip_change *changes,
+              uint32_t max)
+{
+  struct reader r = reader_take_array (outer, max * 2);
+  uint32_t len = 0;
+
+  while (!r.failed && r.next < r.len)
+    {
+      changes[len].revision = reader_take_u64 (&r);
+      changes[len].bytes = reader_take_bin (&r);
+      len++;
+    }
+  outer->failed = outer->failed || r.failed;
+  return len;
+}
+
+static int64_t
+read_age (struct reader *r)
+{
+  return (int64_t)reader_take_u32 (r, UINT32_MAX) * CLOCK_US_PER_MS;
+}
+
+static void
+read_evidence (struct reader *outer, struct fresh_evidence *e)
+{
+  struct reader r
+      = reader_take_array (outer, 2 + FRESH_DOMAINS_MAX * STATEMENT_MEMBERS);
+  uint32_t stamp = r.len % STATEMENT_MEMBERS;
+
+  e->stamped = stamp == 2;
+  e->statements_len = r.len / STATEMENT_MEMBERS;
+  if (r.failed || stamp == 1 || e->statements_len > FRESH_DOMAINS_MAX)
+    {
+      outer->failed = true;
+      return;
+    }
+  if (e->stamped)
+    {
+      e->revision = reader_take_u64 (&r);
+      e->age_us = read_age (&r);
+    }
+  for (uint32_t i = 0; i < e->statements_len; i++)
+    {
+      e->statements[i].domain = reader_take_u32 (&r, UINT32_MAX);
+      e->statements[i].revision = reader_take_u64 (&r);
+      e->statements[i].age_us = read_age (&r);
+    }
+  outer->failed = outer->failed || !reader_is_done (&r);
+}
+
+static void
+read_datagram (struct reader *r, enum wire_control_type type,
+               struct gossip_datagram *d)
+{
+  d->from = reader_take_u64 (r);
+  d->incarnation = reader_take_u64 (r);
+  d->seq = reader_take_u32 (r, UINT32_MAX);
+  d->revision = reader_take_u64 (r);
+  if (type == WIRE_PROBE_REQ)
+    {
+      d->type = GOSSIP_PROBE_REQ;
+      d->target = reader_take_u64 (r);
+      return;
+    }
+  d->type = type == WIRE_PROBE ? GOSSIP_PROBE : GOSSIP_ACK;
+  d->hold_ms = reader_take_u32 (r, UINT32_MAX);
+  if (type == WIRE_PROBE)
+    d->age_ms = reader_take_u32 (r, UINT32_MAX);
+  else
+    read_evidence (r, &d->evidence);
+  d->entries_len = read_entries (r, d->entries, GOSSIP_ENTRIES_MAX);
+  d->changes_len = read_changes (r, d->changes, GOSSIP_CHANGES_MAX);
+}
+
+static void
+read_sync (struct reader *r, struct wire_sync_members *s)
+{
+  struct str digests;
+
+  s->service_hash = reader_take_u64 (r);
+  s->max_bytes = reader_take_u32 (r, MEMBER_JOIN_BYTES);
+  digests = reader_take_bin (r);
+  if (digests.len != (s->service_hash == 0 ? sizeof s->digests : 0))
+    {
+      r->failed = true;
+      return;
+    }
+  memcpy (s->digests, digests.data, digests.len);
+  for (uint32_t i = 0; i < MEMBER_BUCKETS; i++)
+    s->digests[i] = ntohl (s->digests[i]);
+}
+
+/* The array is allocated for the members present, which reader_init has
+   checked against the bytes.  */
+static uint32_t
+peek_len (const struct reader *r)
+{
+  if (r->failed || r->next >= r->len
+      || r->items[r->next].type != MSGPACK_OBJECT_ARRAY)
+    return 0;
+  return r->items[r->next].via.array.size;
+}
+
+static void
+read_message (struct reader *r, struct wire_control_message *m)
+{
+  uint32_t len;
+
+  switch (m->type)
+    {
+    case WIRE_PROBE:
+    case WIRE_ACK:
+    case WIRE_PROBE_REQ:
+      read_datagram (r, m->type, &m->u.datagram);
+      break;
+    case WIRE_SYNC_MEMBERS:
+      read_sync (r, &m->u.sync);
+      break;
+    case WIRE_MEMBERS:
+      m->u.members.service_hash = reader_take_u64 (r);
+      m->u.members.complete = reader_take_bool (r);
+      len = MIN (peek_len (r), WIRE_FRAME_MAX_BYTES / ENTRY_MIN_BYTES);
+      m->u.members.entries = g_new (struct member_entry, len);
+      m->u.members.entries_len = read_entries (r, m->u.members.entries, len);
+      break;
+    case WIRE_PULL_CHANGES:
+      m->u.pull.revision = reader_take_u64 (r);
+      break;
+    case WIRE_CHANGES:
+      m->u.changes.held = reader_take_bool (r);
+      len = peek_len (r) / 2;
+      m->u.changes.changes = g_new (struct gossip_change, len);
+      m->u.changes.changes_len = read_changes (r, m->u.changes.changes, len);
+      break;
+    default:
+      r->failed = true;
+      break;
+    }
+}
+
+/* Public functions */
+
+/**
+ * wire_control_append_datagram - appends the bytes of a UDP message
+ * @out: buffer
+ * @d: datagram; its strings are copied
+ */
+void
+wire_control_append_datagram (struct str_buf *out,
+                              const struct gossip_datagram *d)
+{
+  msgpack_sbuffer bytes;
+  msgpack_packer packer;
+
+  msgpack_sbuffer_init (&bytes);
+  msgpack_packer_init (&packer, &bytes, msgpack_sbuffer_write);
+  pack_datagram (&packer, d);
+  str_append (out, (struct str){ bytes.size, bytes.data });
+  msgpack_sbuffer_destroy (&bytes);
+}
+
+/**
+ * wire_control_append_frame - appends a TCP message as one frame
+ * @out: buffer
+ * @m: message; its strings are copied
+ */
+void
+wire_control_append_frame (struct str_buf *out,
+                           const struct wire_control_message *m)
+{
+  msgpack_sbuffer bytes;
+  msgpack_packer packer;
+
+  msgpack_sbuffer_init (&bytes);
+  msgpack_packer_init (&packer, &bytes, msgpack_sbuffer_write);
+  pack_message (&packer, m);
+  frame_append (out, (struct str){ bytes.size, bytes.data });
+  msgpack_sbuffer_destroy (&bytes);
+}
+
+/**
+ * wire_control_load_message - decodes one datagram or frame
+ * @m: receives the message
+ * @bytes: bytes without a frame's length; must outlive the message
+ *
+ * Return: false if the bytes are not a known message with members of the right
+ * type and range; nothing has to be freed then.
+ */
+bool
+wire_control_load_message (struct wire_control_message *m, struct str bytes)
+{
+  struct reader r;
+
+  memset (m, 0, sizeof *m);
+  if (!reader_init (&r, bytes))
+    return false;
+  m->zone = r.zone;
+  m->type = (enum wire_control_type)reader_take_u32 (&r, UINT16_MAX);
+  read_message (&r, m);
+  if (reader_is_done (&r))
+    return true;
+  wire_control_unload_message (m);
+  return false;
+}
+
+void
+wire_control_unload_message (struct wire_control_message *m)
+{
+  if (m->type == WIRE_MEMBERS)
+    g_free (m->u.members.entries);
+  if (m->type == WIRE_CHANGES)
+    g_free (m->u.changes.changes);
+  if (m->zone != NULL)
+    msgpack_zone_free (m->zone);
+  memset (m, 0, sizeof *m);
+}
