Test serve with real processes; keep may-have-run over retries

Cause: (1) answers given inside a request callback waited up to 2 s: setting libmicrohttpd's timer made the just activated wake-up inactive again (a drain took 1.6 s to answer); (2) an attempt that may have run, followed by a refused one, was told as not run. Ruled out: the note order between threads (log showed drain applied late, not out of order); a port shared with another process. Change: a wake-up event of its own in httpd; a call remembers that an attempt may have run; tests/process.h starts daemons and stand-ins. A booking read whole and then closed or reset, on a new and a reused connection, runs once and is answered may_have_run.

--- a/bench/load.c
+++ b/bench/load.c
@@ -650,7 +650,7 @@
                                    .data = r };
   char *key = NULL;
 
-  add_header (headers, &request.headers_len, "X-Request-Tag", r->tag);
+  add_header (headers, &request.headers_len, "X-Request-Id", r->tag);
   if (r->workspace->key != NULL)
     {
       key = g_strconcat (l->key_prefix, r->workspace->key, NULL);
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -626,6 +626,8 @@
 
   call->member = 0;
   call->link = 0;
+  if (!err_is_not_run (error))
+    call->may_have_run = true;
   if (call->receiving)
     {
       wire_unload_message (&call->result.message);
--- a/src/front.c
+++ b/src/front.c
@@ -552,10 +552,21 @@
   g_array_append_val (f->queues[state], call->id);
 }
 
+/**
+ * front_fail - ends a call with an error
+ * @f: front
+ * @call: call
+ * @error: kind of the last failure
+ * @detail: static text about this case, may be empty
+ *
+ * "Not run" is told only if it holds for every attempt.
+ */
 void
 front_fail (struct front *f, struct front_call *call, enum err_kind error,
             struct str detail)
 {
+  if (call->may_have_run && err_is_not_run (error))
+    error = ERR_OUTCOME_UNKNOWN;
   call->result.error = error;
   call->result.detail = detail;
   front_set_state (f, call, FRONT_ANSWERED);
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -26,6 +26,9 @@
   struct MHD_Daemon *daemon;
   struct event *readable; /* libmicrohttpd's epoll descriptor */
   struct event *timer;    /* libmicrohttpd's own time-outs */
+  struct event *resumed;  /* activated when a connection was resumed; apart
+                             from the timer, since setting an active timer
+                             makes it inactive */
   struct httpd_limits limits;
   const struct httpd_ops *ops;
   void *owner;
@@ -64,7 +67,7 @@
 {
   x->suspended = false;
   MHD_resume_connection (x->connection);
-  event_active (x->httpd->timer, EV_TIMEOUT, 0);
+  event_active (x->httpd->resumed, EV_TIMEOUT, 0);
 }
 
 /* libmicrohttpd does not watch suspended connections, so the loop does.  */
@@ -281,6 +284,7 @@
   h->readable
       = event_new (base, info->epoll_fd, EV_READ | EV_PERSIST, run_daemon, h);
   h->timer = evtimer_new (base, run_daemon, h);
+  h->resumed = event_new (base, -1, 0, run_daemon, h);
   event_add (h->readable, NULL);
   return h;
 }
@@ -290,6 +294,7 @@
 {
   event_free (h->readable);
   event_free (h->timer);
+  event_free (h->resumed);
   MHD_stop_daemon (h->daemon);
   g_free (h);
 }
--- a/standins/backend.c
+++ b/standins/backend.c
@@ -31,7 +31,7 @@
 #define ANNOUNCE_RETRY_US INT64_C (200000)
 /* The daemon may have been replaced since the last announcement.  */
 #define ANNOUNCE_PERIOD_US INT64_C (2000000)
-#define TAG_HEADER "X-Request-Tag"
+#define TAG_HEADER "X-Request-Id"
 #define HOP_HEADER "X-Almondvale-Hop"
 #define TRACE_HEADER "traceparent"
 #define JSON_TYPE "application/json"
--- /dev/null
+++ b/tests/process.h
@@ -0,0 +1,280 @@
+/* process: real daemons and stand-ins for tests, on loopback.
+
+   Processes end with the test program.  Ports are taken from the system and
+   given back before use, so a test that finds one taken fails at start.  */
+
+#ifndef ALMONDVALE_TESTS_PROCESS_H
+#define ALMONDVALE_TESTS_PROCESS_H
+
+#include "clock.h"
+#include "httpc.h"
+
+#include <check.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <json-glib/json-glib.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+/* Constants */
+
+/* Nothing is asserted about speed: the longest waits are only there so that a
+   fault ends the test.  */
+#define PROCESS_WAIT_US (20 * CLOCK_US_PER_S)
+#define PROCESS_POLL_US 10000
+
+/* Types */
+
+struct process_reply
+{
+  enum httpc_result result;
+  int status;
+  char body[65536];
+};
+
+/* A daemon with its settings file.  */
+struct process_daemon
+{
+  pid_t pid;
+  uint16_t caller, local, peer, control;
+  char dir[64];
+};
+
+/* Public functions */
+
+static inline uint16_t
+process_get_port (void)
+{
+  struct sockaddr_in sin = { .sin_family = AF_INET };
+  socklen_t len = sizeof sin;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  sin.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  ck_assert_int_eq (bind (fd, (struct sockaddr *)&sin, sizeof sin), 0);
+  getsockname (fd, (struct sockaddr *)&sin, &len);
+  close (fd);
+  return ntohs (sin.sin_port);
+}
+
+/* Starts a program of the build folder; its output goes to a file.  */
+static inline pid_t
+process_start (const char *log, const char *program, ...)
+{
+  const char *build = g_getenv ("ALMONDVALE_BUILD");
+  char *path
+      = g_build_filename (build != NULL ? build : "build", program, NULL);
+  const char *argv[32] = { path };
+  va_list args;
+  pid_t pid;
+  int argc = 1;
+
+  va_start (args, program);
+  while ((argv[argc] = va_arg (args, const char *)) != NULL)
+    argc++;
+  va_end (args);
+  pid = fork ();
+  ck_assert_int_ge (pid, 0);
+  if (pid == 0)
+    {
+      int fd = open (log, O_CREAT | O_APPEND | O_WRONLY, 0600);
+
+      prctl (PR_SET_PDEATHSIG, SIGKILL);
+      dup2 (fd, STDOUT_FILENO);
+      dup2 (fd, STDERR_FILENO);
+      execv (path, (char *const *)argv);
+      _exit (127);
+    }
+  g_free (path);
+  return pid;
+}
+
+/* Waits for the end of a process; gives its wait status.  */
+static inline int
+process_wait (pid_t pid)
+{
+  int64_t end_us = clock_now_us () + PROCESS_WAIT_US;
+  int status;
+
+  while (waitpid (pid, &status, WNOHANG) == 0)
+    {
+      ck_assert_msg (clock_now_us () < end_us, "process %d does not end",
+                     (int)pid);
+      g_usleep (PROCESS_POLL_US);
+    }
+  return status;
+}
+
+static inline int
+process_stop (pid_t pid, int number)
+{
+  kill (pid, number);
+  return process_wait (pid);
+}
+
+/* Internal: copies an answer and ends the loop.  */
+struct process_exchange
+{
+  struct event_base *base;
+  struct process_reply *reply;
+};
+
+static inline void
+process_on_done (void *data, const struct httpc_answer *answer)
+{
+  struct process_exchange *x = data;
+
+  x->reply->result = answer->result;
+  x->reply->status = answer->status;
+  g_snprintf (x->reply->body, sizeof x->reply->body, "%.*s",
+              STR_ARG (answer->body));
+  event_base_loopbreak (x->base);
+}
+
+/* Sends one request on a new connection; headers are "name: value" lines,
+   NULL at the end.  */
+static inline struct process_reply
+process_send (uint16_t port, const char *method, const char *target,
+              const char *body, const char *const *header_lines)
+{
+  struct event_base *base = event_base_new ();
+  struct httpc_pool *pool = httpc_load_pool (base, STR_LIT ("127.0.0.1"), port,
+                                             1, (size_t)16 << 20);
+  struct httpc_header headers[16];
+  struct process_reply reply = { 0 };
+  struct process_exchange x = { base, &reply };
+  struct httpc_request q = { .method = method,
+                             .target = str_from_cstr (target),
+                             .headers = headers,
+                             .body = str_from_cstr (body),
+                             .timeout_us = PROCESS_WAIT_US,
+                             .done = process_on_done,
+                             .data = &x };
+
+  for (; header_lines != NULL && *header_lines != NULL; header_lines++)
+    {
+      const char *colon = strstr (*header_lines, ": ");
+
+      headers[q.headers_len++]
+          = (struct httpc_header){ { (size_t)(colon - *header_lines),
+                                     *header_lines },
+                                   str_from_cstr (colon + 2) };
+    }
+  httpc_send (pool, &q);
+  event_base_dispatch (base);
+  httpc_unload_pool (pool);
+  event_base_free (base);
+  return reply;
+}
+
+/* Repeats a GET until it gives the status.  */
+static inline void
+process_await (uint16_t port, const char *target, int status)
+{
+  int64_t end_us = clock_now_us () + PROCESS_WAIT_US;
+
+  while (process_send (port, "GET", target, "", NULL).status != status)
+    {
+      ck_assert_msg (clock_now_us () < end_us, "%s does not answer %d", target,
+                     status);
+      g_usleep (PROCESS_POLL_US);
+    }
+}
+
+/* Repeats a GET until its body contains a text.  */
+static inline void
+process_await_text (uint16_t port, const char *target, const char *text)
+{
+  int64_t end_us = clock_now_us () + PROCESS_WAIT_US;
+
+  while (strstr (process_send (port, "GET", target, "", NULL).body, text)
+         == NULL)
+    {
+      ck_assert_msg (clock_now_us () < end_us, "%s does not show %s", target,
+                     text);
+      g_usleep (PROCESS_POLL_US);
+    }
+}
+
+/* Member of a JSON object, 0 if it is not there.  */
+static inline int64_t
+process_get_number (const char *json, const char *object, const char *member)
+{
+  JsonParser *parser = json_parser_new ();
+  int64_t value = 0;
+  JsonObject *o;
+
+  ck_assert (json_parser_load_from_data (parser, json, -1, NULL));
+  o = json_node_get_object (json_parser_get_root (parser));
+  if (object != NULL)
+    o = json_object_get_object_member (o, object);
+  if (o != NULL && json_object_has_member (o, member))
+    value = json_object_get_int_member (o, member);
+  g_object_unref (parser);
+  return value;
+}
+
+static inline void
+process_write_file (const char *dir, const char *name, const char *text)
+{
+  char *path = g_build_filename (dir, name, NULL);
+
+  ck_assert (g_file_set_contents (path, text, -1, NULL));
+  g_free (path);
+}
+
+static inline char *
+process_make_dir (void)
+{
+  char *dir = g_dir_make_tmp ("almondvale-test-XXXXXX", NULL);
+
+  ck_assert_ptr_nonnull (dir);
+  return dir;
+}
+
+/* Starts a daemon; `members` are further members of its settings, each with
+   a comma before it.  */
+static inline void
+process_start_daemon (struct process_daemon *d, const char *dir,
+                      const char *id, const char *domain, const char *members)
+{
+  char *settings = g_strdup_printf ("%s.json", id);
+  char *log = g_strdup_printf ("%s/%s.log", dir, id);
+  char *path = g_build_filename (dir, settings, NULL);
+  char *text;
+
+  if (d->caller == 0)
+    {
+      d->caller = process_get_port ();
+      d->local = process_get_port ();
+      d->peer = process_get_port ();
+      d->control = process_get_port ();
+    }
+  text = g_strdup_printf (
+      "{\"member_id\":\"%s\",\"failure_domain\":\"%s\",\"region\":\"r1\","
+      "\"address\":\"127.0.0.1\",\"ports\":{\"caller\":%u,\"local\":%u,"
+      "\"peer\":%u,\"control\":%u}%s}",
+      id, domain, d->caller, d->local, d->peer, d->control, members);
+  process_write_file (dir, settings, text);
+  d->pid = process_start (log, "almondvaled", "--settings", path, NULL);
+  process_await (d->local, "/almondvale/status", 200);
+  g_free (settings);
+  g_free (log);
+  g_free (path);
+  g_free (text);
+}
+
+/* SHA-256 of a key as hex; free with g_free.  */
+static inline char *
+process_hash_key (const char *key)
+{
+  return g_compute_checksum_for_string (G_CHECKSUM_SHA256, key, -1);
+}
+
+#endif
--- a/tests/suite.h
+++ b/tests/suite.h
@@ -15,6 +15,7 @@
   SRunner *runner;
   int failed;
 
+  tcase_set_timeout (tc, 60);
   for (size_t i = 0; i < len; i++)
     tcase_add_test (tc, cases[i]);
   suite_add_tcase (suite, tc);
--- /dev/null
+++ b/tests/test_serve.c
@@ -0,0 +1,215 @@
+/* Tests of serve with a real daemon and a backend server that fails.  */
+
+#include "process.h"
+#include "suite.h"
+
+#define KEY "av_k1_0123456789abcdef0123"
+#define AUTHORIZATION "Authorization: Bearer " KEY
+
+struct fixture
+{
+  char *dir;
+  struct process_daemon daemon;
+  pid_t backend;
+  uint16_t backend_port;
+};
+
+static void
+write_inventory (const char *dir)
+{
+  char *hash = process_hash_key (KEY);
+  char *text = g_strdup_printf (
+      "{\"services\":[{\"name\":\"booking\"}],\"routes\":["
+      "{\"name\":\"slots\",\"service\":\"booking\",\"path_prefix\":\"/slots\","
+      "\"methods\":[\"POST\"],\"idempotent\":false,\"timeout_ms\":5000},"
+      "{\"name\":\"notes\",\"service\":\"booking\",\"path_prefix\":\"/notes\","
+      "\"methods\":[\"GET\"],\"idempotent\":true,\"timeout_ms\":5000}],"
+      "\"workspaces\":[{\"name\":\"w1\",\"rate_per_s\":1000,\"burst\":1000}],"
+      "\"keys\":[{\"id\":\"k1\",\"sha256\":\"%s\",\"workspace\":\"w1\"}]}",
+      hash);
+
+  process_write_file (dir, "inventory.json", text);
+  g_free (text);
+  g_free (hash);
+}
+
+static void
+start_backend (struct fixture *f, const char *service_time)
+{
+  char *local = g_strdup_printf ("--local=127.0.0.1:%u", f->daemon.local);
+  char *port = g_strdup_printf ("--port=%u", f->backend_port);
+  char *time = g_strdup_printf ("--service-time=%s", service_time);
+  char *log = g_strdup_printf ("%s/backend.log", f->dir);
+
+  f->backend = process_start (
+      log, "backend", "--service=booking", "--address=127.0.0.1", port, local,
+      "--slots=8", "--queue=100", "--connections=32", time, "--seed=1", NULL);
+  process_await (f->backend_port, "/executions", 200);
+  process_await_text (f->daemon.local, "/almondvale/status",
+                      "\"endpoints\" : 1");
+  g_free (local);
+  g_free (port);
+  g_free (time);
+  g_free (log);
+}
+
+static struct fixture
+start (const char *service_time)
+{
+  struct fixture f = { .dir = process_make_dir () };
+  char *members;
+
+  write_inventory (f.dir);
+  members
+      = g_strdup_printf (",\"inventory_file\":\"%s/inventory.json\"", f.dir);
+  process_start_daemon (&f.daemon, f.dir, "d1", "fd1", members);
+  g_free (members);
+  f.backend_port = process_get_port ();
+  start_backend (&f, service_time);
+  return f;
+}
+
+static void
+stop (struct fixture *f)
+{
+  process_stop (f->backend, SIGKILL);
+  process_stop (f->daemon.pid, SIGKILL);
+  g_free (f->dir);
+}
+
+static struct process_reply
+send_booking (const struct fixture *f, const char *id)
+{
+  char *line = g_strdup_printf ("X-Request-Id: %s", id);
+  const char *headers[] = { AUTHORIZATION, line, NULL };
+  struct process_reply reply = process_send (f->daemon.caller, "POST",
+                                             "/slots", "{\"day\":1}", headers);
+
+  g_free (line);
+  return reply;
+}
+
+static int64_t
+get_executions (const struct fixture *f, const char *id)
+{
+  struct process_reply r
+      = process_send (f->backend_port, "GET", "/executions", "", NULL);
+
+  return process_get_number (r.body, "tags", id);
+}
+
+static void
+set_fault (const struct fixture *f, const char *json)
+{
+  ck_assert_int_eq (
+      process_send (f->backend_port, "POST", "/control", json, NULL).status,
+      200);
+}
+
+/* Guards against a booking sent twice after the backend server read it whole
+   and closed or reset, on a new connection and on a reused one.  */
+START_TEST (booking_read_then_closed_runs_once)
+{
+  static const char *const faults[]
+      = { "{\"fault\":\"close\",\"count\":1,\"connection\":\"any\"}",
+          "{\"fault\":\"close\",\"count\":1,\"connection\":\"reused\"}",
+          "{\"fault\":\"reset\",\"count\":1,\"connection\":\"any\"}",
+          "{\"fault\":\"reset\",\"count\":1,\"connection\":\"reused\"}" };
+  struct fixture f = start ("fixed:1");
+
+  for (size_t i = 0; i < G_N_ELEMENTS (faults); i++)
+    {
+      char *id = g_strdup_printf ("b%zu", i);
+      struct process_reply reply;
+
+      if (i % 2 == 1)
+        ck_assert_int_eq (send_booking (&f, "warm").status, 200);
+      set_fault (&f, faults[i]);
+      reply = send_booking (&f, id);
+      ck_assert_int_eq (reply.status, 502);
+      ck_assert_ptr_nonnull (strstr (reply.body, "may_have_run"));
+      ck_assert_int_eq (get_executions (&f, id), 1);
+      g_free (id);
+    }
+  stop (&f);
+}
+END_TEST
+
+/* Guards against "not run" told of a request that ran, and against work for a
+   backend server that drains.  */
+START_TEST (refused_as_not_run_did_not_run)
+{
+  struct fixture f = start ("fixed:1");
+  struct process_reply reply;
+
+  ck_assert_int_eq (
+      process_send (f.daemon.local, "POST", "/almondvale/drain", "", NULL)
+          .status,
+      200);
+  reply = send_booking (&f, "drained");
+  ck_assert_int_eq (reply.status, 503);
+  ck_assert_ptr_nonnull (strstr (reply.body, "\"not_run\""));
+  ck_assert_int_eq (get_executions (&f, "drained"), 0);
+  stop (&f);
+}
+END_TEST
+
+/* Guards against "may have run" where the backend server's process is gone and
+   no connection was open, and against a stuck call.  */
+START_TEST (dead_backend_is_told_as_not_run)
+{
+  struct fixture f = start ("fixed:1");
+  struct process_reply reply;
+
+  process_stop (f.backend, SIGKILL);
+  reply = send_booking (&f, "dead");
+  ck_assert_int_eq (reply.status, 502);
+  ck_assert_ptr_nonnull (strstr (reply.body, "\"not_run\""));
+  start_backend (&f, "fixed:1");
+  ck_assert_int_eq (send_booking (&f, "alive").status, 200);
+  ck_assert_int_eq (get_executions (&f, "alive"), 1);
+  stop (&f);
+}
+END_TEST
+
+static gpointer
+send_in_thread (gpointer data)
+{
+  struct process_reply *reply = g_new (struct process_reply, 1);
+
+  *reply = send_booking (data, "long");
+  return reply;
+}
+
+/* Guards against a shutdown that cuts a running request.  */
+START_TEST (shutdown_completes_running_requests)
+{
+  struct fixture f = start ("fixed:1500");
+  GThread *thread = g_thread_new ("caller", send_in_thread, &f);
+  struct process_reply *reply;
+  int status;
+
+  process_await_text (f.daemon.local, "/metrics",
+                      "almondvale_executions_total 1");
+  status = process_stop (f.daemon.pid, SIGTERM);
+  ck_assert (WIFEXITED (status) && WEXITSTATUS (status) == 0);
+  reply = g_thread_join (thread);
+  ck_assert_int_eq (reply->result, HTTPC_ANSWERED);
+  ck_assert_int_eq (reply->status, 200);
+  ck_assert_int_eq (get_executions (&f, "long"), 1);
+  g_free (reply);
+  process_stop (f.backend, SIGKILL);
+  g_free (f.dir);
+}
+END_TEST
+
+int
+main (void)
+{
+  const TTest *const cases[]
+      = { booking_read_then_closed_runs_once, refused_as_not_run_did_not_run,
+          dead_backend_is_told_as_not_run,
+          shutdown_completes_running_requests };
+
+  return suite_run ("serve", cases, G_N_ELEMENTS (cases));
+}
