Measure both sets of policies in a chain of services

Cause: the policies were tested one by one, not together. Ruled out: a test in real time with processes (slow, and the figures would depend on the machine); marking single requests as within their rate (the requests of a workspace above its rate are not told apart, so a workspace is compared with what it is entitled to in each window).

--- /dev/null
+++ b/bench/bench_overload.c
@@ -0,0 +1,1071 @@
+/* bench_overload: one chain of services in virtual time, with the real
+   decision modules and both sets of policies.
+
+   Clients send requests to first daemons; a request runs at one backend server
+   of each service on its route and holds a slot there while the nested call
+   runs.  Prints goodput, recovery time, the worst-served workspace and
+   wrongful rejections for each scenario.  */
+
+#include "admit.h"
+#include "budget.h"
+#include "feedback.h"
+#include "limit.h"
+#include "route.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Constants: the chain.  The sizes are those of deployment K.  */
+
+#define LEVELS 5u
+#define SERVERS 4u
+#define FRONTS 4u
+#define WORKSPACES 8u
+#define SLOTS 100u      /* of the services before the last */
+#define DEEP_SLOTS 40u  /* of the last service */
+#define OWN_US 10000.0  /* mean service time without nested calls */
+#define DEEP_US 40000.0 /* of the last service: 4,000 requests a second */
+#define LATENCY_US 500
+#define DEEP_SHARE 0.7 /* of the requests: whole chain; others: two services */
+#define SHALLOW_LEVELS 2u
+#define FAILURE 0.002 /* share of the runs that end with a failure */
+/* Rate at which the last service is saturated.  */
+#define CAPACITY (SERVERS * DEEP_SLOTS * 1e6 / DEEP_US / DEEP_SHARE)
+#define STEADY_SHARE 0.6 /* of the capacity in normal operation */
+
+/* Constants: callers and times.  */
+
+#define TIMEOUT_US 1000000
+#define CLIENT_ATTEMPTS 3u
+#define BACKOFF_US 100000.0
+#define HOP_RETRIES 2u /* of the naive version, at each hop */
+#define TICK_US 10000
+#define WINDOW_US 500000
+#define WARM_US 10000000
+#define TROUBLE_US 10000000
+#define RUN_US 50000000
+#define WINDOWS (RUN_US / WINDOW_US)
+#define LATENCIES 4000u
+/* Windows at the beginning, in which the chain fills.  */
+#define FILL_WINDOWS 4u
+#define RECOVERED_SHARE 0.95
+#define RECOVERED_WINDOWS 3u
+
+/* Types */
+
+struct policy
+{
+  const char *name;
+  const struct admit_ops *admit;
+  const struct limit_ops *limit;
+  const struct route_ops *route;
+  bool protects; /* deadlines, cancellation, budgets and feedback */
+};
+
+struct scenario
+{
+  const char *name;
+  double surge;       /* factor of all arrivals during the trouble */
+  double noisy;       /* factor of workspace 0 during the trouble */
+  double slow;        /* factor of the last service's time */
+  int64_t trouble_us; /* duration */
+  const char *text;
+};
+
+/* A request on its way from one daemon to the next service.  */
+struct outgoing
+{
+  uint32_t level; /* service it goes to */
+  uint32_t tries;
+  uint64_t tried[HOP_RETRIES + BUDGET_DEFAULT + 1];
+  struct budget_pool budget;
+  uint64_t call;
+};
+
+/* What one daemon uses to send requests.  */
+struct sender
+{
+  struct feedback feedback;
+  struct route_pool pool;
+  struct budget_ratio ratio;
+};
+
+struct server
+{
+  struct sender sender;
+  struct admit *admit;
+  struct limit limit;
+  uint32_t running;
+};
+
+struct request
+{
+  uint32_t workspace;
+  uint32_t importance;
+  uint32_t levels;
+  uint32_t window; /* of the arrival */
+  bool trouble;    /* arrived during the trouble */
+  int64_t born_us;
+  uint32_t attempts;
+  uint32_t front;
+  int64_t deadline_us;
+  struct outgoing out;
+};
+
+enum call_state
+{
+  CALL_SENT,
+  CALL_QUEUED,
+  CALL_FIRST_HALF,
+  CALL_NESTED,
+  CALL_SECOND_HALF,
+  CALL_ANSWERED
+};
+
+struct call
+{
+  uint64_t parent_call; /* 0 if a client's request is the parent */
+  uint64_t request;
+  bool orphan; /* the parent has stopped waiting */
+  uint32_t workspace;
+  uint32_t importance;
+  uint32_t levels;
+  uint32_t level;
+  uint32_t server;
+  uint32_t part; /* of the retry budget */
+  enum call_state state;
+  enum err_kind error;
+  uint64_t entry;
+  int64_t deadline_us;
+  int64_t started_us;
+  int64_t nested_since_us;
+  int64_t nested_us;
+  uint32_t in_flight;
+  double own_us;
+  uint32_t thresholds[LEVELS];
+  uint32_t lowest; /* last level that reported a threshold */
+  struct outgoing out;
+};
+
+enum event_kind
+{
+  EVENT_CLIENT,  /* next arrival */
+  EVENT_ATTEMPT, /* a client sends a request (again) */
+  EVENT_ARRIVE,  /* a call reaches its server */
+  EVENT_PHASE,   /* a half of the service time has ended */
+  EVENT_ANSWER,  /* the answer reaches the parent */
+  EVENT_TIMEOUT, /* the parent stops waiting */
+  EVENT_TICK
+};
+
+struct event
+{
+  int64_t at_us;
+  uint64_t order; /* equal times keep their order */
+  enum event_kind kind;
+  uint64_t id;
+};
+
+/* Requests of one workspace that arrived in one window.  */
+struct cell
+{
+  double offered;
+  double good;
+  double rejected; /* the last attempt was rejected as overloaded */
+};
+
+struct result
+{
+  struct cell cells[WORKSPACES][WINDOWS];
+  double window_good[WINDOWS]; /* by the time of the answer */
+  double offered_trouble;
+  double good_trouble; /* of requests that arrived in it */
+  double top_offered;  /* of them importance 7 and 9 */
+  double top_good;
+  double latency[LATENCIES]; /* good requests by ms */
+};
+
+struct sim
+{
+  const struct policy *policy;
+  const struct scenario *scenario;
+  GRand *rand;
+  GArray *events; /* binary heap */
+  uint64_t order;
+  int64_t now_us;
+  struct table requests;
+  struct table calls;
+  struct sender fronts[FRONTS];
+  struct server servers[LEVELS][SERVERS];
+  struct result result;
+};
+
+/* State */
+
+static const struct str services[LEVELS]
+    = { STR_LIT ("s0"), STR_LIT ("s1"), STR_LIT ("s2"), STR_LIT ("s3"),
+        STR_LIT ("s4") };
+
+static const struct scenario scenarios[] = {
+  { "steady", 1, 1, 1, TROUBLE_US, "60% of the capacity" },
+  { "burst", 3, 1, 1, 400000, "3 times the steady rate for 0.4 s" },
+  { "surge", 3 / STEADY_SHARE, 1, 1, TROUBLE_US,
+    "3 times the capacity for 10 s" },
+  { "slow", 1, 1, 5, TROUBLE_US, "the last service 5 times as slow for 10 s" },
+  { "noisy", 1, 6, 1, TROUBLE_US,
+    "one workspace at 6 times its rate for 10 s" },
+};
+
+/* Share of the steady rate; two workspaces are large.  */
+static const double shares[WORKSPACES] = { 0.25,     0.25,     1 / 12.0,
+                                           1 / 12.0, 1 / 12.0, 1 / 12.0,
+                                           1 / 12.0, 1 / 12.0 };
+
+/* Internal functions: events */
+
+static bool
+is_before (const struct event *a, const struct event *b)
+{
+  if (a->at_us != b->at_us)
+    return a->at_us < b->at_us;
+  return a->order < b->order;
+}
+
+static void
+schedule (struct sim *s, int64_t at_us, enum event_kind kind, uint64_t id)
+{
+  struct event e = { at_us, s->order++, kind, id };
+  guint i = s->events->len;
+  struct event *heap;
+
+  g_array_append_val (s->events, e);
+  heap = (struct event *)(void *)s->events->data;
+  for (; i > 0 && is_before (&e, &heap[(i - 1) / 2]); i = (i - 1) / 2)
+    heap[i] = heap[(i - 1) / 2];
+  heap[i] = e;
+}
+
+static struct event
+take_event (struct sim *s)
+{
+  struct event *heap = (struct event *)(void *)s->events->data;
+  struct event first = heap[0];
+  guint len = s->events->len - 1;
+  struct event last = heap[len];
+  guint i = 0;
+
+  for (;;)
+    {
+      guint child = 2 * i + 1;
+
+      if (child + 1 < len && is_before (&heap[child + 1], &heap[child]))
+        child++;
+      if (child >= len || !is_before (&heap[child], &last))
+        break;
+      heap[i] = heap[child];
+      i = child;
+    }
+  heap[i] = last;
+  g_array_set_size (s->events, len);
+  return first;
+}
+
+/* Internal functions: randomness and arrivals */
+
+static double
+draw_exponential (struct sim *s, double mean)
+{
+  return -mean * log (1 - g_rand_double (s->rand));
+}
+
+static bool
+is_trouble (const struct sim *s)
+{
+  return s->now_us >= WARM_US && s->now_us < WARM_US + s->scenario->trouble_us;
+}
+
+static double
+get_rate (const struct sim *s, uint32_t workspace)
+{
+  double rate = CAPACITY * STEADY_SHARE * shares[workspace];
+
+  if (!is_trouble (s))
+    return rate;
+  return rate * s->scenario->surge * (workspace == 0 ? s->scenario->noisy : 1);
+}
+
+static uint32_t
+draw_importance (struct sim *s)
+{
+  double p = g_rand_double (s->rand);
+
+  if (p < 0.05)
+    return 9;
+  if (p < 0.2)
+    return 7;
+  return p < 0.6 ? 5 : 2;
+}
+
+/* Internal functions: senders */
+
+static struct str
+get_route (uint32_t levels)
+{
+  return levels == LEVELS ? STR_LIT ("deep") : STR_LIT ("shallow");
+}
+
+static void
+init_sender (struct sim *s, struct sender *n, uint64_t self, uint32_t level)
+{
+  struct feedback_settings settings = feedback_get_defaults ();
+
+  settings.seed = g_rand_int (s->rand);
+  feedback_init (&n->feedback, &settings);
+  budget_init_ratio (&n->ratio);
+  route_init_pool (&n->pool, self, (uint32_t)(self % SERVERS),
+                   g_rand_int (s->rand));
+  for (uint32_t i = 0; level < LEVELS && i < SERVERS; i++)
+    route_set_endpoint (&n->pool, i + 1, i, -WARM_US);
+}
+
+static void
+close_sender (struct sender *n)
+{
+  feedback_close (&n->feedback);
+  budget_close_ratio (&n->ratio);
+  route_close_pool (&n->pool);
+}
+
+static struct sender *
+get_sender (struct sim *s, const struct request *r, const struct call *parent)
+{
+  if (parent == NULL)
+    return &s->fronts[r->front];
+  return &s->servers[parent->level][parent->server].sender;
+}
+
+/* Internal functions: calls.  Each function that ends a call may end others,
+   so rows are looked up again afterwards.  */
+
+static void end_nested (struct sim *s, uint64_t parent, enum err_kind error);
+static void end_attempt (struct sim *s, uint64_t request, enum err_kind error);
+
+static struct call *
+get_call (const struct sim *s, uint64_t id)
+{
+  return table_get (&s->calls, id);
+}
+
+static struct server *
+get_server (struct sim *s, const struct call *c)
+{
+  return &s->servers[c->level][c->server];
+}
+
+static void
+fail_outgoing (struct sim *s, uint64_t parent, uint64_t request,
+               enum err_kind error)
+{
+  if (parent != 0)
+    end_nested (s, parent, error);
+  else
+    end_attempt (s, request, error);
+}
+
+/* Sends one attempt of a request (parent 0) or of a nested call.  */
+static void
+send_call (struct sim *s, uint64_t parent, uint64_t request)
+{
+  struct request *r = table_get (&s->requests, request);
+  struct call *p = get_call (s, parent);
+  struct outgoing *out = p != NULL ? &p->out : &r->out;
+  struct sender *sender = get_sender (s, r, p);
+  uint32_t importance = p != NULL ? p->importance : r->importance;
+  uint32_t levels = p != NULL ? p->levels : r->levels;
+  int64_t deadline_us = p != NULL ? p->deadline_us : r->deadline_us;
+  struct call *c;
+  uint64_t member;
+  void *row;
+
+  if (s->policy->protects
+      && feedback_check (&sender->feedback, get_route (levels), importance,
+                         s->now_us)
+             == FEEDBACK_REJECT)
+    {
+      fail_outgoing (s, parent, request, ERR_OVERLOADED);
+      return;
+    }
+  member = s->policy->route->choose (&sender->pool, out->tried, out->tries,
+                                     s->now_us);
+  if (member == 0)
+    {
+      fail_outgoing (s, parent, request, ERR_NO_BACKEND);
+      return;
+    }
+  route_note_sent (&sender->pool, member, s->now_us);
+  if (out->tries == 0)
+    budget_note_request (&sender->ratio, services[out->level], s->now_us);
+  out->tried[out->tries++] = member;
+  if (!s->policy->protects)
+    deadline_us = s->now_us + TIMEOUT_US;
+  out->call = table_add (&s->calls, &row);
+  c = row;
+  c->parent_call = parent;
+  c->request = request;
+  c->workspace = p != NULL ? p->workspace : r->workspace;
+  c->importance = importance;
+  c->levels = levels;
+  c->level = out->level;
+  c->lowest = out->level;
+  c->server = (uint32_t)member - 1;
+  c->part = budget_hand_down (&out->budget);
+  c->deadline_us = deadline_us;
+  schedule (s, s->now_us + LATENCY_US, EVENT_ARRIVE, out->call);
+  schedule (s, deadline_us, EVENT_TIMEOUT, out->call);
+}
+
+static void
+answer (struct sim *s, uint64_t id, enum err_kind error)
+{
+  struct call *c = get_call (s, id);
+
+  c->state = CALL_ANSWERED;
+  c->error = error;
+  if (c->orphan)
+    table_remove (&s->calls, id);
+  else
+    schedule (s, s->now_us + LATENCY_US, EVENT_ANSWER, id);
+}
+
+static void
+start_calls (struct sim *s, struct server *v)
+{
+  const struct policy *p = s->policy;
+  struct admit_drop dropped;
+  struct admit_item item;
+
+  while (v->running < p->limit->get (&v->limit, s->now_us)
+         && p->admit->next (v->admit, s->now_us, &item))
+    {
+      struct call *c = get_call (s, item.job);
+      double mean_us = c->level == LEVELS - 1 ? DEEP_US : OWN_US;
+
+      if (c->level == LEVELS - 1 && is_trouble (s))
+        mean_us *= s->scenario->slow;
+      c->state = CALL_FIRST_HALF;
+      c->started_us = s->now_us;
+      c->in_flight = ++v->running;
+      c->own_us = draw_exponential (s, mean_us);
+      schedule (s, s->now_us + (int64_t)(c->own_us / 2), EVENT_PHASE,
+                item.job);
+    }
+  while (p->admit->take_drop (v->admit, &dropped))
+    answer (s, dropped.job, dropped.error);
+}
+
+static void
+free_slot (struct sim *s, struct call *c)
+{
+  struct server *v = get_server (s, c);
+  struct limit_sample sample = { .service_us = s->now_us - c->started_us,
+                                 .nested_us = c->nested_us,
+                                 .in_flight = c->in_flight };
+
+  v->running--;
+  s->policy->limit->note_done (&v->limit, &sample, s->now_us);
+  s->policy->admit->note_done (v->admit, sample.service_us, s->now_us);
+}
+
+/* Ends a call whose parent no longer waits, and what it waits for.  */
+static void
+cancel_call (struct sim *s, uint64_t id)
+{
+  struct call *c = get_call (s, id);
+  struct server *v;
+
+  if (c == NULL)
+    return;
+  v = get_server (s, c);
+  if (c->state == CALL_QUEUED)
+    s->policy->admit->remove (v->admit, c->entry);
+  if (c->state == CALL_NESTED)
+    {
+      struct call *n = get_call (s, c->out.call);
+
+      if (n != NULL)
+        route_note_cancel (&v->sender.pool, n->server + 1);
+      cancel_call (s, c->out.call);
+    }
+  if (c->state >= CALL_FIRST_HALF && c->state <= CALL_SECOND_HALF)
+    v->running--;
+  table_remove (&s->calls, id);
+  start_calls (s, v);
+}
+
+static void
+arrive (struct sim *s, uint64_t id)
+{
+  struct call *c = get_call (s, id);
+  struct server *v;
+  struct admit_item item;
+  enum err_kind error;
+
+  if (c == NULL)
+    return;
+  v = get_server (s, c);
+  item = (struct admit_item){ .job = id,
+                              .workspace = c->workspace + 1,
+                              .weight
+                              = (uint32_t)(shares[c->workspace] * 12 + 0.5),
+                              .importance = c->importance,
+                              .deadline_us = c->deadline_us };
+  c->state = CALL_QUEUED;
+  error = s->policy->admit->offer (v->admit, &item, s->now_us, &c->entry);
+  if (error != ERR_NONE)
+    answer (s, id, error);
+  start_calls (s, v);
+}
+
+static void
+finish_call (struct sim *s, uint64_t id, enum err_kind error)
+{
+  struct call *c = get_call (s, id);
+  struct server *v = get_server (s, c);
+
+  free_slot (s, c);
+  answer (s, id, error);
+  start_calls (s, v);
+}
+
+static void
+end_phase (struct sim *s, uint64_t id)
+{
+  struct call *c = get_call (s, id);
+
+  if (c == NULL)
+    return;
+  if (c->state == CALL_SECOND_HALF)
+    {
+      finish_call (s, id,
+                   g_rand_double (s->rand) < FAILURE ? ERR_BACKEND_FAILED
+                                                     : ERR_NONE);
+      return;
+    }
+  if (c->level + 1 == c->levels)
+    {
+      c->state = CALL_SECOND_HALF;
+      schedule (s, s->now_us + (int64_t)(c->own_us / 2), EVENT_PHASE, id);
+      return;
+    }
+  c->state = CALL_NESTED;
+  c->nested_since_us = s->now_us;
+  c->out = (struct outgoing){ .level = c->level + 1 };
+  /* One nested call gets the whole rest of the hop's pool.  */
+  budget_init_pool (&c->out.budget, c->part);
+  send_call (s, id, c->request);
+}
+
+static void
+end_nested (struct sim *s, uint64_t parent, enum err_kind error)
+{
+  struct call *p = get_call (s, parent);
+
+  p->nested_us += s->now_us - p->nested_since_us;
+  if (error != ERR_NONE)
+    {
+      finish_call (s, parent, error);
+      return;
+    }
+  p->state = CALL_SECOND_HALF;
+  schedule (s, s->now_us + (int64_t)(p->own_us / 2), EVENT_PHASE, parent);
+}
+
+/* Retries at this hop, or passes the error on.  */
+static void
+retry_or_fail (struct sim *s, uint64_t parent, uint64_t request,
+               enum err_kind error)
+{
+  struct request *r = table_get (&s->requests, request);
+  struct call *p = get_call (s, parent);
+  struct outgoing *out = p != NULL ? &p->out : &r->out;
+  struct sender *sender = get_sender (s, r, p);
+  bool retry;
+
+  if (s->policy->protects)
+    retry = error == ERR_BACKEND_FAILED
+            && budget_allow_retry (&sender->ratio, services[out->level],
+                                   s->now_us)
+            && budget_spend (&out->budget);
+  else
+    retry = out->tries <= HOP_RETRIES;
+  if (retry && out->tries < G_N_ELEMENTS (out->tried))
+    send_call (s, parent, request);
+  else
+    fail_outgoing (s, parent, request, error);
+}
+
+static void
+note_thresholds (struct sim *s, const struct call *c, struct sender *sender,
+                 struct call *parent)
+{
+  struct wire_threshold t[LEVELS];
+  uint32_t len = 0;
+
+  for (uint32_t i = c->level; i <= c->lowest; i++)
+    {
+      t[len++] = (struct wire_threshold){ services[i], c->thresholds[i] };
+      if (parent != NULL)
+        parent->thresholds[i] = c->thresholds[i];
+    }
+  if (parent != NULL)
+    parent->lowest = MAX (parent->lowest, c->lowest);
+  feedback_note (&sender->feedback, get_route (c->levels), t, len, s->now_us);
+}
+
+static void
+receive_answer (struct sim *s, uint64_t id)
+{
+  struct call *c = get_call (s, id);
+  struct call *p;
+  struct request *r;
+  struct server *v;
+  struct sender *sender;
+  struct outgoing *out;
+  struct call copy;
+
+  if (c == NULL)
+    return;
+  if (c->orphan)
+    {
+      table_remove (&s->calls, id);
+      return;
+    }
+  v = get_server (s, c);
+  r = table_get (&s->requests, c->request);
+  p = get_call (s, c->parent_call);
+  sender = get_sender (s, r, p);
+  out = p != NULL ? &p->out : &r->out;
+  c->thresholds[c->level] = s->policy->admit->get_threshold (v->admit);
+  route_note_answer (&sender->pool, c->server + 1,
+                     v->running + s->policy->admit->get_length (v->admit),
+                     s->policy->limit->get (&v->limit, s->now_us), s->now_us);
+  note_thresholds (s, c, sender, p);
+  /* What the nested calls did not use; all of it if there were none.  */
+  budget_return (&out->budget, c->part,
+                 c->out.tries > 0 ? c->out.budget.left : c->part);
+  copy = *c;
+  table_remove (&s->calls, id);
+  if (copy.error != ERR_NONE)
+    retry_or_fail (s, copy.parent_call, copy.request, copy.error);
+  else if (copy.parent_call != 0)
+    end_nested (s, copy.parent_call, ERR_NONE);
+  else
+    end_attempt (s, copy.request, ERR_NONE);
+}
+
+static void
+time_out (struct sim *s, uint64_t id)
+{
+  struct call *c = get_call (s, id);
+  struct request *r;
+  struct sender *sender;
+  uint64_t parent, request;
+
+  if (c == NULL || c->orphan)
+    return;
+  parent = c->parent_call;
+  request = c->request;
+  r = table_get (&s->requests, request);
+  sender = get_sender (s, r, get_call (s, parent));
+  route_note_cancel (&sender->pool, c->server + 1);
+  if (s->policy->protects)
+    cancel_call (s, id);
+  else
+    c->orphan = true;
+  retry_or_fail (s, parent, request, ERR_DEADLINE_RUNNING);
+}
+
+/* Internal functions: clients */
+
+static void
+arrive_client (struct sim *s, uint32_t w)
+{
+  void *row;
+  uint64_t id = table_add (&s->requests, &row);
+  struct request *r = row;
+
+  r->workspace = w;
+  r->importance = draw_importance (s);
+  r->levels = g_rand_double (s->rand) < DEEP_SHARE ? LEVELS : SHALLOW_LEVELS;
+  r->window = (uint32_t)MIN (s->now_us / WINDOW_US, WINDOWS - 1);
+  r->trouble = is_trouble (s);
+  r->born_us = s->now_us;
+  s->result.cells[w][r->window].offered++;
+  s->result.offered_trouble += r->trouble;
+  s->result.top_offered += r->trouble && r->importance >= 7;
+  schedule (s, s->now_us, EVENT_ATTEMPT, id);
+  schedule (s,
+            s->now_us + (int64_t)draw_exponential (s, 1e6 / get_rate (s, w)),
+            EVENT_CLIENT, w);
+}
+
+static void
+begin_attempt (struct sim *s, uint64_t id)
+{
+  struct request *r = table_get (&s->requests, id);
+
+  r->attempts++;
+  r->front = (uint32_t)g_rand_int_range (s->rand, 0, FRONTS);
+  r->deadline_us = s->now_us + TIMEOUT_US;
+  r->out = (struct outgoing){ .level = 0 };
+  budget_init_pool (&r->out.budget, BUDGET_DEFAULT);
+  send_call (s, 0, id);
+}
+
+static void
+count_request (struct sim *s, const struct request *r, enum err_kind error)
+{
+  struct result *m = &s->result;
+  struct cell *cell = &m->cells[r->workspace][r->window];
+  int64_t ms = (s->now_us - r->born_us) / 1000;
+
+  if (error != ERR_NONE)
+    {
+      cell->rejected += error == ERR_OVERLOADED;
+      return;
+    }
+  cell->good++;
+  m->good_trouble += r->trouble;
+  m->top_good += r->trouble && r->importance >= 7;
+  m->window_good[MIN (s->now_us / WINDOW_US, WINDOWS - 1)]++;
+  m->latency[MIN (ms, LATENCIES - 1)]++;
+}
+
+/* The client retries each failure, also a rejection.  */
+static void
+end_attempt (struct sim *s, uint64_t id, enum err_kind error)
+{
+  struct request *r = table_get (&s->requests, id);
+
+  if (error != ERR_NONE && r->attempts < CLIENT_ATTEMPTS)
+    {
+      double wait_us
+          = BACKOFF_US * r->attempts * g_rand_double_range (s->rand, 0.5, 1.5);
+
+      schedule (s, s->now_us + (int64_t)wait_us, EVENT_ATTEMPT, id);
+      return;
+    }
+  count_request (s, r, error);
+  table_remove (&s->requests, id);
+}
+
+/* Internal functions: the run */
+
+static void
+tick (struct sim *s)
+{
+  const struct policy *p = s->policy;
+
+  for (uint32_t l = 0; l < LEVELS; l++)
+    for (uint32_t i = 0; i < SERVERS; i++)
+      {
+        struct server *v = &s->servers[l][i];
+
+        p->limit->tick (&v->limit, p->admit->get_length (v->admit), s->now_us);
+        p->admit->set_limit (v->admit, p->limit->get (&v->limit, s->now_us));
+        p->admit->tick (v->admit, s->now_us);
+        start_calls (s, v);
+      }
+  schedule (s, s->now_us + TICK_US, EVENT_TICK, 0);
+}
+
+static void
+init_servers (struct sim *s)
+{
+  const struct admit_settings admit = admit_get_defaults ();
+  const struct limit_settings limit = limit_get_defaults ();
+
+  for (uint32_t l = 0; l < LEVELS; l++)
+    for (uint32_t i = 0; i < SERVERS; i++)
+      {
+        struct server *v = &s->servers[l][i];
+
+        init_sender (s, &v->sender, 100 + l * SERVERS + i, l + 1);
+        v->admit = s->policy->admit->init (&admit);
+        s->policy->limit->init (&v->limit, &limit);
+        s->policy->limit->announce (
+            &v->limit, l == LEVELS - 1 ? DEEP_SLOTS : SLOTS, -WARM_US);
+      }
+  for (uint32_t f = 0; f < FRONTS; f++)
+    init_sender (s, &s->fronts[f], 200 + f, 0);
+}
+
+static void
+close_servers (struct sim *s)
+{
+  for (uint32_t l = 0; l < LEVELS; l++)
+    for (uint32_t i = 0; i < SERVERS; i++)
+      {
+        close_sender (&s->servers[l][i].sender);
+        s->policy->admit->close (s->servers[l][i].admit);
+      }
+  for (uint32_t f = 0; f < FRONTS; f++)
+    close_sender (&s->fronts[f]);
+}
+
+static void
+run_event (struct sim *s, const struct event *e)
+{
+  switch (e->kind)
+    {
+    case EVENT_CLIENT:
+      arrive_client (s, (uint32_t)e->id);
+      break;
+    case EVENT_ATTEMPT:
+      begin_attempt (s, e->id);
+      break;
+    case EVENT_ARRIVE:
+      arrive (s, e->id);
+      break;
+    case EVENT_PHASE:
+      end_phase (s, e->id);
+      break;
+    case EVENT_ANSWER:
+      receive_answer (s, e->id);
+      break;
+    case EVENT_TIMEOUT:
+      time_out (s, e->id);
+      break;
+    case EVENT_TICK:
+      tick (s);
+      break;
+    }
+}
+
+static struct result
+run (const struct policy *policy, const struct scenario *scenario,
+     uint32_t seed)
+{
+  struct sim *s = g_new0 (struct sim, 1);
+  struct result result;
+
+  s->policy = policy;
+  s->scenario = scenario;
+  s->rand = g_rand_new_with_seed (seed);
+  s->events = g_array_new (FALSE, FALSE, sizeof (struct event));
+  table_init (&s->requests, sizeof (struct request));
+  table_init (&s->calls, sizeof (struct call));
+  init_servers (s);
+  for (uint32_t w = 0; w < WORKSPACES; w++)
+    schedule (s, 0, EVENT_CLIENT, w);
+  schedule (s, 0, EVENT_TICK, 0);
+  while (s->now_us < RUN_US)
+    {
+      struct event e = take_event (s);
+
+      s->now_us = e.at_us;
+      run_event (s, &e);
+    }
+  result = s->result;
+  close_servers (s);
+  table_close (&s->requests);
+  table_close (&s->calls);
+  g_array_unref (s->events);
+  g_rand_free (s->rand);
+  g_free (s);
+  return result;
+}
+
+/* Internal functions: the measures */
+
+enum measure
+{
+  GOODPUT,  /* good requests a second, whole run */
+  RECOVERY, /* s until 95% of the earlier goodput, 50 if never */
+  WORST,    /* worst-served workspace: good share of what it is entitled to */
+  WRONGFUL, /* share of the entitled requests that were rejected */
+  SHARE,    /* good share of the requests that arrived during the trouble */
+  TOP,      /* the same for importance 7 and 9 */
+  P50,      /* latency of good requests, ms */
+  P99,
+  MEASURES
+};
+
+static const char *const measure_names[MEASURES]
+    = { "goodput/s",       "recovery s",      "worst workspace", "wrongful",
+        "good in trouble", "importance 7, 9", "p50 ms",          "p99 ms" };
+
+static const int measure_digits[MEASURES] = { 0, 1, 3, 4, 3, 3, 0, 0 };
+
+static double
+sum (const double *values, size_t from, size_t to)
+{
+  double total = 0;
+
+  for (size_t i = from; i < to; i++)
+    total += values[i];
+  return total;
+}
+
+static double
+get_recovery_s (const struct result *r, int64_t trouble_us)
+{
+  const size_t end = (WARM_US + trouble_us + WINDOW_US - 1) / WINDOW_US;
+  const size_t warm = WARM_US / WINDOW_US;
+  double steady = sum (r->window_good, FILL_WINDOWS, warm)
+                  / (double)(warm - FILL_WINDOWS);
+  uint32_t good = 0;
+
+  for (size_t i = end; i < WINDOWS; i++)
+    {
+      good = r->window_good[i] >= RECOVERED_SHARE * steady ? good + 1 : 0;
+      if (good == RECOVERED_WINDOWS)
+        return (double)(i + 1 - RECOVERED_WINDOWS - end) * WINDOW_US / 1e6;
+    }
+  return RUN_US / 1e6;
+}
+
+static double
+get_latency (const struct result *r, double share)
+{
+  double rest = share * sum (r->latency, 0, LATENCIES);
+  uint32_t ms = 0;
+
+  while (ms < LATENCIES - 1 && rest > r->latency[ms])
+    rest -= r->latency[ms++];
+  return ms;
+}
+
+/* A workspace is entitled to its steady rate, or to less if it asks for
+   less.  */
+static double
+get_entitled (const struct cell *c, uint32_t workspace)
+{
+  double rate = CAPACITY * STEADY_SHARE * shares[workspace];
+
+  return MIN (c->offered, rate * WINDOW_US / 1e6);
+}
+
+/* Worst service of a workspace during the trouble, and wrongful rejections in
+   the whole run.  */
+static void
+measure_workspaces (const struct result *r, int64_t trouble_us, double *m)
+{
+  const size_t from = WARM_US / WINDOW_US;
+  const size_t to = (WARM_US + trouble_us + WINDOW_US - 1) / WINDOW_US;
+  double entitled_all = 0, wrongful = 0;
+
+  m[WORST] = 1;
+  for (uint32_t w = 0; w < WORKSPACES; w++)
+    {
+      double entitled = 0, good = 0;
+
+      for (size_t i = 0; i < WINDOWS; i++)
+        {
+          const struct cell *c = &r->cells[w][i];
+          double due = get_entitled (c, w);
+
+          entitled_all += due;
+          wrongful += MIN (c->rejected, MAX (due - c->good, 0));
+          if (i < from || i >= to)
+            continue;
+          entitled += due;
+          good += MIN (c->good, due);
+        }
+      m[WORST] = MIN (m[WORST], good / entitled);
+    }
+  m[WRONGFUL] = wrongful / entitled_all;
+}
+
+static void
+measure (const struct result *r, int64_t trouble_us, double *m)
+{
+  measure_workspaces (r, trouble_us, m);
+  m[GOODPUT] = sum (r->window_good, 0, WINDOWS) * 1e6 / RUN_US;
+  m[RECOVERY] = get_recovery_s (r, trouble_us);
+  m[SHARE] = r->good_trouble / r->offered_trouble;
+  m[TOP] = r->top_good / r->top_offered;
+  m[P50] = get_latency (r, 0.5);
+  m[P99] = get_latency (r, 0.99);
+}
+
+static void
+print_runs (const struct policy *policy, const struct scenario *scenario,
+            uint32_t seed, uint32_t seeds)
+{
+  double all[MEASURES] = { 0 };
+  double low[MEASURES] = { 0 }, high[MEASURES] = { 0 };
+
+  for (uint32_t i = 0; i < seeds; i++)
+    {
+      struct result r = run (policy, scenario, seed + i);
+      double m[MEASURES];
+
+      measure (&r, scenario->trouble_us, m);
+      for (int k = 0; k < MEASURES; k++)
+        {
+          all[k] += m[k] / seeds;
+          low[k] = i == 0 ? m[k] : MIN (low[k], m[k]);
+          high[k] = i == 0 ? m[k] : MAX (high[k], m[k]);
+        }
+    }
+  printf ("| %s | %s |", scenario->name, policy->name);
+  for (int k = 0; k < MEASURES; k++)
+    printf (" %.*f (%.*f-%.*f) |", measure_digits[k], all[k],
+            measure_digits[k], low[k], measure_digits[k], high[k]);
+  putchar ('\n');
+  fflush (stdout);
+}
+
+static bool
+is_chosen (const char *chosen, const char *name)
+{
+  return chosen == NULL || strcmp (chosen, name) == 0;
+}
+
+int
+main (int argc, char **argv)
+{
+  gint seed = 1, seeds = 3;
+  gchar *scenario = NULL, *policy = NULL;
+  const GOptionEntry options[]
+      = { { "seed", 0, 0, G_OPTION_ARG_INT, &seed, "first seed", "N" },
+          { "seeds", 0, 0, G_OPTION_ARG_INT, &seeds, "number of seeds", "N" },
+          { "scenario", 0, 0, G_OPTION_ARG_STRING, &scenario, "only this one",
+            "NAME" },
+          { "policy", 0, 0, G_OPTION_ARG_STRING, &policy, "only this one",
+            "NAME" },
+          { NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL } };
+  const struct policy policies[]
+      = { { "priority", admit_find_ops (STR_LIT ("priority")),
+            limit_find_ops (STR_LIT ("adaptive")),
+            route_find_ops (STR_LIT ("least_loaded")), true },
+          { "naive", admit_find_ops (STR_LIT ("naive")),
+            limit_find_ops (STR_LIT ("fixed")),
+            route_find_ops (STR_LIT ("round_robin")), false } };
+  GOptionContext *context = g_option_context_new (NULL);
+  GError *error = NULL;
+
+  g_option_context_add_main_entries (context, options, NULL);
+  if (!g_option_context_parse (context, &argc, &argv, &error) || seeds < 1)
+    {
+      fprintf (stderr, "bench_overload: %s\n",
+               error != NULL ? error->message : "seeds must be at least 1");
+      return 2;
+    }
+  g_option_context_free (context);
+  printf ("| scenario | policy |");
+  for (int k = 0; k < MEASURES; k++)
+    printf (" %s |", measure_names[k]);
+  printf ("\n|---|---|---|---|---|---|---|---|---|---|\n");
+  for (size_t i = 0; i < G_N_ELEMENTS (scenarios); i++)
+    for (size_t k = 0; k < G_N_ELEMENTS (policies); k++)
+      if (is_chosen (scenario, scenarios[i].name)
+          && is_chosen (policy, policies[k].name))
+        print_runs (&policies[k], &scenarios[i], (uint32_t)seed,
+                    (uint32_t)seeds);
+  g_free (scenario);
+  g_free (policy);
+  return 0;
+}
