Measure the base of the limit before lowering it

Cause: with the last service 5 times as slow, its limit fell from 40 to 4 and stayed there: the base was measured just before the change and counted as fresh, and at 4 slots of 200 ms no probe of 250 ms got 10 requests. Ruled out: a long moving average as the base (forgets the base of a backend server that announces too many slots); counting the first requests that end in a probe (the short ones end first). Change: a probe before each series of decreases, repeated when the service time has changed, with a length in service times; no decrease while the limit is not in use; growth by 25%; a test that fails with the old code (limit 4 instead of 20). Conclusion: the limit keeps the slots of a slow service; requests that wait at it now fill the slots of the services above, which is next.

--- a/src/limit.c
+++ b/src/limit.c
@@ -10,9 +10,12 @@
 #define LIMIT_MIN 4u
 #define LIMIT_SLOW_START_US 5000000
 #define LIMIT_INTERVAL_US 200000
-/* An interval with fewer samples is extended; the mean of fewer exponential
-   service times is off by more than a third.  */
-#define LIMIT_SAMPLES_MIN 10u
+/* An interval or a probe with fewer samples is extended; the mean of so many
+   exponential service times is off by 22% (standard error).  */
+#define LIMIT_SAMPLES_MIN 20u
+/* The limit counts as in use when so much of it was.  Below that, concurrency
+   is not what makes requests slow.  */
+#define LIMIT_USED 0.8
 /* A service time up to this multiple of the base counts as no queueing.  */
 #define LIMIT_TOLERANCE 1.5
 /* Smallest factor of one decision.  */
@@ -24,10 +27,19 @@
 #define LIMIT_FAILURE_FACTOR 0.7
 /* The base is measured at this share of the limit.  */
 #define LIMIT_PROBE_SHARE 0.5
-/* A probe takes at most so long, and the base is trusted so long.  One probe
-   costs half of the slots for at most 5% of the time.  */
-#define LIMIT_PROBE_US 250000
+/* A probe counts the requests that end after it has run for this multiple of
+   the recent service time.  Earlier ones are the short ones among those that
+   started at low concurrency; their mean is too low.  */
+#define LIMIT_PROBE_SETTLE 2.0
+/* It ends without a result after this multiple.  */
+#define LIMIT_PROBE_MAX 10.0
+/* The result of a probe is trusted so long.  */
 #define LIMIT_BASE_TRUST_US 5000000
+/* A probe is out of date once the recent service time has become so much
+   longer: its base belongs to the time before that change.  */
+#define LIMIT_PROBE_CHANGE 1.25
+/* Growth of one decision while the limit is in use.  */
+#define LIMIT_GROWTH 1.25
 /* Weight of one request at low concurrency in the base.  */
 #define LIMIT_BASE_GAIN 0.05
 
@@ -101,6 +113,7 @@
       l->announced_us = now_us;
       l->value = slots;
       l->base_us = 0;
+      l->base_probed_us = 0;
       l->probe_until_us = 0;
       clear_interval (l, now_us);
     }
@@ -122,6 +135,8 @@
     return;
   if (l->probe_until_us != 0)
     {
+      if (now_us < l->probe_from_us)
+        return;
       l->probe_sum_us += own_us;
       l->probe_samples++;
       return;
@@ -129,7 +144,6 @@
   if (l->base_us == 0)
     l->base_us = own_us;
   l->base_us += LIMIT_BASE_GAIN * (own_us - l->base_us);
-  l->base_noted_us = now_us;
 }
 
 static void
@@ -150,11 +164,13 @@
 }
 
 static void
-begin_probe (struct limit *l, int64_t now_us)
+begin_probe (struct limit *l, double recent_us, int64_t now_us)
 {
   l->probe_sum_us = 0;
   l->probe_samples = 0;
-  l->probe_until_us = now_us + LIMIT_PROBE_US;
+  l->probe_recent_us = recent_us;
+  l->probe_from_us = now_us + (int64_t)(LIMIT_PROBE_SETTLE * recent_us);
+  l->probe_until_us = now_us + (int64_t)(LIMIT_PROBE_MAX * recent_us);
 }
 
 /* True while a probe runs.  A probe without enough samples leaves the base
@@ -169,13 +185,21 @@
   if (l->probe_samples >= LIMIT_SAMPLES_MIN)
     {
       l->base_us = l->probe_sum_us / l->probe_samples;
-      l->base_noted_us = now_us;
+      l->base_probed_us = now_us;
     }
   l->probe_until_us = 0;
   clear_interval (l, now_us);
   return false;
 }
 
+static bool
+is_base_trusted (const struct limit *l, double recent_us, int64_t now_us)
+{
+  return l->base_probed_us != 0
+         && now_us - l->base_probed_us <= LIMIT_BASE_TRUST_US
+         && recent_us <= LIMIT_PROBE_CHANGE * l->probe_recent_us;
+}
+
 static void
 decide (struct limit *l, int64_t now_us)
 {
@@ -188,15 +212,19 @@
       l->value *= LIMIT_FAILURE_FACTOR;
       return;
     }
+  /* More concurrency does not make requests faster.  */
+  if (recent_us < l->base_us)
+    l->base_us += LIMIT_GAIN * (recent_us - l->base_us);
+  if (l->in_flight_max < l->value * LIMIT_USED)
+    return;
   if (recent_us <= LIMIT_TOLERANCE * l->base_us || l->base_us == 0)
     {
-      if (l->in_flight_max + 1 >= l->value)
-        l->value += sqrt (l->value);
+      l->value = l->value * LIMIT_GROWTH + 1;
       return;
     }
-  if (now_us - l->base_noted_us > LIMIT_BASE_TRUST_US)
+  if (!is_base_trusted (l, recent_us, now_us))
     {
-      begin_probe (l, now_us);
+      begin_probe (l, recent_us, now_us);
       return;
     }
   gradient
--- a/src/limit.h
+++ b/src/limit.h
@@ -46,9 +46,11 @@
   int64_t announced_us;    /* time of the announcement */
   double value;            /* current limit before the ramp and a probe */
   double base_us;          /* own service time at low concurrency */
-  int64_t base_noted_us;   /* when base_us was measured last */
+  int64_t base_probed_us;  /* when a probe measured it last */
   double probe_sum_us;     /* own service times of a probe so far */
   uint32_t probe_samples;  /* their number */
+  double probe_recent_us;  /* own service time before the last probe */
+  int64_t probe_from_us;   /* samples of the probe count from here */
   int64_t probe_until_us;  /* end of a probe, 0 if none runs */
   double recent_sum_us;    /* own service times of this interval */
   uint32_t samples;        /* in this interval */
--- a/tests/test_limit.c
+++ b/tests/test_limit.c
@@ -18,6 +18,7 @@
   double knee;
   double slowness;
   int64_t nested_us;
+  uint32_t load; /* requests offered at once; 0: as many as the limit */
 };
 
 static const struct limit_ops *
@@ -32,14 +33,15 @@
   return limit_find_ops (STR_LIT ("fixed"));
 }
 
-/* Keeps the limit in use during [from_us, to_us).  */
+/* Offers requests during [from_us, to_us).  */
 static void
 run (const struct limit_ops *ops, struct limit *l, struct backend b,
      GRand *rand, int64_t from_us, int64_t to_us)
 {
   for (int64_t now_us = from_us; now_us < to_us; now_us += TICK_US)
     {
-      uint32_t n = ops->get (l, now_us);
+      uint32_t limit = ops->get (l, now_us);
+      uint32_t n = b.load > 0 ? MIN (limit, b.load) : limit;
       double mean_us = b.slowness * BASE_US * MAX (1, n / b.knee);
       int done = (int)(n * TICK_US / (mean_us + (double)b.nested_us));
 
@@ -101,6 +103,25 @@
 }
 END_TEST
 
+/* Guards against a limit that falls to its minimum when few slots become slow,
+   and stays there because too few requests end to measure the base again.  */
+START_TEST (few_slow_slots_are_kept)
+{
+  const struct backend healthy = { .knee = 20, .slowness = 1, .load = 8 };
+  const struct backend slow = { .knee = 20, .slowness = 10 };
+  struct limit_settings settings = limit_get_defaults ();
+  GRand *rand = g_rand_new_with_seed (SEED);
+  struct limit l;
+
+  adaptive ()->init (&l, &settings);
+  adaptive ()->announce (&l, 20, 0);
+  run (adaptive (), &l, healthy, rand, 0, RUN_US / 4);
+  run (adaptive (), &l, slow, rand, RUN_US / 4, RUN_US / 2);
+  ck_assert_uint_eq (adaptive ()->get (&l, RUN_US / 2), 20);
+  g_rand_free (rand);
+}
+END_TEST
+
 /* Guards against more requests than the announced slots.  */
 START_TEST (never_above_the_slots)
 {
@@ -162,10 +183,12 @@
 int
 main (void)
 {
-  const TTest *const cases[]
-      = { backend_that_queues_gets_a_lower_limit, slow_backend_keeps_its_slots,
-          never_above_the_slots, slow_start_after_an_announcement,
-          refusals_lower_the_limit };
+  const TTest *const cases[] = { backend_that_queues_gets_a_lower_limit,
+                                 slow_backend_keeps_its_slots,
+                                 few_slow_slots_are_kept,
+                                 never_above_the_slots,
+                                 slow_start_after_an_announcement,
+                                 refusals_lower_the_limit };
 
   return suite_run ("limit", cases, G_N_ELEMENTS (cases));
 }
