--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets: all, check, demo, bench, fuzz, format, format-check, lint, packages,
-# clean.  SANITIZE=address,undefined or SANITIZE=thread builds into its own
+# reference, clean.  SANITIZE=address,undefined or SANITIZE=thread builds into its own
 # folder.
 
 CC ?= cc
@@ -32,7 +32,8 @@
 TEST_BIN := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c))
 FORMAT_SRC := $(wildcard src/*.[ch] tests/*.[ch] standins/*.[ch] bench/*.[ch])
 
-.PHONY: all check unit packages demo bench fuzz format format-check lint clean
+.PHONY: all check unit packages demo bench fuzz format format-check lint \
+        reference clean
 .SECONDARY:
 
 all: $(BUILD)/libalmondvale.a $(PROGRAM_BIN) $(STANDIN_BIN) $(BENCH_BIN)
@@ -84,6 +85,10 @@
 	printf '%s\n' $(wildcard src/*.c standins/*.c bench/*.c) \
 	  | xargs -P $$(nproc) -I{} clang-tidy --quiet {} -- -std=gnu11 $(CPPFLAGS_BASE)
 
+# Writes the generated tables of docs/operations.md again.
+reference: $(BUILD)/reference
+	tools/write-reference $(BUILD)/reference docs/operations.md
+
 clean:
 	rm -rf build build-*
 
--- a/bench/load.c
+++ b/bench/load.c
@@ -148,6 +148,7 @@
   char *key_header;
   char *key_prefix;
   bool check_tag;
+  bool tag_query; /* send the tag in the query as well */
   struct table stats;
   struct table workspaces;
   struct table targets;
@@ -337,6 +338,7 @@
   l->key_header = g_strdup (get_string (o, "key_header", "Authorization"));
   l->key_prefix = g_strdup (get_string (o, "key_prefix", "Bearer "));
   l->check_tag = get_bool (o, "check_tag", true);
+  l->tag_query = get_bool (o, "tag_query", true);
   if (json_object_has_member (o, "retries"))
     {
       JsonObject *r = json_object_get_object_member (o, "retries");
@@ -448,14 +450,19 @@
               0x8000 | ((a >> 12) & 0x3fff), b & 0xffff, c);
 }
 
+/* The tag travels in the query as well, since a daemon forwards only the
+   headers of its list.  */
 static char *
-make_path (struct load *l, const struct route *r)
+make_path (struct load *l, const struct route *r, const char *tag)
 {
   char **parts = g_strsplit (r->path, "{n}", -1);
   char *number
       = g_strdup_printf ("%d", g_rand_int_range (l->rand, 0, PATH_NUMBERS));
-  char *path = g_strjoinv (number, parts);
+  char *plain = g_strjoinv (number, parts);
+  char *path = l->tag_query ? g_strconcat (plain, "?tag=", tag, NULL)
+                            : g_strdup (plain);
 
+  g_free (plain);
   g_free (number);
   g_strfreev (parts);
   return path;
@@ -475,9 +482,9 @@
   r->phase = p;
   r->arrived_us = r->send_us = at_us;
   r->within = take_token (w, at_us);
-  r->path = make_path (l, r->route);
   g_snprintf (r->tag, sizeof r->tag, "%s-%u-%" PRIu64,
               r->route->idempotent ? "i" : "n", l->seed, l->next_tag++);
+  r->path = make_path (l, r->route, r->tag);
   if (r->route->idempotency_key)
     format_uuid (l, r->idempotency_key, sizeof r->idempotency_key);
   get_interval (l, at_us)->arrived++;
--- a/src/settings.c
+++ b/src/settings.c
@@ -3,6 +3,7 @@
 #include "settings.h"
 
 #include "err.h"
+#include "jsonscan.h"
 
 #include <arpa/inet.h>
 #include <json-glib/json-glib.h>
@@ -13,9 +14,6 @@
 #define NAME_MAX_BYTES 64
 #define FILE_NAME_MAX_BYTES 4096
 #define PORT_MAX 65535
-/* Deepest nesting of a valid file is 3.  json-glib recurses once for each
-   level without a bound, so the depth is checked before it parses.  */
-#define NESTING_MAX 16
 /* Longest part of a faulty value that is repeated in the error line.  */
 #define FOUND_MAX_BYTES 60
 #define KIB INT64_C (1024)
@@ -101,9 +99,9 @@
   { "trace.queue", TYPE_INTEGER, 16, 64 * KIB, NULL, "2048", AT (trace.queue), "Most spans that wait for export. Further spans are dropped and counted." },
   { "trace.sample_ratio", TYPE_RATIO, 0, 1, NULL, "0.01", AT (trace.sample_ratio), "Share of the traces begun by this daemon that are recorded." },
   { "policy.admit", TYPE_CHOICE, 0, 0, "priority, naive", "\"priority\"", AT (policy.admit), "Admission in front of the backend server." },
-  { "policy.limit", TYPE_CHOICE, 0, 0, "adaptive, naive", "\"adaptive\"", AT (policy.limit), "Concurrency limit of the backend server." },
-  { "policy.route", TYPE_CHOICE, 0, 0, "least_loaded, naive", "\"least_loaded\"", AT (policy.route), "Choice of the endpoint for a request." },
-  { "policy.retry", TYPE_CHOICE, 0, 0, "budget, naive", "\"budget\"", AT (policy.retry), "Bound on retries." },
+  { "policy.limit", TYPE_CHOICE, 0, 0, "adaptive, fixed", "\"adaptive\"", AT (policy.limit), "Concurrency limit of the backend server." },
+  { "policy.route", TYPE_CHOICE, 0, 0, "least_loaded, round_robin", "\"least_loaded\"", AT (policy.route), "Choice of the endpoint for a request." },
+  { "policy.retry", TYPE_CHOICE, 0, 0, "budget, per_hop", "\"budget\"", AT (policy.retry), "Bound on retries." },
   { "limits.headers_bytes", TYPE_INTEGER, KIB, 256 * KIB, NULL, "32768", AT (limits.headers_bytes), "Largest size of the headers of a request." },
   { "limits.body_bytes", TYPE_INTEGER, 0, 8 * MIB, NULL, "8388608", AT (limits.body_bytes), "Largest body of a request." },
   { "limits.answer_bytes", TYPE_INTEGER, KIB, 8 * MIB, NULL, "8388608", AT (limits.answer_bytes), "Largest body of an answer of the backend server." },
@@ -679,35 +677,10 @@
   return true;
 }
 
-/* True if no bracket outside a string is nested deeper than NESTING_MAX.  */
-static bool
-has_bounded_nesting (struct str text)
-{
-  size_t depth = 0;
-  bool quoted = false;
-
-  for (size_t i = 0; i < text.len; i++)
-    {
-      char c = text.data[i];
-
-      if (quoted && c == '\\')
-        i++;
-      else if (c == '"')
-        quoted = !quoted;
-      else if (!quoted && (c == '{' || c == '['))
-        depth++;
-      else if (!quoted && (c == '}' || c == ']') && depth > 0)
-        depth--;
-      if (depth > NESTING_MAX)
-        return false;
-    }
-  return true;
-}
-
 static bool
 load_root (struct load *l, JsonNode *root)
 {
-  if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root))
+  if (!JSON_NODE_HOLDS_OBJECT (root))
     return fail (l, STR_EMPTY, STR_LIT ("no object"),
                  STR_LIT ("one JSON object"));
   load_defaults (l->settings);
@@ -718,24 +691,23 @@
 static bool
 parse_text (struct load *l, struct str text)
 {
-  JsonParser *parser;
   GError *cause = NULL;
+  JsonNode *root;
   bool ok;
 
   if (text.len > SETTINGS_FILE_MAX_BYTES)
     return fail (l, STR_EMPTY, STR_LIT ("a larger file"),
                  STR_LIT ("at most 256 KiB"));
-  if (!has_bounded_nesting (text))
-    return fail (l, STR_EMPTY, STR_LIT ("deeper nesting"),
-                 STR_LIT ("at most 16 levels"));
-  parser = json_parser_new ();
-  if (json_parser_load_from_data (parser, text.data, (gssize)text.len, &cause))
-    ok = load_root (l, json_parser_get_root (parser));
-  else
-    ok = fail (l, STR_EMPTY, str_from_cstr (cause->message),
-               STR_LIT ("one JSON object"));
-  g_clear_error (&cause);
-  g_object_unref (parser);
+  root = jsonscan_parse (text, &cause);
+  if (root == NULL)
+    {
+      ok = fail (l, STR_EMPTY, str_from_cstr (cause->message),
+                 STR_LIT ("one JSON object"));
+      g_error_free (cause);
+      return ok;
+    }
+  ok = load_root (l, root);
+  json_node_unref (root);
   return ok;
 }
 
--- a/standins/backend.c
+++ b/standins/backend.c
@@ -771,14 +771,30 @@
     headers[(*len)++] = (struct httpc_header){ str_from_cstr (name), value };
 }
 
+/* The tag travels in the query as well, since a daemon forwards only the
+   headers of its list.  */
+static void
+append_target (struct str_buf *out, const struct call_plan *plan,
+               struct str tag)
+{
+  struct str target = str_from_cstr (plan->target);
+
+  str_append (out, target);
+  if (tag.len == 0)
+    return;
+  str_append_char (out, str_contains (target, STR_LIT ("?")) ? '&' : '?');
+  str_append (out, STR_LIT ("tag="));
+  str_append (out, tag);
+}
+
 static void
 send_call (struct request *r, const struct call_plan *plan)
 {
+  struct str_buf target = { 0 };
   struct backend *b = r->backend;
   struct httpc_header headers[3];
   struct httpc_request request
       = { .method = plan->method,
-          .target = str_from_cstr (plan->target),
           .headers = headers,
           .body = STR_EMPTY,
           .timeout_us = (int64_t)b->options.call_timeout_ms * CLOCK_US_PER_MS,
@@ -790,8 +806,11 @@
   add_header (headers, &request.headers_len, TAG_HEADER, r->tag);
   add_header (headers, &request.headers_len, TRACE_HEADER, r->traceparent);
   *c = (struct call){ id, r->id, b, NULL };
+  append_target (&target, plan, r->tag);
+  request.target = str_view (&target);
   request.data = c;
   c->exchange = httpc_send (b->local, &request);
+  str_reset (&target);
   if (c->exchange != NULL)
     {
       r->calls_running++;
--- /dev/null
+++ b/tests/test_hdr.c
@@ -0,0 +1,85 @@
+/* Tests of the load driver's histogram against a sorted array.  */
+
+#include "../bench/hdr.h"
+
+#include <check.h>
+#include <glib.h>
+#include <stdlib.h>
+
+#define SEED 20261207
+#define VALUES 20000
+
+static int
+compare (gconstpointer a, gconstpointer b)
+{
+  int64_t x = *(const int64_t *)a, y = *(const int64_t *)b;
+
+  return (x > y) - (x < y);
+}
+
+/* Guards against percentiles that are below the true value or more than 1/128
+   above it, over seven decimal orders.  */
+START_TEST (quantiles_are_close)
+{
+  static const double shares[] = { 0.001, 0.5, 0.9, 0.99, 0.999, 1 };
+  static struct hdr h;
+  GRand *rand = g_rand_new_with_seed (SEED);
+  GArray *values = g_array_new (FALSE, FALSE, sizeof (int64_t));
+
+  for (int i = 0; i < VALUES; i++)
+    {
+      int bits = g_rand_int_range (rand, 1, 31);
+      int64_t value = g_rand_int_range (rand, 0, (gint32)(1u << bits) - 1);
+
+      hdr_add (&h, value);
+      g_array_append_val (values, value);
+    }
+  g_array_sort (values, compare);
+  for (size_t i = 0; i < G_N_ELEMENTS (shares); i++)
+    {
+      guint rank = MAX ((guint)(shares[i] * VALUES), 1);
+      int64_t want = g_array_index (values, int64_t, rank - 1);
+      int64_t got = hdr_get_quantile (&h, shares[i]);
+
+      ck_assert_int_ge (got, want);
+      ck_assert_int_le (got, want + want / 128 + 1);
+    }
+  g_array_unref (values);
+  g_rand_free (rand);
+}
+END_TEST
+
+/* Guards against buckets that overlap, and values outside all buckets.  */
+START_TEST (bounds_are_inverse_of_buckets)
+{
+  static struct hdr h;
+
+  for (uint32_t i = 0; i + 1 < HDR_BUCKETS; i++)
+    {
+      ck_assert_uint_eq (hdr_find_bucket (hdr_get_bound (i)), i);
+      ck_assert_uint_eq (hdr_find_bucket (hdr_get_bound (i) + 1), i + 1);
+    }
+  ck_assert_int_eq (hdr_get_quantile (&h, 0.5), 0);
+  hdr_add (&h, -1);
+  hdr_add (&h, INT64_MAX);
+  ck_assert_int_eq (hdr_get_quantile (&h, 0.5), 0);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("hdr");
+  TCase *tc = tcase_create ("hdr");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_test (tc, quantiles_are_close);
+  tcase_add_test (tc, bounds_are_inverse_of_buckets);
+  suite_add_tcase (suite, tc);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
