--- a/src/intake.c
+++ b/src/intake.c
@@ -35,13 +35,11 @@
 find_route (struct front_call *call, enum front_source source)
 {
   const struct httpd_exchange *x = call->exchange;
-  bool path_known = false;
+  enum err_kind error = snapshot_find_route (call->snapshot->config, x->method,
+                                             x->target, &call->route);
 
-  call->route
-      = inventory_match_route (&call->snapshot->config->inventory, x->target,
-                               inventory_find_method (x->method), &path_known);
-  if (call->route == NULL)
-    return path_known ? ERR_METHOD_NOT_ALLOWED : ERR_ROUTE_UNKNOWN;
+  if (error != ERR_NONE)
+    return error;
   if (call->route->internal && source == FRONT_CALLER)
     return ERR_ROUTE_UNKNOWN;
   return ERR_NONE;
--- a/src/snapshot.c
+++ b/src/snapshot.c
@@ -28,6 +28,7 @@
   struct snapshot_config *c = (struct snapshot_config *)ref;
 
   g_hash_table_unref (c->keys);
+  route_close_map (&c->routes);
   inventory_close (&c->inventory);
   g_free (c);
 }
@@ -82,6 +83,18 @@
     }
 }
 
+static void
+index_routes (struct snapshot_config *c)
+{
+  const struct table *routes = &c->inventory.tables[INVENTORY_ROUTE];
+  struct inventory_route *route;
+
+  route_init_map (&c->routes);
+  for (uint64_t id = table_next (routes, 0, (void **)&route); id != 0;
+       id = table_next (routes, id, (void **)&route))
+    route_add (&c->routes, route->path_prefix, route->methods, id);
+}
+
 static bool
 find_key (void *owner, const uint8_t digest[AUTH_DIGEST_BYTES],
           struct auth_grant *grant)
@@ -114,6 +127,7 @@
   inventory_copy (&c->inventory, inventory);
   c->keys = g_hash_table_new_full (hash_digest, equal_digest, g_free, NULL);
   index_keys (c);
+  index_routes (c);
   return c;
 }
 
@@ -193,6 +207,35 @@
     ref_put (&s->ref);
 }
 
+/**
+ * snapshot_find_route - finds the route of a request
+ * @c: configuration
+ * @method: HTTP method
+ * @path: path as received; the query is ignored
+ * @route: receives the route
+ *
+ * Return: %ERR_NONE if @route was set.
+ */
+enum err_kind
+snapshot_find_route (const struct snapshot_config *c, struct str method,
+                     struct str path, const struct inventory_route **route)
+{
+  uint64_t id;
+
+  switch (route_find (&c->routes, method, path, &id))
+    {
+    case ROUTE_MATCHED:
+      *route = table_get (&c->inventory.tables[INVENTORY_ROUTE], id);
+      return ERR_NONE;
+    case ROUTE_NO_PATH:
+      return ERR_ROUTE_UNKNOWN;
+    case ROUTE_NO_METHOD:
+      return ERR_METHOD_NOT_ALLOWED;
+    default:
+      return ERR_BAD_REQUEST;
+    }
+}
+
 struct auth_lookup
 snapshot_get_key_lookup (struct snapshot *s)
 {
--- a/src/snapshot.h
+++ b/src/snapshot.h
@@ -10,6 +10,7 @@
 #include "auth.h"
 #include "inventory.h"
 #include "ref.h"
+#include "route.h"
 #include "str.h"
 
 #include <glib.h>
@@ -24,7 +25,8 @@
 {
   struct ref ref;
   struct inventory inventory;
-  GHashTable *keys; /* SHA-256 digest -> struct inventory_key */
+  GHashTable *keys;        /* SHA-256 digest -> struct inventory_key */
+  struct route_map routes; /* to row ids of the inventory's routes */
 };
 
 /* A serving daemon whose backend server takes requests.  */
@@ -73,6 +75,10 @@
 struct snapshot *snapshot_get (struct snapshot_board *b);
 /* lets go of a reference; NULL is ignored */
 void snapshot_put (struct snapshot *s);
+/* route of a request; BAD_REQUEST, ROUTE_UNKNOWN or METHOD_NOT_ALLOWED */
+enum err_kind snapshot_find_route (const struct snapshot_config *c,
+                                   struct str method, struct str path,
+                                   const struct inventory_route **route);
 /* look-up of keys for auth_check */
 struct auth_lookup snapshot_get_key_lookup (struct snapshot *s);
 
