Add shard leases with epochs, candidates and promises

Ruled out: a promise by a restarted candidate on behalf of its earlier run (that run's takeover write may still be in flight); a promise after reading the old version back (the write may still take effect); counting promises while an unresolved renewal would change the candidates.

Change: one row a shard, at most one platform operation at a time, events in and action rows out. A released object lets a candidate take over without the term; a holder's ask makes the candidate read the object, so bystanders need not poll.

Conclusion: state machine complete; membership and discovery of the holder by other daemons are the caller's.

--- /dev/null
+++ b/src/lease.c
@@ -0,0 +1,717 @@
+/* lease: shard leases with epochs, named candidates and promises.  */
+
+#include "lease.h"
+
+#include "str.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* Constants */
+
+#define US_PER_MS 1000
+/* The second candidate gives the first one this part of a term.  */
+#define SECOND_CANDIDATE_DIVISOR 6
+#define POLL_DIVISOR 3
+/* Reads by the preferred daemon of a shard that others hold.  */
+#define BYSTANDER_POLL_DIVISOR 60
+
+/* Internal functions: times and roles */
+
+static bool
+rule_on (const struct lease_table *t, enum lease_rule rule)
+{
+  return (t->settings.test_rules_off & (uint32_t)rule) == 0;
+}
+
+static int64_t
+from_ms (uint32_t ms)
+{
+  return (int64_t)ms * US_PER_MS;
+}
+
+static int64_t
+add_drift (int64_t span_us)
+{
+  return span_us + span_us / LEASE_DRIFT_DIVISOR;
+}
+
+static bool
+is_holder (const struct lease_table *t, const struct lease_shard *s)
+{
+  return s->version != 0 && !s->object.released
+         && lease_equal_owner (s->object.holder, t->self);
+}
+
+/* Index of this daemon among the candidates, or -1.  */
+static int
+find_candidate (const struct lease_table *t, const struct lease_shard *s)
+{
+  if (s->version == 0)
+    return -1;
+  for (uint32_t i = 0; i < LEASE_CANDIDATES; i++)
+    {
+      struct lease_owner c = s->object.candidates[i];
+
+      if (lease_equal_owner (c, t->self)
+          || (!rule_on (t, LEASE_RULE_INCARNATION) && c.id == t->self.id))
+        return (int)i;
+    }
+  return -1;
+}
+
+static int64_t
+lease_end (const struct lease_shard *s)
+{
+  if (s->lease_from_us == LEASE_NO_TIME)
+    return LEASE_NO_TIME;
+  return s->lease_from_us + from_ms (s->object.term_ms);
+}
+
+/* End of the time that the promises of all named candidates cover.  Without
+   candidates nobody may take over before the abandon limit.  */
+static int64_t
+promises_end (const struct lease_shard *s)
+{
+  int64_t end = INT64_MAX;
+
+  if (s->unresolved_candidates)
+    return LEASE_NO_TIME;
+  for (uint32_t i = 0; i < LEASE_CANDIDATES; i++)
+    if (s->object.candidates[i].id != 0)
+      end = MIN (end, s->promise_until_us[i]);
+  return end;
+}
+
+static int64_t
+hold_end (const struct lease_table *t, const struct lease_shard *s)
+{
+  const struct lease_settings *set = &t->settings;
+  int64_t abandon = from_ms (set->abandon_ms);
+  int64_t margin = from_ms (set->abandon_margin_ms);
+  int64_t end;
+
+  if (s->lease_from_us == LEASE_NO_TIME)
+    return LEASE_NO_TIME;
+  end = MAX (lease_end (s), promises_end (s));
+  return MIN (end, s->lease_from_us + abandon - margin);
+}
+
+/* Grants of the previous holder may be valid until then.  */
+static int64_t
+succession_end (const struct lease_table *t, const struct lease_shard *s)
+{
+  int64_t wait = from_ms (t->settings.round_trip_ms)
+                 + add_drift (from_ms (t->settings.validity_ms));
+
+  if (s->won_us == LEASE_NO_TIME || !rule_on (t, LEASE_RULE_WAIT))
+    return LEASE_NO_TIME;
+  return s->won_us + wait;
+}
+
+static bool
+is_taking_over (const struct lease_shard *s)
+{
+  bool writing = s->op == LEASE_WRITING && s->writing.epoch != s->object.epoch;
+
+  return writing || (s->unresolved && s->unresolved_takeover);
+}
+
+static enum lease_state
+get_state (const struct lease_table *t, const struct lease_shard *s,
+           int64_t now_us)
+{
+  if (is_holder (t, s))
+    {
+      if (now_us >= hold_end (t, s))
+        return LEASE_SUSPENDED;
+      if (now_us < succession_end (t, s))
+        return LEASE_SUCCEEDING;
+      return now_us < lease_end (s) ? LEASE_HOLDING : LEASE_CONTINUING;
+    }
+  if (is_taking_over (s))
+    return LEASE_TAKING_OVER;
+  if (now_us < s->promised_until_us)
+    return LEASE_PROMISED;
+  return find_candidate (t, s) >= 0 ? LEASE_CANDIDATE : LEASE_BYSTANDER;
+}
+
+/* Time from which this daemon may send a takeover write, or INT64_MAX.  */
+static int64_t
+takeover_time (const struct lease_table *t, const struct lease_shard *s)
+{
+  int candidate = find_candidate (t, s);
+  int64_t term = from_ms (s->object.term_ms);
+  int64_t abandon = from_ms (t->settings.abandon_ms);
+  int64_t due = INT64_MAX;
+
+  if (is_holder (t, s) || t->leaving)
+    return INT64_MAX;
+  if (s->version == 0)
+    due = s->absent && s->preferred ? s->seen_us : INT64_MAX;
+  else if (candidate >= 0 && s->object.released)
+    due = s->seen_us + candidate * (term / SECOND_CANDIDATE_DIVISOR);
+  else if (candidate >= 0)
+    due = s->seen_us + add_drift (term)
+          + candidate * (term / SECOND_CANDIDATE_DIVISOR);
+  else if (s->preferred)
+    due = s->seen_us + add_drift (abandon);
+  if (rule_on (t, LEASE_RULE_PROMISE))
+    due = MAX (due, s->promised_until_us);
+  return due;
+}
+
+/* Internal functions: actions */
+
+static struct lease_action *
+add_action (struct lease_table *t, const struct lease_shard *s,
+            enum lease_action_kind kind)
+{
+  void *row;
+  struct lease_action *a;
+
+  table_add (&t->actions, &row);
+  a = row;
+  a->kind = kind;
+  a->shard = s->shard;
+  a->epoch = s->object.epoch;
+  return a;
+}
+
+static struct lease_action *
+begin_operation (struct lease_table *t, struct lease_shard *s,
+                 enum lease_operation op, int64_t now_us)
+{
+  struct lease_action *a
+      = add_action (t, s, op == LEASE_READING ? LEASE_READ : LEASE_WRITE);
+
+  s->op = op;
+  s->op_sent_us = now_us;
+  s->op_request = ++t->last_request;
+  a->request = s->op_request;
+  a->version = s->version;
+  return a;
+}
+
+static void
+begin_read (struct lease_table *t, struct lease_shard *s, int64_t now_us)
+{
+  s->read_wanted = false;
+  begin_operation (t, s, LEASE_READING, now_us);
+}
+
+static void
+begin_write (struct lease_table *t, struct lease_shard *s, int64_t now_us)
+{
+  struct lease_object object = s->object;
+  bool renewal = is_holder (t, s);
+
+  if (!renewal)
+    object = (struct lease_object){ .holder = t->self,
+                                    .epoch = s->object.epoch + 1 };
+  object.term_ms = t->settings.term_ms;
+  object.released = renewal && t->leaving;
+  if (!object.released)
+    memcpy (object.candidates, s->wanted, sizeof object.candidates);
+  s->writing = object;
+  begin_operation (t, s, LEASE_WRITING, now_us)->object = object;
+}
+
+/* Makes the row agree with what the daemon may do now.  Called before any
+   other decision of a tick or an event.  */
+static void
+update_granting (struct lease_table *t, struct lease_shard *s, int64_t now_us)
+{
+  bool granting;
+
+  s->state = get_state (t, s, now_us);
+  granting = !t->leaving
+             && (s->state == LEASE_HOLDING || s->state == LEASE_CONTINUING);
+  if (granting == s->granting)
+    return;
+  s->granting = granting;
+  add_action (t, s, granting ? LEASE_START : LEASE_STOP);
+}
+
+/* Internal functions: events */
+
+static void
+clear_unresolved (struct lease_shard *s)
+{
+  s->unresolved = false;
+  s->unresolved_candidates = false;
+  s->unresolved_takeover = false;
+}
+
+/* Takes over a version that the row did not know.  A write conditional on an
+   older version can no longer take effect.  sent_us is when the write that
+   made the version was decided, if it was this daemon's.  */
+static void
+adopt (struct lease_table *t, struct lease_shard *s, uint64_t version,
+       const struct lease_object *object, int64_t sent_us, int64_t now_us)
+{
+  bool new_epoch = object->epoch != s->object.epoch || s->version == 0;
+
+  for (uint32_t i = 0; i < LEASE_CANDIDATES; i++)
+    if (new_epoch
+        || !lease_equal_owner (object->candidates[i], s->object.candidates[i]))
+      {
+        s->promise_until_us[i] = LEASE_NO_TIME;
+        s->asked_us[i] = LEASE_NO_TIME;
+        s->asked_number[i] = 0;
+      }
+  s->version = version;
+  s->object = *object;
+  s->absent = false;
+  s->seen_us = now_us;
+  s->lease_from_us = LEASE_NO_TIME;
+  if (is_holder (t, s))
+    {
+      s->lease_from_us
+          = rule_on (t, LEASE_RULE_MEASURE_SENT) ? sent_us : now_us;
+      if (new_epoch)
+        s->won_us = sent_us != LEASE_NO_TIME ? sent_us : now_us;
+    }
+  clear_unresolved (s);
+}
+
+static void
+end_operation (struct lease_shard *s, bool reachable, int64_t next_us)
+{
+  s->op = LEASE_NO_OPERATION;
+  s->unreachable = !reachable;
+  s->next_op_us = next_us;
+}
+
+static int64_t
+next_poll (const struct lease_table *t, const struct lease_shard *s,
+           int64_t now_us)
+{
+  int64_t term = from_ms (t->settings.term_ms);
+  int64_t abandon = from_ms (t->settings.abandon_ms);
+
+  if (is_holder (t, s) || find_candidate (t, s) >= 0 || s->version == 0)
+    return now_us + term / POLL_DIVISOR;
+  return now_us + abandon / BYSTANDER_POLL_DIVISOR;
+}
+
+static void
+apply_read (struct lease_table *t, struct lease_shard *s,
+            const struct lease_event *e, int64_t now_us)
+{
+  s->read_first = false;
+  if (e->version != s->version)
+    adopt (t, s, e->version, &e->object,
+           s->unresolved ? s->unresolved_sent_us : LEASE_NO_TIME, now_us);
+  /* A holder that read writes next; the others poll.  */
+  end_operation (s, true,
+                 is_holder (t, s) ? now_us : next_poll (t, s, now_us));
+}
+
+static void
+apply_absent (struct lease_table *t, struct lease_shard *s, int64_t now_us)
+{
+  s->read_first = false;
+  if (!s->absent)
+    s->seen_us = now_us;
+  s->absent = s->version == 0;
+  end_operation (s, true, next_poll (t, s, now_us));
+}
+
+/* A holder that reaches the platform asks too, though less often: an ask makes
+   the other daemon read the object, which is how it learns that it was named
+   as candidate or that the shard was released.  */
+static void
+ask_promises (struct lease_table *t, struct lease_shard *s, int64_t now_us)
+{
+  int64_t interval = s->unreachable
+                         ? from_ms (t->settings.ask_ms)
+                         : from_ms (s->object.term_ms) / POLL_DIVISOR;
+
+  for (uint32_t i = 0; i < LEASE_CANDIDATES; i++)
+    {
+      struct lease_action *a;
+
+      if (s->object.candidates[i].id == 0
+          || (s->asked_us[i] != LEASE_NO_TIME
+              && now_us < s->asked_us[i] + interval))
+        continue;
+      a = add_action (t, s, LEASE_ASK_PROMISE);
+      a->peer = s->object.candidates[i];
+      a->request = ++t->last_request;
+      s->asked_us[i] = now_us;
+      s->asked_number[i] = a->request;
+    }
+}
+
+static void
+apply_written (struct lease_table *t, struct lease_shard *s,
+               const struct lease_event *e, int64_t now_us)
+{
+  adopt (t, s, e->version, &s->writing, s->op_sent_us, now_us);
+  end_operation (s, true,
+                 s->op_sent_us + from_ms (s->object.term_ms) / POLL_DIVISOR);
+  if (!s->object.released)
+    return;
+  for (uint32_t i = 0; i < LEASE_CANDIDATES; i++)
+    s->asked_us[i] = LEASE_NO_TIME;
+  ask_promises (t, s, now_us);
+}
+
+static void
+apply_unknown (struct lease_table *t, struct lease_shard *s, int64_t now_us)
+{
+  if (!s->unresolved)
+    s->unresolved_sent_us = s->op_sent_us;
+  s->unresolved = true;
+  s->unresolved_takeover
+      = s->unresolved_takeover || s->writing.epoch != s->object.epoch;
+  s->unresolved_candidates
+      = s->unresolved_candidates
+        || memcmp (s->writing.candidates, s->object.candidates,
+                   sizeof s->writing.candidates)
+               != 0;
+  s->read_first = true;
+  end_operation (s, false, now_us + from_ms (t->settings.retry_ms));
+}
+
+/* A candidate that reaches the platform refuses, so that a holder that alone
+   is cut off is replaced.  One with an unresolved takeover write refuses,
+   since the write may still take effect.  */
+static bool
+may_promise (const struct lease_table *t, const struct lease_shard *s,
+             uint64_t epoch)
+{
+  if (t->leaving || is_holder (t, s) || !s->unreachable
+      || epoch < s->object.epoch)
+    return false;
+  return !is_taking_over (s) || !rule_on (t, LEASE_RULE_UNKNOWN);
+}
+
+static void
+answer_promise (struct lease_table *t, struct lease_shard *s,
+                const struct lease_event *e, int64_t now_us)
+{
+  int64_t span = from_ms (t->settings.promise_ms);
+  struct lease_action *a = add_action (t, s, LEASE_ANSWER_PROMISE);
+
+  a->peer = e->peer;
+  a->request = e->request;
+  a->epoch = e->epoch;
+  if (may_promise (t, s, e->epoch))
+    {
+      s->promised_until_us
+          = MAX (s->promised_until_us, now_us + add_drift (span));
+      a->promise_ms = t->settings.promise_ms;
+    }
+  else
+    {
+      s->read_wanted = true;
+      s->next_op_us = MIN (s->next_op_us, now_us);
+    }
+}
+
+static void
+apply_promise (struct lease_shard *s, const struct lease_event *e)
+{
+  for (uint32_t i = 0; i < LEASE_CANDIDATES; i++)
+    {
+      if (s->asked_number[i] == 0 || s->asked_number[i] != e->request
+          || e->epoch != s->object.epoch
+          || !lease_equal_owner (s->object.candidates[i], e->peer))
+        continue;
+      s->asked_number[i] = 0;
+      if (e->promise_ms > 0)
+        s->promise_until_us[i] = MAX (
+            s->promise_until_us[i], s->asked_us[i] + from_ms (e->promise_ms));
+    }
+}
+
+/* Applies the answer to the pending operation.  */
+static void
+apply_answer (struct lease_table *t, struct lease_shard *s,
+              const struct lease_event *e, int64_t now_us)
+{
+  switch (e->kind)
+    {
+    case LEASE_EVENT_READ:
+      apply_read (t, s, e, now_us);
+      break;
+    case LEASE_EVENT_ABSENT:
+      apply_absent (t, s, now_us);
+      break;
+    case LEASE_EVENT_WRITTEN:
+      apply_written (t, s, e, now_us);
+      break;
+    case LEASE_EVENT_CONFLICT:
+      s->read_first = true;
+      end_operation (s, true, now_us);
+      break;
+    case LEASE_EVENT_UNKNOWN:
+      apply_unknown (t, s, now_us);
+      break;
+    default:
+      end_operation (s, false, now_us + from_ms (t->settings.retry_ms));
+      break;
+    }
+}
+
+/* Internal functions: one shard in one tick */
+
+static void
+run_holder (struct lease_table *t, struct lease_shard *s, int64_t now_us)
+{
+  if (!t->leaving && s->state != LEASE_SUSPENDED)
+    ask_promises (t, s, now_us);
+  if (s->op != LEASE_NO_OPERATION
+      || (now_us < s->next_op_us && !(t->leaving && !s->unreachable)))
+    return;
+  if (s->read_first)
+    begin_read (t, s, now_us);
+  else
+    begin_write (t, s, now_us);
+}
+
+static void
+run_other (struct lease_table *t, struct lease_shard *s, int64_t now_us)
+{
+  bool due = now_us >= takeover_time (t, s);
+
+  if (s->op != LEASE_NO_OPERATION)
+    return;
+  if (due && !s->read_first && !s->unreachable)
+    begin_write (t, s, now_us);
+  else if (now_us >= s->next_op_us
+           && (s->preferred || s->unresolved || s->read_wanted
+               || find_candidate (t, s) >= 0))
+    begin_read (t, s, now_us);
+}
+
+/* Public functions */
+
+struct lease_settings
+lease_get_defaults (void)
+{
+  return (struct lease_settings){ .shards = 8,
+                                  .term_ms = 6000,
+                                  .promise_ms = 4000,
+                                  .ask_ms = 500,
+                                  .retry_ms = 250,
+                                  .round_trip_ms = 500,
+                                  .validity_ms = 1000,
+                                  .abandon_ms = 3600 * 1000,
+                                  .abandon_margin_ms = 60 * 1000 };
+}
+
+/**
+ * lease_init_table - makes the rows of all shards
+ * @t: table
+ * @self: this run of the daemon; a restart must have another incarnation
+ * @settings: settings, copied
+ */
+void
+lease_init_table (struct lease_table *t, struct lease_owner self,
+                  const struct lease_settings *settings)
+{
+  *t = (struct lease_table){ .settings = *settings, .self = self };
+  t->shards = g_new0 (struct lease_shard, settings->shards);
+  table_init (&t->actions, sizeof (struct lease_action));
+  for (uint32_t i = 0; i < settings->shards; i++)
+    {
+      struct lease_shard *s = &t->shards[i];
+
+      s->shard = i;
+      s->lease_from_us = LEASE_NO_TIME;
+      s->won_us = LEASE_NO_TIME;
+      s->promised_until_us = LEASE_NO_TIME;
+      for (uint32_t k = 0; k < LEASE_CANDIDATES; k++)
+        {
+          s->promise_until_us[k] = LEASE_NO_TIME;
+          s->asked_us[k] = LEASE_NO_TIME;
+        }
+    }
+}
+
+void
+lease_close_table (struct lease_table *t)
+{
+  g_free (t->shards);
+  table_close (&t->actions);
+  t->shards = NULL;
+}
+
+/**
+ * lease_set_plan - sets what this daemon would write for a shard
+ * @t: table
+ * @shard: shard
+ * @wanted: candidates for the next write; an id of 0 leaves a place empty
+ * @preferred: whether this daemon creates the shard if it does not exist and
+ *             takes it over when it was abandoned
+ *
+ * Called when membership changes.  A holder writes new candidates with its
+ * next renewal.
+ */
+void
+lease_set_plan (struct lease_table *t, uint32_t shard,
+                const struct lease_owner wanted[LEASE_CANDIDATES],
+                bool preferred)
+{
+  struct lease_shard *s = &t->shards[shard];
+
+  memcpy (s->wanted, wanted, sizeof s->wanted);
+  s->preferred = preferred;
+}
+
+static uint64_t
+get_weight (uint32_t shard, struct lease_owner owner)
+{
+  uint64_t key[2] = { shard, owner.id };
+
+  return str_hash ((struct str){ sizeof key, (const char *)key });
+}
+
+static const struct lease_member *
+choose_member (uint32_t shard, const struct lease_member *members,
+               uint32_t len, const struct lease_member *const *taken,
+               uint32_t taken_len, bool other_domains)
+{
+  const struct lease_member *best = NULL;
+
+  for (uint32_t i = 0; i < len; i++)
+    {
+      const struct lease_member *m = &members[i];
+      bool usable = true;
+
+      for (uint32_t k = 0; k < taken_len; k++)
+        usable = usable && m->owner.id != taken[k]->owner.id
+                 && (!other_domains || m->domain != taken[k]->domain);
+      if (usable
+          && (best == NULL
+              || get_weight (shard, m->owner)
+                     > get_weight (shard, best->owner)))
+        best = m;
+    }
+  return best;
+}
+
+/**
+ * lease_choose - ranks the live members for a shard
+ * @shard: shard
+ * @members: live members
+ * @len: number of @members
+ * @holder: holder whose candidates are wanted, or id 0 for the member that
+ *          ranks first
+ * @wanted: receives the candidates
+ *
+ * Rendezvous hashing spreads the shards over the members and moves few of
+ * them when one joins or leaves.  Candidates are in failure domains other than
+ * the holder's and each other's as far as there are any.
+ *
+ * Return: the holder, or id 0 if there are no members.
+ */
+struct lease_owner
+lease_choose (uint32_t shard, const struct lease_member *members, uint32_t len,
+              struct lease_owner holder,
+              struct lease_owner wanted[LEASE_CANDIDATES])
+{
+  const struct lease_member *taken[LEASE_CANDIDATES + 1] = { NULL };
+  uint32_t taken_len = 0;
+
+  memset (wanted, 0, LEASE_CANDIDATES * sizeof *wanted);
+  for (uint32_t i = 0; i < len && holder.id != 0; i++)
+    if (members[i].owner.id == holder.id)
+      taken[0] = &members[i];
+  if (taken[0] == NULL)
+    taken[0] = choose_member (shard, members, len, NULL, 0, false);
+  if (taken[0] == NULL)
+    return (struct lease_owner){ 0 };
+  taken_len = 1;
+  for (uint32_t i = 0; i < LEASE_CANDIDATES; i++)
+    {
+      const struct lease_member *m
+          = choose_member (shard, members, len, taken, taken_len, true);
+
+      if (m == NULL)
+        m = choose_member (shard, members, len, taken, taken_len, false);
+      if (m == NULL)
+        break;
+      wanted[i] = m->owner;
+      taken[taken_len++] = m;
+    }
+  return taken[0]->owner;
+}
+
+/**
+ * lease_apply_event - applies an answer of the platform or of a peer
+ * @t: table
+ * @e: event; an answer to an operation that is no longer pending is ignored
+ * @now_us: time read after the event was received
+ */
+void
+lease_apply_event (struct lease_table *t, const struct lease_event *e,
+                   int64_t now_us)
+{
+  struct lease_shard *s;
+
+  if (e->shard >= t->settings.shards)
+    return;
+  s = &t->shards[e->shard];
+  update_granting (t, s, now_us);
+  if (e->kind == LEASE_EVENT_PROMISE_WANTED)
+    answer_promise (t, s, e, now_us);
+  else if (e->kind == LEASE_EVENT_PROMISE)
+    apply_promise (s, e);
+  else if (s->op != LEASE_NO_OPERATION && s->op_request == e->request)
+    apply_answer (t, s, e, now_us);
+  update_granting (t, s, now_us);
+}
+
+/**
+ * lease_run - adds the actions that are due in all shards
+ * @t: table
+ * @now_us: current time
+ */
+void
+lease_run (struct lease_table *t, int64_t now_us)
+{
+  for (uint32_t i = 0; i < t->settings.shards; i++)
+    {
+      struct lease_shard *s = &t->shards[i];
+
+      update_granting (t, s, now_us);
+      if (is_holder (t, s))
+        run_holder (t, s, now_us);
+      else
+        run_other (t, s, now_us);
+      s->state = get_state (t, s, now_us);
+    }
+}
+
+/**
+ * lease_release_all - gives up all shards of a daemon that leaves
+ * @t: table
+ *
+ * The next lease_run() stops the shards and marks their objects as released;
+ * a candidate then takes over without waiting for the term.
+ */
+void
+lease_release_all (struct lease_table *t)
+{
+  t->leaving = true;
+}
+
+bool
+lease_is_granting (const struct lease_table *t, uint32_t shard, int64_t now_us)
+{
+  const struct lease_shard *s = &t->shards[shard];
+  enum lease_state state = get_state (t, s, now_us);
+
+  return s->granting && !t->leaving
+         && (state == LEASE_HOLDING || state == LEASE_CONTINUING);
+}
+
+bool
+lease_equal_owner (struct lease_owner a, struct lease_owner b)
+{
+  return a.id == b.id && a.incarnation == b.incarnation;
+}
