--- /dev/null
+++ b/src/quota.c
@@ -0,0 +1,391 @@
+/* quota: lots of granted tokens at a daemon.  */
+
+#include "quota.h"
+
+#include <string.h>
+
+/* Constants */
+
+#define WINDOW_US 100000
+/* Weight of the last window in the demand, as a shift.  */
+#define DEMAND_SHIFT 2
+#define WINDOWS_MAX 64
+/* Time before a lot runs out at which the next one is asked for, beyond the
+   round trip: two ticks.  */
+#define LEAD_US 100000
+/* Wait after a grant that was short or an ask that failed: one tick.  */
+#define BACKOFF_US 50000
+#define VALIDITY_DEFAULT_US 1000000
+
+/* Internal functions: rows */
+
+static guint
+hash_name (gconstpointer key)
+{
+  return (guint)str_hash (*(const struct str *)key);
+}
+
+static gboolean
+equal_names (gconstpointer a, gconstpointer b)
+{
+  return str_equal (*(const struct str *)a, *(const struct str *)b);
+}
+
+static struct quota *
+find_quota (const struct quota_set *set, struct str workspace)
+{
+  const uint64_t *id = g_hash_table_lookup (set->by_name, &workspace);
+
+  return id != NULL ? table_get (&set->quotas, *id) : NULL;
+}
+
+static struct quota *
+add_quota (struct quota_set *set, struct str workspace, int64_t now_us)
+{
+  void *row;
+  uint64_t id = table_add (&set->quotas, &row);
+  struct quota *q = row;
+
+  q->workspace = str_copy (workspace);
+  q->window_us = now_us;
+  q->validity_us = VALIDITY_DEFAULT_US;
+  q->next_ask_us = INT64_MIN;
+  q->short_us = INT64_MIN;
+  g_hash_table_insert (set->by_name, &q->workspace,
+                       g_memdup2 (&id, sizeof id));
+  return q;
+}
+
+static void
+remove_quota (struct quota_set *set, struct quota *q, uint64_t id)
+{
+  struct str name = q->workspace;
+
+  g_hash_table_remove (set->by_name, &q->workspace);
+  table_remove (&set->quotas, id);
+  str_free (&name);
+}
+
+/* Internal functions: lots */
+
+static uint32_t
+count_tokens (const struct quota *q, int64_t now_us)
+{
+  uint32_t sum = 0;
+
+  for (uint32_t i = 0; i < QUOTA_LOTS; i++)
+    if (q->lots[i].expires_us > now_us)
+      sum += q->lots[i].count;
+  return sum;
+}
+
+/* Takes from the lot that expires first.  */
+static bool
+take_token (struct quota *q, int64_t now_us)
+{
+  struct quota_lot *first = NULL;
+
+  for (uint32_t i = 0; i < QUOTA_LOTS; i++)
+    {
+      struct quota_lot *lot = &q->lots[i];
+
+      if (lot->count > 0 && lot->expires_us > now_us
+          && (first == NULL || lot->expires_us < first->expires_us))
+        first = lot;
+    }
+  if (first == NULL)
+    return false;
+  first->count--;
+  return true;
+}
+
+/* Adds a lot in an empty place.  If there is none, the tokens join the lot that
+   expires last and expire with it; those of two epochs are never returned.  */
+static void
+add_lot (struct quota *q, struct quota_lot added, int64_t now_us)
+{
+  struct quota_lot *last = &q->lots[0];
+
+  for (uint32_t i = 0; i < QUOTA_LOTS; i++)
+    {
+      struct quota_lot *lot = &q->lots[i];
+
+      if (lot->count == 0 || lot->expires_us <= now_us)
+        {
+          *lot = added;
+          return;
+        }
+      if (lot->expires_us > last->expires_us)
+        last = lot;
+    }
+  last->count += added.count;
+  last->expires_us = MIN (last->expires_us, added.expires_us);
+  if (last->epoch != added.epoch)
+    last->epoch = 0;
+}
+
+/* Internal functions: demand */
+
+static void
+update_demand (struct quota *q, int64_t now_us)
+{
+  int64_t windows = (now_us - q->window_us) / WINDOW_US;
+
+  if (windows <= 0)
+    return;
+  q->window_us += windows * WINDOW_US;
+  for (int64_t i = 0; i < MIN (windows, WINDOWS_MAX); i++)
+    {
+      q->demand_q8 -= q->demand_q8 >> DEMAND_SHIFT;
+      q->demand_q8 += ((uint64_t)q->arrivals << 8) >> DEMAND_SHIFT;
+      q->arrivals = 0;
+    }
+}
+
+/* Whole requests expected within a span.  */
+static uint32_t
+forecast (const struct quota *q, int64_t span_us)
+{
+  uint64_t n = q->demand_q8 * (uint64_t)MAX (span_us, 0) / WINDOW_US >> 8;
+
+  return (uint32_t)MIN (n, UINT32_MAX);
+}
+
+/* Internal functions: asks */
+
+/* Takes out the tokens that will probably not be spent, so that other daemons
+   get them.  Only lots in the second half of their validity and of one epoch
+   are looked at.  */
+static uint32_t
+take_surplus (struct quota *q, uint64_t *epoch, int64_t now_us)
+{
+  uint32_t taken = 0;
+
+  *epoch = 0;
+  for (uint32_t i = 0; i < QUOTA_LOTS; i++)
+    {
+      struct quota_lot *lot = &q->lots[i];
+      int64_t left = lot->expires_us - now_us;
+      uint32_t keep = forecast (q, left) + 1;
+      uint32_t have = count_tokens (q, now_us);
+
+      if (lot->count == 0 || left <= 0 || left > q->validity_us / 2
+          || have <= keep || (taken > 0 && lot->epoch != *epoch))
+        continue;
+      have = MIN (have - keep, lot->count);
+      *epoch = lot->epoch;
+      lot->count -= have;
+      taken += have;
+    }
+  return taken;
+}
+
+static void
+add_ask (struct quota_set *set, struct quota *q, uint32_t waiting,
+         uint32_t demand, uint32_t returned, uint64_t returned_epoch,
+         int64_t now_us)
+{
+  void *row;
+  struct quota_ask *a;
+
+  table_add (&set->asks, &row);
+  a = row;
+  a->workspace = q->workspace;
+  a->waiting = waiting;
+  a->demand = demand;
+  a->returned = returned;
+  a->returned_epoch = returned_epoch;
+  a->sequence = ++set->last_sequence;
+  q->asked = true;
+  q->asked_number = a->sequence;
+  q->asked_us = now_us;
+  q->asked_waiting = waiting;
+}
+
+static void
+run_quota (struct quota_set *set, struct quota *q, int64_t now_us)
+{
+  uint32_t tokens = count_tokens (q, now_us);
+  uint32_t waiting = q->waiting > tokens ? q->waiting - tokens : 0;
+  int64_t lead = MIN (LEAD_US + q->round_trip_us, q->validity_us / 2);
+  uint32_t lasting = count_tokens (q, now_us + lead);
+  uint32_t wanted = forecast (q, q->validity_us * 3 / 4);
+  uint32_t demand = wanted > lasting ? wanted - lasting : 0;
+  uint32_t returned;
+  uint64_t returned_epoch;
+
+  update_demand (q, now_us);
+  if (q->asked && now_us - q->asked_us > QUOTA_ROUND_TRIP_US)
+    q->asked = false;
+  if (q->asked || now_us < q->next_ask_us)
+    return;
+  returned = take_surplus (q, &returned_epoch, now_us);
+  if (returned > 0 || waiting > 0
+      || (demand > 0 && lasting <= forecast (q, lead)))
+    add_ask (set, q, waiting, demand, returned, returned_epoch, now_us);
+}
+
+/* Public functions */
+
+void
+quota_init_set (struct quota_set *set, uint64_t first_sequence)
+{
+  *set = (struct quota_set){ .last_sequence = first_sequence };
+  table_init (&set->quotas, sizeof (struct quota));
+  table_init (&set->asks, sizeof (struct quota_ask));
+  set->by_name = g_hash_table_new_full (hash_name, equal_names, NULL, g_free);
+}
+
+void
+quota_close_set (struct quota_set *set)
+{
+  void *row;
+
+  g_hash_table_destroy (set->by_name);
+  for (uint64_t id = table_next (&set->quotas, 0, &row); id != 0;
+       id = table_next (&set->quotas, id, &row))
+    str_free (&((struct quota *)row)->workspace);
+  table_close (&set->quotas);
+  table_close (&set->asks);
+}
+
+/**
+ * quota_begin - takes a token for a request that has just arrived
+ * @set: quotas
+ * @workspace: workspace of the request
+ * @now_us: current time
+ *
+ * Return: %QUOTA_TAKEN, or %QUOTA_WAIT if the request has to wait for the next
+ * grant; the caller then polls with quota_poll() or calls quota_cancel().
+ */
+enum quota_result
+quota_begin (struct quota_set *set, struct str workspace, int64_t now_us)
+{
+  struct quota *q = find_quota (set, workspace);
+
+  if (q == NULL)
+    q = add_quota (set, workspace, now_us);
+  update_demand (q, now_us);
+  q->arrivals++;
+  q->last_use_us = now_us;
+  if (q->waiting == 0 && take_token (q, now_us))
+    return QUOTA_TAKEN;
+  q->waiting++;
+  return QUOTA_WAIT;
+}
+
+enum quota_result
+quota_poll (struct quota_set *set, struct str workspace, int64_t arrived_us,
+            int64_t now_us)
+{
+  struct quota *q = find_quota (set, workspace);
+  enum quota_result result = QUOTA_WAIT;
+
+  if (q == NULL)
+    return QUOTA_UNAVAILABLE;
+  if (take_token (q, now_us))
+    result = QUOTA_TAKEN;
+  else if (arrived_us <= q->short_us)
+    result = QUOTA_EXCEEDED;
+  else if (now_us - arrived_us >= QUOTA_WAIT_US)
+    result = QUOTA_UNAVAILABLE;
+  if (result != QUOTA_WAIT && q->waiting > 0)
+    q->waiting--;
+  return result;
+}
+
+void
+quota_cancel (struct quota_set *set, struct str workspace)
+{
+  struct quota *q = find_quota (set, workspace);
+
+  if (q != NULL && q->waiting > 0)
+    q->waiting--;
+}
+
+/**
+ * quota_apply_grant - adds the lot of a TOKENS message
+ * @set: quotas
+ * @workspace: workspace
+ * @count: tokens
+ * @validity_us: validity, measured from when the ask was made
+ * @epoch: epoch of the holder
+ * @sequence: number of the ask
+ * @now_us: time read after the message was received
+ *
+ * A grant that does not answer the pending ask or whose round trip took longer
+ * than %QUOTA_ROUND_TRIP_US is void.
+ *
+ * Return: true if the tokens may be spent.
+ */
+bool
+quota_apply_grant (struct quota_set *set, struct str workspace, uint32_t count,
+                   int64_t validity_us, uint64_t epoch, uint64_t sequence,
+                   int64_t now_us)
+{
+  struct quota *q = find_quota (set, workspace);
+  bool aged = (set->test_rules_off & QUOTA_RULE_ROUND_TRIP) == 0;
+  int64_t from;
+
+  if (q == NULL || q->asked_number != sequence
+      || (aged && (!q->asked || now_us - q->asked_us > QUOTA_ROUND_TRIP_US)))
+    {
+      set->voided++;
+      return false;
+    }
+  from = aged ? q->asked_us : now_us;
+  q->asked = false;
+  q->asked_number = 0;
+  q->round_trip_us = now_us - q->asked_us;
+  q->validity_us = CLAMP (validity_us, 1, VALIDITY_DEFAULT_US);
+  if (count < q->asked_waiting)
+    {
+      q->short_us = q->asked_us;
+      q->next_ask_us = now_us + BACKOFF_US;
+    }
+  if (count > 0)
+    add_lot (q,
+             (struct quota_lot){ .count = count,
+                                 .expires_us = from + q->validity_us,
+                                 .epoch = epoch },
+             now_us);
+  return true;
+}
+
+void
+quota_fail_ask (struct quota_set *set, struct str workspace, uint64_t sequence,
+                int64_t now_us)
+{
+  struct quota *q = find_quota (set, workspace);
+
+  if (q == NULL || !q->asked || q->asked_number != sequence)
+    return;
+  q->asked = false;
+  q->next_ask_us = now_us + BACKOFF_US;
+}
+
+/**
+ * quota_run - makes the asks that are due
+ * @set: quotas
+ * @now_us: current time
+ *
+ * A workspace whose requests wait asks at once; one with steady demand asks
+ * before its lots run out; one without demand never asks.
+ */
+void
+quota_run (struct quota_set *set, int64_t now_us)
+{
+  void *row;
+
+  for (uint64_t id = table_next (&set->quotas, 0, &row); id != 0;
+       id = table_next (&set->quotas, id, &row))
+    {
+      struct quota *q = row;
+
+      if (q->waiting == 0 && now_us - q->last_use_us > QUOTA_IDLE_US
+          && !q->asked)
+        remove_quota (set, q, id);
+      else
+        run_quota (set, q, now_us);
+    }
+}
