Add the idempotency registry of the shard holder

Ruled out: a floor of start + skew; the earlier holder accepts keys up to one skew ahead of its own clock, which may be one skew ahead of the successor's, so the floor is start + 2 x skew. Dropping old records when the table is full; their keys could run again.

Change: register, complete, release and expire with UUIDv7 times, a fingerprint of the request, bounded records and outcome bytes. The floor also rises to the time of each removed record, which covers a wall clock that is set back.

Conclusion: when full, a new key is refused as not run.

--- /dev/null
+++ b/src/once.c
@@ -0,0 +1,364 @@
+/* once: registry of idempotency keys at the shard holder.  */
+
+#include "once.h"
+
+#include <string.h>
+
+/* Constants */
+
+#define SWEEP_ROWS_MIN 64u
+/* A sweep looks at this part of the records, so that at 20 runs a second all
+   of them are looked at within 10 s.  */
+#define SWEEP_DIVISOR 200u
+#define UUID_VERSION 7
+#define UUID_VARIANT 2
+/* An outcome that arrives after the deadline still replaces "lost".  */
+#define RUN_GRACE_US 1000000
+
+/* Internal functions */
+
+static guint
+hash_key (gconstpointer key)
+{
+  return (guint)str_hash ((struct str){ ONCE_KEY_BYTES, key });
+}
+
+static gboolean
+equal_keys (gconstpointer a, gconstpointer b)
+{
+  return memcmp (a, b, ONCE_KEY_BYTES) == 0;
+}
+
+static struct once_record *
+find_record (const struct once_registry *r, const struct once_key *key,
+             uint64_t *id)
+{
+  const uint64_t *found = g_hash_table_lookup (r->by_key, key);
+
+  if (found == NULL)
+    return NULL;
+  *id = *found;
+  return table_get (&r->records, *found);
+}
+
+static void
+drop_outcome (struct once_registry *r, struct once_record *record)
+{
+  r->outcome_bytes -= record->outcome.len;
+  if (record->outcome.data != NULL)
+    str_free (&record->outcome);
+}
+
+static void
+remove_record (struct once_registry *r, struct once_record *record,
+               uint64_t id)
+{
+  drop_outcome (r, record);
+  g_hash_table_remove (r->by_key, &record->key);
+  table_remove (&r->records, id);
+}
+
+static bool
+is_same_attempt (struct once_attempt a, struct once_attempt b)
+{
+  return a.origin == b.origin && a.number == b.number;
+}
+
+static bool
+rule_on (const struct once_registry *r, enum once_rule rule)
+{
+  return (r->settings.test_rules_off & (uint32_t)rule) == 0;
+}
+
+static int
+get_hex_value (char c)
+{
+  if (c >= '0' && c <= '9')
+    return c - '0';
+  if (c >= 'a' && c <= 'f')
+    return c - 'a' + 10;
+  if (c >= 'A' && c <= 'F')
+    return c - 'A' + 10;
+  return -1;
+}
+
+/* Answer to a key that has a record.  The same attempt that asks again did not
+   get the first answer, and has not run.  */
+static enum once_answer
+answer_record (const struct once_record *record, uint64_t fingerprint,
+               struct once_attempt attempt, int64_t now_us,
+               struct str *outcome)
+{
+  if (record->fingerprint != fingerprint)
+    return ONCE_REUSED;
+  if (record->state == ONCE_DONE)
+    {
+      *outcome = record->outcome;
+      return ONCE_IS_DONE;
+    }
+  if (record->state == ONCE_LOST || now_us >= record->deadline_us)
+    return ONCE_UNKNOWN;
+  return is_same_attempt (record->attempt, attempt) ? ONCE_NEW
+                                                    : ONCE_IS_RUNNING;
+}
+
+/* Answer to a key without a record, by its time.  */
+static enum once_answer
+answer_time (const struct once_registry *r, uint32_t shard, int64_t key_ms,
+             int64_t wall_ms)
+{
+  if (key_ms > wall_ms + r->settings.skew_ms && rule_on (r, ONCE_RULE_FUTURE))
+    return ONCE_FUTURE;
+  if (key_ms + r->settings.keep_ms <= wall_ms)
+    return ONCE_EXPIRED;
+  if (key_ms <= r->shards[shard].floor_ms && rule_on (r, ONCE_RULE_FLOOR))
+    return ONCE_UNKNOWN;
+  if (r->records.count >= r->settings.records_max)
+    return ONCE_FULL;
+  return ONCE_NEW;
+}
+
+static void
+drop_shard (struct once_registry *r, uint32_t shard)
+{
+  void *row;
+
+  for (uint64_t id = table_next (&r->records, 0, &row); id != 0;
+       id = table_next (&r->records, id, &row))
+    if (((struct once_record *)row)->shard == shard)
+      remove_record (r, row, id);
+}
+
+/* Public functions */
+
+struct once_settings
+once_get_defaults (void)
+{
+  return (struct once_settings){ .skew_ms = 2000,
+                                 .keep_ms = 600000,
+                                 .records_max = 100000,
+                                 .outcome_bytes_max
+                                 = (size_t)32 * 1024 * 1024 };
+}
+
+void
+once_init_registry (struct once_registry *r, uint32_t shards,
+                    const struct once_settings *settings)
+{
+  *r = (struct once_registry){ .settings = *settings, .shards_len = shards };
+  r->shards = g_new0 (struct once_shard, shards);
+  table_init (&r->records, sizeof (struct once_record));
+  r->by_key = g_hash_table_new_full (hash_key, equal_keys, NULL, g_free);
+}
+
+void
+once_close_registry (struct once_registry *r)
+{
+  void *row;
+
+  g_hash_table_destroy (r->by_key);
+  for (uint64_t id = table_next (&r->records, 0, &row); id != 0;
+       id = table_next (&r->records, id, &row))
+    drop_outcome (r, row);
+  table_close (&r->records);
+  g_free (r->shards);
+}
+
+/**
+ * once_parse_key - parses an idempotency key
+ * @text: value of the header
+ * @key: receives the key
+ *
+ * Return: true if @text is a UUID of version 7 in its usual form; the case of
+ * the digits does not matter.
+ */
+bool
+once_parse_key (struct str text, struct once_key *key)
+{
+  uint32_t digits = 0;
+
+  memset (key, 0, sizeof *key);
+  if (text.len != ONCE_KEY_TEXT_BYTES)
+    return false;
+  for (size_t i = 0; i < text.len; i++)
+    {
+      bool hyphen = i == 8 || i == 13 || i == 18 || i == 23;
+      int value = get_hex_value (text.data[i]);
+
+      if (hyphen != (text.data[i] == '-') || (!hyphen && value < 0))
+        return false;
+      if (hyphen)
+        continue;
+      key->bytes[digits / 2]
+          |= (unsigned char)(digits % 2 == 0 ? value << 4 : value);
+      digits++;
+    }
+  return key->bytes[6] >> 4 == UUID_VERSION
+         && key->bytes[8] >> 6 == UUID_VARIANT;
+}
+
+int64_t
+once_get_key_ms (const struct once_key *key)
+{
+  int64_t ms = 0;
+
+  for (int i = 0; i < 6; i++)
+    ms = ms << 8 | key->bytes[i];
+  return ms;
+}
+
+/**
+ * once_start_shard - begins to hold a shard
+ * @r: registry
+ * @shard: shard
+ * @epoch: epoch of the lease
+ * @wall_ms: wall-clock time
+ *
+ * The previous holder accepted keys up to one skew ahead of its own clock,
+ * and that clock may have been one skew ahead of this one.  With the same
+ * epoch as before no other daemon has answered in between.
+ */
+void
+once_start_shard (struct once_registry *r, uint32_t shard, uint64_t epoch,
+                  int64_t wall_ms)
+{
+  struct once_shard *s = &r->shards[shard];
+
+  s->held = true;
+  if (s->epoch == epoch)
+    return;
+  s->epoch = epoch;
+  s->floor_ms = wall_ms + 2 * (int64_t)r->settings.skew_ms;
+  drop_shard (r, shard);
+}
+
+void
+once_stop_shard (struct once_registry *r, uint32_t shard)
+{
+  r->shards[shard].held = false;
+}
+
+/**
+ * once_register - registers a key before its request runs
+ * @r: registry
+ * @shard: shard of the key
+ * @key: key
+ * @fingerprint: hash of the request, so that a key cannot stand for another
+ * @attempt: id of the attempt that will run
+ * @timeout_us: time after which the attempt has ended in any case
+ * @now_us: time read after the request was received
+ * @wall_ms: wall-clock time
+ * @outcome: receives a view of the outcome of %ONCE_IS_DONE, valid until the
+ *           registry changes
+ *
+ * Return: the answer; the request may run only if it is %ONCE_NEW.
+ */
+enum once_answer
+once_register (struct once_registry *r, uint32_t shard,
+               const struct once_key *key, uint64_t fingerprint,
+               struct once_attempt attempt, int64_t timeout_us, int64_t now_us,
+               int64_t wall_ms, struct str *outcome)
+{
+  uint64_t id = 0;
+  struct once_record *record = find_record (r, key, &id);
+  enum once_answer answer;
+  void *row;
+
+  *outcome = STR_EMPTY;
+  if (shard >= r->shards_len || !r->shards[shard].held)
+    return ONCE_NOT_HELD;
+  if (record != NULL)
+    return answer_record (record, fingerprint, attempt, now_us, outcome);
+  answer = answer_time (r, shard, once_get_key_ms (key), wall_ms);
+  if (answer != ONCE_NEW)
+    return answer;
+  id = table_add (&r->records, &row);
+  record = row;
+  record->key = *key;
+  record->shard = shard;
+  record->fingerprint = fingerprint;
+  record->attempt = attempt;
+  record->deadline_us = now_us + timeout_us + RUN_GRACE_US;
+  record->outcome = STR_EMPTY;
+  g_hash_table_insert (r->by_key, &record->key, g_memdup2 (&id, sizeof id));
+  return ONCE_NEW;
+}
+
+/**
+ * once_complete - records the outcome of a key's request
+ * @r: registry
+ * @key: key
+ * @attempt: attempt that registered the key
+ * @outcome: outcome, copied; one that is too large or does not fit into the
+ *           memory is not kept
+ *
+ * Return: false if this attempt has no running record here.
+ */
+bool
+once_complete (struct once_registry *r, const struct once_key *key,
+               struct once_attempt attempt, struct str outcome)
+{
+  uint64_t id = 0;
+  struct once_record *record = find_record (r, key, &id);
+
+  if (record == NULL || record->state != ONCE_RUNNING
+      || !is_same_attempt (record->attempt, attempt))
+    return false;
+  if (outcome.len > ONCE_OUTCOME_MAX_BYTES
+      || r->outcome_bytes + outcome.len > r->settings.outcome_bytes_max)
+    {
+      record->state = ONCE_LOST;
+      return true;
+    }
+  record->state = ONCE_DONE;
+  record->outcome = str_copy (outcome);
+  r->outcome_bytes += outcome.len;
+  return true;
+}
+
+bool
+once_release (struct once_registry *r, const struct once_key *key,
+              struct once_attempt attempt)
+{
+  uint64_t id = 0;
+  struct once_record *record = find_record (r, key, &id);
+
+  if (record == NULL || record->state != ONCE_RUNNING
+      || !is_same_attempt (record->attempt, attempt))
+    return false;
+  remove_record (r, record, id);
+  return true;
+}
+
+/**
+ * once_run - removes expired records
+ * @r: registry
+ * @wall_ms: wall-clock time
+ *
+ * Looks at a part of the records in each run.  The floor rises to the time of
+ * a removed key, so that a wall clock that is set back cannot make the key
+ * new.
+ */
+void
+once_run (struct once_registry *r, int64_t wall_ms)
+{
+  uint32_t rows = SWEEP_ROWS_MIN + r->records.count / SWEEP_DIVISOR;
+  void *row;
+
+  while (rows-- > 0)
+    {
+      struct once_record *record;
+      int64_t key_ms;
+
+      r->cursor = table_next (&r->records, r->cursor, &row);
+      if (r->cursor == 0)
+        return;
+      record = row;
+      key_ms = once_get_key_ms (&record->key);
+      if (key_ms + r->settings.keep_ms > wall_ms)
+        continue;
+      r->shards[record->shard].floor_ms
+          = MAX (r->shards[record->shard].floor_ms, key_ms);
+      remove_record (r, record, r->cursor);
+    }
+}
