--- /dev/null
+++ b/tests/shard_sim.h
@@ -0,0 +1,1000 @@
+/* shard_sim: several daemons' lease, bucket, quota and once modules in virtual
+   time, with a platform, a network and clients that fail by a seeded schedule.
+   Compared with one global bucket for each workspace and one global registry
+   that see every request in order.  */
+
+#ifndef ALMONDVALE_SHARD_SIM_H
+#define ALMONDVALE_SHARD_SIM_H
+
+#include "bucket.h"
+#include "lease.h"
+#include "once.h"
+#include "quota.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Constants */
+
+#define SIM_NODES_MAX 12
+#define SIM_SHARDS 2
+#define SIM_WORKSPACES_MAX 8
+#define SIM_TICK_MS 10
+#define SIM_TIMEOUT_MS 1000
+#define SIM_WALL_MS 1700000000000
+#define SIM_TRIES 12
+
+/* Types */
+
+struct sim_workspace
+{
+  const char *name;
+  struct bucket_limit limit;
+  double load; /* requests per second over all nodes */
+};
+
+enum sim_shape
+{
+  SIM_EVEN,
+  SIM_UNEVEN, /* nine tenths at node 1 */
+  SIM_MOVING  /* nine tenths at a node that changes every 2 s */
+};
+
+struct sim_options
+{
+  uint32_t seed;
+  int64_t length_ms;
+  int nodes;
+  int workspaces_len;
+  const struct sim_workspace *workspaces;
+  bool faults; /* random pauses, losses, outages, kills, releases */
+  bool hoard;  /* half of the nodes spend tokens just before they expire */
+  double keys; /* idempotency keys per second */
+  bool limit_changes;
+  double late;        /* chance that a message is late by up to 2 s */
+  int64_t release_ms; /* interval at which the holder of shard 0 leaves */
+  int64_t outage_ms;  /* the platform is down from then for 10 s, and for the
+                         holders for another 15 s */
+  int64_t drift_ppm;  /* rates of the clocks differ by up to twice this */
+  uint32_t lease_off, bucket_off, quota_off, once_off;
+};
+
+enum sim_kind
+{
+  SIM_READ,
+  SIM_WRITE,
+  SIM_ANSWER,
+  SIM_ASK,
+  SIM_GRANT,
+  SIM_REGISTER,
+  SIM_REGISTERED,
+  SIM_COMPLETE,
+  SIM_RESTART
+};
+
+struct sim_message
+{
+  enum sim_kind kind;
+  int from, to; /* node; -1: platform */
+  uint64_t to_incarnation;
+  struct lease_event lease; /* also carries reads and writes */
+  int workspace;
+  struct quota_ask ask;
+  struct bucket_grant grant;
+  uint32_t key; /* index */
+  struct once_attempt attempt;
+  enum once_answer answer;
+};
+
+struct sim_call
+{
+  int workspace;
+  int64_t arrived_us;
+  bool naive_ok;
+};
+
+struct sim_node
+{
+  int index;
+  bool alive;
+  uint64_t incarnation;
+  uint32_t domain;
+  int64_t paused_until, cut_until, isolated_until; /* ms */
+  int64_t leave_at;  /* ms, 0 if it does not leave */
+  int64_t out_delay; /* ms, messages of a tick that ends in a pause */
+  int64_t drift_ppm, offset_us, wall_offset_ms;
+  struct lease_table lease;
+  struct bucket_set buckets;
+  struct quota_set quotas;
+  struct once_registry once;
+  GArray *calls; /* struct sim_call */
+};
+
+/* A client's key: tries through random nodes until it knows the outcome.  */
+struct sim_key
+{
+  struct once_key key;
+  int64_t next_ms;
+  int tries;
+  int runs;
+  struct once_attempt attempt; /* of the last try */
+};
+
+struct sim_counts
+{
+  uint64_t offered, naive_ok, taken, exceeded, unavailable, wrongful;
+  uint64_t wrongful_by[SIM_WORKSPACES_MAX], offered_by[SIM_WORKSPACES_MAX];
+  uint64_t waited_us, waits;
+};
+
+struct sim_spends
+{
+  GArray *times; /* double, s */
+  double naive_level, naive_at;
+  double excess; /* largest number of spends over rate x w in any window */
+  double rated;  /* integral of the rate */
+  double rated_at;
+  double running; /* largest excess of a window that ends now */
+  double last_rated;
+  struct bucket_limit limit;
+};
+
+struct sim
+{
+  struct sim_options opt;
+  GRand *rand;
+  int64_t now;     /* ms */
+  GPtrArray **due; /* messages by ms */
+  int64_t due_len;
+  struct sim_node nodes[SIM_NODES_MAX];
+  bool exists[SIM_SHARDS];
+  uint64_t version[SIM_SHARDS];
+  struct lease_object object[SIM_SHARDS];
+  int64_t platform_down_until;
+  int64_t started[SIM_SHARDS]; /* ms, when it began */
+  int hint[SIM_SHARDS];        /* last node that began to hold */
+  uint64_t granted_epoch[SIM_SHARDS];
+  struct sim_spends spends[SIM_WORKSPACES_MAX];
+  GArray *keys; /* struct sim_key */
+  struct sim_counts counts;
+  enum sim_shape shape;
+  uint64_t takeovers, promised_ms, granting_ms;
+  uint64_t double_holders, old_epoch_grants, double_runs, over_limit;
+};
+
+/* Chance, time and messages */
+
+static bool
+sim_chance (struct sim *s, double p)
+{
+  return g_rand_double (s->rand) < p;
+}
+
+static int64_t
+sim_span (struct sim *s, int64_t from, int64_t to)
+{
+  return g_rand_int_range (s->rand, (gint32)from, (gint32)to);
+}
+
+static int64_t
+sim_node_us (const struct sim *s, const struct sim_node *n)
+{
+  int64_t t = s->now * 1000;
+
+  return n->offset_us + t + t * n->drift_ppm / 1000000;
+}
+
+static void
+sim_post_at (struct sim *s, int64_t at, const struct sim_message *m)
+{
+  at = MAX (at, s->now + 1);
+  if (at >= s->due_len)
+    return;
+  if (s->due[at] == NULL)
+    s->due[at] = g_ptr_array_new_with_free_func (g_free);
+  g_ptr_array_add (s->due[at], g_memdup2 (m, sizeof *m));
+}
+
+/* Sends between nodes; with faults 2% are lost.  */
+static void
+sim_send (struct sim *s, struct sim_node *from, struct sim_message m)
+{
+  int64_t at = s->now + from->out_delay + sim_span (s, 1, 4);
+
+  m.from = from->index;
+  if (m.kind != SIM_ANSWER)
+    m.to_incarnation = s->nodes[m.to].incarnation;
+  if (s->opt.faults && sim_chance (s, 0.02))
+    return;
+  if (s->opt.late > 0 && sim_chance (s, s->opt.late))
+    at += sim_span (s, 100, 2000);
+  if (from->index != m.to
+      && (from->isolated_until > s->now
+          || s->nodes[m.to].isolated_until > s->now)
+      && from->domain != s->nodes[m.to].domain)
+    return;
+  sim_post_at (s, at, &m);
+}
+
+/* Platform */
+
+static void
+sim_answer (struct sim *s, struct sim_node *n, struct lease_event e,
+            int64_t at)
+{
+  struct sim_message m = { .kind = SIM_ANSWER, .from = -1, .to = n->index };
+
+  m.lease = e;
+  m.to_incarnation = n->incarnation;
+  sim_post_at (s, at, &m);
+}
+
+static void
+sim_request_platform (struct sim *s, struct sim_node *n,
+                      const struct lease_action *a)
+{
+  struct sim_message m = { .from = n->index, .to = -1 };
+  struct lease_event timeout = { .shard = a->shard, .request = a->request };
+  bool write = a->kind == LEASE_WRITE;
+  int64_t sent = s->now + n->out_delay;
+
+  m.kind = write ? SIM_WRITE : SIM_READ;
+  m.to_incarnation = n->incarnation;
+  m.lease = (struct lease_event){ .shard = a->shard,
+                                  .request = a->request,
+                                  .version = a->version,
+                                  .object = a->object };
+  timeout.kind = write ? LEASE_EVENT_UNKNOWN : LEASE_EVENT_UNREACHABLE;
+  sim_answer (s, n, timeout, sent + SIM_TIMEOUT_MS);
+  if (n->cut_until > sent || s->platform_down_until > sent)
+    {
+      /* Half of the attempts are refused, the others hang; a write that hangs
+         may still arrive.  */
+      if (sim_chance (s, 0.5))
+        {
+          timeout.kind = LEASE_EVENT_UNREACHABLE;
+          sim_answer (s, n, timeout, sent + 2);
+        }
+      else if (sim_chance (s, 0.3))
+        sim_post_at (s, sent + sim_span (s, 500, 5000), &m);
+      return;
+    }
+  sim_post_at (s, sent + sim_span (s, 1, 20), &m);
+}
+
+static void
+sim_serve_platform (struct sim *s, const struct sim_message *m)
+{
+  uint32_t shard = m->lease.shard;
+  struct sim_node *n = &s->nodes[m->from];
+  struct lease_event e = m->lease;
+  struct sim_message back = { .kind = SIM_ANSWER, .from = -1 };
+  int64_t at = s->now + sim_span (s, 1, 20);
+
+  if (s->platform_down_until > s->now)
+    return;
+  if (m->kind == SIM_READ)
+    {
+      e.kind = s->exists[shard] ? LEASE_EVENT_READ : LEASE_EVENT_ABSENT;
+      e.version = s->version[shard];
+      e.object = s->object[shard];
+    }
+  else if (e.version != s->version[shard])
+    e.kind = LEASE_EVENT_CONFLICT;
+  else
+    {
+      e.kind = LEASE_EVENT_WRITTEN;
+      s->takeovers += e.object.epoch != s->object[shard].epoch;
+      s->exists[shard] = true;
+      s->object[shard] = e.object;
+      e.version = ++s->version[shard];
+    }
+  if (s->opt.faults && (sim_chance (s, 0.03) || n->cut_until > s->now))
+    return;
+  if (s->opt.faults && sim_chance (s, 0.05))
+    at += sim_span (s, 100, 1500);
+  back.to = m->from;
+  back.to_incarnation = m->to_incarnation;
+  back.lease = e;
+  sim_post_at (s, at, &back);
+}
+
+/* Spending, checked against the bound and the global bucket */
+
+static void
+sim_advance_rate (struct sim_spends *p, double now_s)
+{
+  p->rated += (now_s - p->rated_at) * p->limit.rate;
+  p->rated_at = now_s;
+}
+
+/* running is the largest of (spends - rate x w) over all windows that end with
+   this spend; a window may begin with any earlier one.  */
+static void
+sim_spend (struct sim *s, int workspace)
+{
+  struct sim_spends *p = &s->spends[workspace];
+  double now_s = (double)s->now / 1000;
+
+  sim_advance_rate (p, now_s);
+  p->running = MAX (p->running - (p->rated - p->last_rated), 0) + 1;
+  p->last_rated = p->rated;
+  p->excess = MAX (p->excess, p->running);
+  if (p->running > p->limit.burst + 1e-6)
+    s->over_limit++;
+  g_array_append_val (p->times, now_s);
+}
+
+static bool
+sim_ask_naive (struct sim *s, int workspace)
+{
+  struct sim_spends *p = &s->spends[workspace];
+  double now_s = (double)s->now / 1000;
+
+  p->naive_level = MIN (p->naive_level + (now_s - p->naive_at) * p->limit.rate,
+                        p->limit.burst);
+  p->naive_at = now_s;
+  if (p->naive_level < 1)
+    return false;
+  p->naive_level -= 1;
+  return true;
+}
+
+/* Nodes */
+
+static struct str
+sim_name (const struct sim *s, int workspace)
+{
+  return str_from_cstr (s->opt.workspaces[workspace].name);
+}
+
+static int
+sim_find_workspace (const struct sim *s, struct str name)
+{
+  for (int w = 0; w < s->opt.workspaces_len; w++)
+    if (str_equal (sim_name (s, w), name))
+      return w;
+  return -1;
+}
+
+static void
+sim_start_node (struct sim *s, struct sim_node *n)
+{
+  struct lease_settings lease = lease_get_defaults ();
+  struct once_settings once = once_get_defaults ();
+  struct lease_owner self = { (uint64_t)n->index + 1, ++n->incarnation };
+
+  lease.shards = SIM_SHARDS;
+  lease.test_rules_off = s->opt.lease_off;
+  once.test_rules_off = s->opt.once_off;
+  once.keep_ms = 30000;
+  n->alive = true;
+  n->paused_until = 0;
+  n->leave_at = 0;
+  n->offset_us = sim_span (s, 0, 1000000000);
+  n->drift_ppm = sim_span (s, -s->opt.drift_ppm, s->opt.drift_ppm + 1);
+  n->wall_offset_ms = sim_span (s, -1000, 1000);
+  lease_init_table (&n->lease, self, &lease);
+  bucket_init_set (&n->buckets, SIM_SHARDS);
+  n->buckets.test_rules_off = s->opt.bucket_off;
+  quota_init_set (&n->quotas, n->incarnation << 32);
+  n->quotas.test_rules_off = s->opt.quota_off;
+  once_init_registry (&n->once, SIM_SHARDS, &once);
+  for (int w = 0; w < s->opt.workspaces_len; w++)
+    bucket_set_limit (&n->buckets, sim_name (s, w), s->spends[w].limit,
+                      sim_node_us (s, n));
+  n->calls = g_array_new (FALSE, FALSE, sizeof (struct sim_call));
+}
+
+static void
+sim_stop_node (struct sim_node *n)
+{
+  n->alive = false;
+  lease_close_table (&n->lease);
+  bucket_close_set (&n->buckets);
+  quota_close_set (&n->quotas);
+  once_close_registry (&n->once);
+  g_array_unref (n->calls);
+}
+
+/* Everybody sees the live nodes, as membership would show them.  */
+static void
+sim_plan (struct sim *s, struct sim_node *n)
+{
+  struct lease_member members[SIM_NODES_MAX];
+  struct lease_owner wanted[LEASE_CANDIDATES], first;
+  uint32_t len = 0;
+
+  for (int i = 0; i < s->opt.nodes; i++)
+    if (s->nodes[i].alive)
+      members[len++] = (struct lease_member){ s->nodes[i].lease.self,
+                                              s->nodes[i].domain };
+  for (uint32_t shard = 0; shard < SIM_SHARDS; shard++)
+    {
+      first = lease_choose (shard, members, len, (struct lease_owner){ 0 },
+                            wanted);
+      lease_choose (shard, members, len, n->lease.self, wanted);
+      lease_set_plan (&n->lease, shard, wanted,
+                      lease_equal_owner (first, n->lease.self));
+    }
+}
+
+static void
+sim_act (struct sim *s, struct sim_node *n, const struct lease_action *a)
+{
+  struct sim_message m = { .kind = SIM_ANSWER };
+  int64_t now_us = sim_node_us (s, n);
+
+  m.lease = (struct lease_event){ .shard = a->shard,
+                                  .request = a->request,
+                                  .epoch = a->epoch,
+                                  .peer = n->lease.self,
+                                  .promise_ms = a->promise_ms };
+  switch (a->kind)
+    {
+    case LEASE_READ:
+    case LEASE_WRITE:
+      sim_request_platform (s, n, a);
+      break;
+    case LEASE_ASK_PROMISE:
+    case LEASE_ANSWER_PROMISE:
+      m.lease.kind = a->kind == LEASE_ASK_PROMISE ? LEASE_EVENT_PROMISE_WANTED
+                                                  : LEASE_EVENT_PROMISE;
+      m.to = (int)a->peer.id - 1;
+      m.to_incarnation = a->peer.incarnation;
+      /* An ask reaches whatever run of the candidate is up.  */
+      if (a->kind == LEASE_ASK_PROMISE)
+        m.to_incarnation = s->nodes[m.to].incarnation;
+      sim_send (s, n, m);
+      break;
+    case LEASE_START:
+      s->started[a->shard] = s->now;
+      s->hint[a->shard] = n->index;
+      bucket_start_shard (&n->buckets, a->shard, a->epoch, now_us);
+      once_start_shard (&n->once, a->shard, a->epoch,
+                        SIM_WALL_MS + s->now + n->wall_offset_ms);
+      break;
+    case LEASE_STOP:
+      bucket_stop_shard (&n->buckets, a->shard);
+      once_stop_shard (&n->once, a->shard);
+      break;
+    }
+}
+
+static void
+sim_drain (struct sim *s, struct sim_node *n)
+{
+  void *row;
+
+  for (uint64_t id = table_next (&n->lease.actions, 0, &row); id != 0;
+       id = table_next (&n->lease.actions, id, &row))
+    {
+      struct lease_action a = *(struct lease_action *)row;
+
+      table_remove (&n->lease.actions, id);
+      sim_act (s, n, &a);
+    }
+}
+
+static void
+sim_note_grant (struct sim *s, uint32_t shard, uint64_t epoch)
+{
+  if (epoch < s->granted_epoch[shard])
+    s->old_epoch_grants++;
+  s->granted_epoch[shard] = MAX (s->granted_epoch[shard], epoch);
+}
+
+static void
+sim_send_grants (struct sim *s, struct sim_node *n)
+{
+  void *row;
+
+  for (uint64_t id = table_next (&n->buckets.grants, 0, &row); id != 0;
+       id = table_next (&n->buckets.grants, id, &row))
+    {
+      struct sim_message m = { .kind = SIM_GRANT };
+
+      m.grant = *(struct bucket_grant *)row;
+      m.to = (int)m.grant.asker;
+      m.workspace = sim_find_workspace (s, m.grant.workspace);
+      table_remove (&n->buckets.grants, id);
+      if (m.grant.count > 0)
+        sim_note_grant (s, bucket_get_shard (m.grant.workspace, SIM_SHARDS),
+                        m.grant.epoch);
+      sim_send (s, n, m);
+    }
+}
+
+static void
+sim_send_asks (struct sim *s, struct sim_node *n)
+{
+  void *row;
+
+  for (uint64_t id = table_next (&n->quotas.asks, 0, &row); id != 0;
+       id = table_next (&n->quotas.asks, id, &row))
+    {
+      struct sim_message m = { .kind = SIM_ASK };
+
+      m.ask = *(struct quota_ask *)row;
+      m.workspace = sim_find_workspace (s, m.ask.workspace);
+      m.to = s->hint[bucket_get_shard (m.ask.workspace, SIM_SHARDS)];
+      table_remove (&n->quotas.asks, id);
+      if (m.to < 0 || !s->nodes[m.to].alive)
+        quota_fail_ask (&n->quotas, sim_name (s, m.workspace), m.ask.sequence,
+                        sim_node_us (s, n));
+      else
+        sim_send (s, n, m);
+    }
+}
+
+/* Calls */
+
+static void
+sim_end_call (struct sim *s, const struct sim_call *c,
+              enum quota_result result, int64_t waited_us)
+{
+  struct sim_counts *k = &s->counts;
+
+  k->taken += result == QUOTA_TAKEN;
+  k->exceeded += result == QUOTA_EXCEEDED;
+  k->unavailable += result == QUOTA_UNAVAILABLE;
+  if (result == QUOTA_TAKEN)
+    sim_spend (s, c->workspace);
+  else if (c->naive_ok)
+    {
+      k->wrongful++;
+      k->wrongful_by[c->workspace]++;
+    }
+  if (waited_us > 0)
+    {
+      k->waits++;
+      k->waited_us += (uint64_t)waited_us;
+    }
+}
+
+static double
+sim_load (const struct sim *s, const struct sim_node *n, int workspace)
+{
+  double load = s->opt.workspaces[workspace].load;
+  int nodes = s->opt.nodes, hot = 1;
+
+  if (s->shape == SIM_EVEN)
+    return load / nodes;
+  if (s->shape == SIM_MOVING)
+    hot = (int)((s->now / 2000 + workspace) % nodes);
+  return n->index == hot ? load * 0.9 : load * 0.1 / (nodes - 1);
+}
+
+/* Arrivals are those of a Poisson process in steps of 1 ms.  */
+static void
+sim_arrive (struct sim *s, struct sim_node *n)
+{
+  for (int w = 0; w < s->opt.workspaces_len; w++)
+    {
+      double left = sim_load (s, n, w) / 1000;
+
+      for (; left > 0; left -= 1)
+        {
+          struct sim_call c = { .workspace = w };
+          enum quota_result result;
+
+          if (!sim_chance (s, MIN (left, 1)))
+            continue;
+          c.arrived_us = sim_node_us (s, n);
+          c.naive_ok = sim_ask_naive (s, w);
+          s->counts.offered++;
+          s->counts.offered_by[w]++;
+          s->counts.naive_ok += c.naive_ok;
+          result = quota_begin (&n->quotas, sim_name (s, w), c.arrived_us);
+          if (result == QUOTA_WAIT)
+            g_array_append_val (n->calls, c);
+          else
+            sim_end_call (s, &c, result, 0);
+        }
+    }
+}
+
+static void
+sim_poll_calls (struct sim *s, struct sim_node *n)
+{
+  int64_t now_us = sim_node_us (s, n);
+  guint kept = 0;
+
+  for (guint i = 0; i < n->calls->len; i++)
+    {
+      struct sim_call c = g_array_index (n->calls, struct sim_call, i);
+      enum quota_result result = quota_poll (
+          &n->quotas, sim_name (s, c.workspace), c.arrived_us, now_us);
+
+      if (result == QUOTA_WAIT)
+        g_array_index (n->calls, struct sim_call, kept++) = c;
+      else
+        sim_end_call (s, &c, result, now_us - c.arrived_us);
+    }
+  g_array_set_size (n->calls, kept);
+}
+
+/* Lets the buckets fill, then asks for more than it may have and spends a lot
+   in its last 2 ms.  Just after a takeover it spends at once, together with the
+   lots of the holder before.  */
+static void
+sim_hoard (struct sim *s, struct sim_node *n, bool ask)
+{
+  int64_t now_us = sim_node_us (s, n);
+
+  for (int w = 0; w < s->opt.workspaces_len; w++)
+    {
+      const uint64_t *id;
+      struct quota *q;
+      struct str name = sim_name (s, w);
+      int64_t started = s->started[bucket_get_shard (name, SIM_SHARDS)];
+      bool greedy = s->now - started < 1000;
+
+      id = g_hash_table_lookup (n->quotas.by_name, &name);
+      if (id == NULL)
+        {
+          quota_begin (&n->quotas, name, now_us);
+          continue;
+        }
+      q = table_get (&n->quotas.quotas, *id);
+      q->last_use_us = now_us;
+      q->waiting = ask ? s->spends[w].limit.burst : 0;
+      for (int i = 0; i < (int)QUOTA_LOTS; i++)
+        while (q->lots[i].count > 0 && q->lots[i].expires_us > now_us
+               && (greedy || q->lots[i].expires_us <= now_us + 2000))
+          {
+            q->lots[i].count--;
+            sim_spend (s, w);
+          }
+    }
+}
+
+/* Keys */
+
+static void
+sim_add_key (struct sim *s)
+{
+  struct sim_key k = { .next_ms = s->now };
+  int64_t ms = SIM_WALL_MS + s->now + sim_span (s, -1000, 1000);
+
+  /* One client in ten has a clock that is far ahead.  */
+  if (sim_chance (s, 0.1))
+    ms += 8000;
+  for (int i = 0; i < 6; i++)
+    k.key.bytes[i] = (unsigned char)(ms >> (40 - 8 * i));
+  for (int i = 6; i < 16; i++)
+    k.key.bytes[i] = (unsigned char)g_rand_int (s->rand);
+  g_array_append_val (s->keys, k);
+}
+
+static void
+sim_try_keys (struct sim *s)
+{
+  for (guint i = 0; i < s->keys->len; i++)
+    {
+      struct sim_key *k = &g_array_index (s->keys, struct sim_key, i);
+      struct sim_message m = { .kind = SIM_REGISTER, .key = i };
+      int node = (int)sim_span (s, 0, s->opt.nodes);
+      uint32_t shard = i % SIM_SHARDS;
+
+      if (k->tries >= SIM_TRIES || s->now < k->next_ms)
+        continue;
+      k->next_ms = s->now + sim_span (s, 500, 3000);
+      if (!s->nodes[node].alive || s->nodes[node].paused_until > s->now)
+        continue;
+      k->tries++;
+      k->attempt = (struct once_attempt){ (uint64_t)node + 1,
+                                          ((uint64_t)i << 8) + k->tries };
+      m.attempt = k->attempt;
+      m.to = s->hint[shard];
+      if (m.to >= 0 && s->nodes[m.to].alive)
+        sim_send (s, &s->nodes[node], m);
+    }
+}
+
+static void
+sim_register (struct sim *s, struct sim_node *n, const struct sim_message *m)
+{
+  struct sim_key *k = &g_array_index (s->keys, struct sim_key, m->key);
+  struct sim_message back = {
+    .kind = SIM_REGISTERED, .to = m->from, .key = m->key, .attempt = m->attempt
+  };
+  uint32_t shard = m->key % SIM_SHARDS;
+  int64_t now_us = sim_node_us (s, n);
+  struct str outcome;
+
+  if (!lease_is_granting (&n->lease, shard, now_us))
+    return;
+  back.answer = once_register (
+      &n->once, shard, &k->key, 1, m->attempt, 2000000, now_us,
+      SIM_WALL_MS + s->now + n->wall_offset_ms, &outcome);
+  sim_send (s, n, back);
+}
+
+/* The request runs when the first daemon gets the answer "new" to the attempt
+   that it still waits for.  */
+static void
+sim_registered (struct sim *s, struct sim_node *n, const struct sim_message *m)
+{
+  struct sim_key *k = &g_array_index (s->keys, struct sim_key, m->key);
+  struct sim_message done = {
+    .kind = SIM_COMPLETE, .to = m->from, .key = m->key, .attempt = m->attempt
+  };
+
+  if (m->answer != ONCE_NEW)
+    return;
+  if (++k->runs > 1)
+    s->double_runs++;
+  sim_send (s, n, done);
+}
+
+/* Main loop */
+
+static void
+sim_deliver (struct sim *s, const struct sim_message *m)
+{
+  struct sim_node *n;
+  int64_t now_us;
+
+  if (m->to < 0)
+    {
+      sim_serve_platform (s, m);
+      return;
+    }
+  n = &s->nodes[m->to];
+  if (m->kind == SIM_RESTART)
+    {
+      sim_start_node (s, n);
+      return;
+    }
+  if (!n->alive || m->to_incarnation != n->incarnation)
+    return;
+  if (n->paused_until > s->now)
+    {
+      sim_post_at (s, n->paused_until, m);
+      return;
+    }
+  now_us = sim_node_us (s, n);
+  if (m->kind == SIM_ANSWER)
+    lease_apply_event (&n->lease, &m->lease, now_us);
+  else if (m->kind == SIM_ASK)
+    {
+      uint32_t shard
+          = bucket_get_shard (sim_name (s, m->workspace), SIM_SHARDS);
+
+      if (lease_is_granting (&n->lease, shard, now_us))
+        bucket_add_ask (&n->buckets, (uint64_t)m->from,
+                        sim_name (s, m->workspace), m->ask.waiting,
+                        m->ask.demand, m->ask.returned, m->ask.returned_epoch,
+                        m->ask.sequence, now_us);
+    }
+  else if (m->kind == SIM_GRANT)
+    quota_apply_grant (&n->quotas, sim_name (s, m->workspace), m->grant.count,
+                       m->grant.validity_us, m->grant.epoch, m->grant.sequence,
+                       now_us);
+  else if (m->kind == SIM_REGISTER)
+    sim_register (s, n, m);
+  else if (m->kind == SIM_REGISTERED)
+    sim_registered (s, n, m);
+  else if (m->kind == SIM_COMPLETE)
+    once_complete (&n->once,
+                   &g_array_index (s->keys, struct sim_key, m->key).key,
+                   m->attempt, STR_LIT ("done"));
+}
+
+static void
+sim_tick (struct sim *s, struct sim_node *n)
+{
+  int64_t now_us = sim_node_us (s, n);
+
+  if (s->opt.faults && sim_chance (s, 0.00005))
+    n->out_delay = sim_span (s, 100, 12000);
+  sim_plan (s, n);
+  lease_run (&n->lease, now_us);
+  sim_drain (s, n);
+  bucket_run (&n->buckets, now_us);
+  sim_send_grants (s, n);
+  quota_run (&n->quotas, now_us);
+  sim_send_asks (s, n);
+  once_run (&n->once, SIM_WALL_MS + s->now + n->wall_offset_ms);
+  sim_poll_calls (s, n);
+  n->paused_until = s->now + n->out_delay;
+  n->out_delay = 0;
+}
+
+static void
+sim_kill (struct sim *s, int node, int64_t down_ms)
+{
+  struct sim_message m = { .kind = SIM_RESTART, .to = node };
+
+  if (!s->nodes[node].alive)
+    return;
+  sim_stop_node (&s->nodes[node]);
+  sim_post_at (s, s->now + down_ms, &m);
+}
+
+/* The holder gives up its shards and is replaced after 3 s.  */
+static void
+sim_release (struct sim *s, int node)
+{
+  if (!s->nodes[node].alive || s->nodes[node].lease.leaving)
+    return;
+  lease_release_all (&s->nodes[node].lease);
+  s->nodes[node].leave_at = s->now + 500;
+}
+
+/* Faults begin about once in 5 s.  */
+static void
+sim_fail (struct sim *s)
+{
+  struct sim_node *n = &s->nodes[sim_span (s, 0, s->opt.nodes)];
+  int holder = s->hint[sim_span (s, 0, SIM_SHARDS)];
+
+  if (!sim_chance (s, 0.0002))
+    return;
+  /* Half of the faults hit a holder.  */
+  if (holder >= 0 && sim_chance (s, 0.5))
+    n = &s->nodes[holder];
+  switch (sim_span (s, 0, 7))
+    {
+    case 0:
+      sim_kill (s, n->index, sim_span (s, 50, 8000));
+      break;
+    case 1:
+      n->paused_until = s->now + sim_span (s, 100, 15000);
+      break;
+    case 2:
+    case 3:
+      n->cut_until = s->now + sim_span (s, 500, 20000);
+      break;
+    case 4:
+      s->platform_down_until = s->now + sim_span (s, 500, 15000);
+      break;
+    case 5:
+      for (int i = 0; i < s->opt.nodes; i++)
+        if (s->nodes[i].domain == n->domain)
+          s->nodes[i].isolated_until = s->now + 6000;
+      break;
+    default:
+      sim_release (s, n->index);
+      break;
+    }
+}
+
+/* Faults at set times, for the rules that random faults seldom test.  */
+static void
+sim_fail_by_plan (struct sim *s)
+{
+  if (s->opt.release_ms > 0 && s->now > 0 && s->now % s->opt.release_ms == 0
+      && s->hint[0] >= 0)
+    sim_release (s, s->hint[0]);
+  if (s->opt.outage_ms == 0 || s->now != s->opt.outage_ms)
+    return;
+  s->platform_down_until = s->now + 10000;
+  for (int i = 0; i < SIM_SHARDS; i++)
+    if (s->hint[i] >= 0)
+      s->nodes[s->hint[i]].cut_until = s->now + 25000;
+}
+
+static void
+sim_check_holders (struct sim *s)
+{
+  for (uint32_t shard = 0; shard < SIM_SHARDS; shard++)
+    {
+      int granting = 0;
+
+      for (int i = 0; i < s->opt.nodes; i++)
+        {
+          struct sim_node *n = &s->nodes[i];
+
+          if (!n->alive || n->paused_until > s->now
+              || !lease_is_granting (&n->lease, shard, sim_node_us (s, n)))
+            continue;
+          granting++;
+          s->promised_ms += n->lease.shards[shard].state == LEASE_CONTINUING;
+        }
+      s->granting_ms += granting > 0;
+      s->double_holders += granting > 1;
+    }
+}
+
+static void
+sim_change_limit (struct sim *s)
+{
+  int w = (int)sim_span (s, 0, s->opt.workspaces_len);
+  struct sim_spends *p = &s->spends[w];
+
+  /* The rate alone changes; the bound is burst plus the rate's integral.  */
+  sim_advance_rate (p, (double)s->now / 1000);
+  p->limit.rate = (uint32_t)sim_span (s, 1, 60);
+  for (int i = 0; i < s->opt.nodes; i++)
+    if (s->nodes[i].alive)
+      bucket_set_limit (&s->nodes[i].buckets, sim_name (s, w), p->limit,
+                        sim_node_us (s, &s->nodes[i]));
+}
+
+/* Runs until the given time.  */
+static void
+sim_run (struct sim *s, int64_t until_ms)
+{
+  for (; s->now < until_ms; s->now++)
+    {
+      GPtrArray *due = s->due[s->now];
+
+      for (guint i = 0; due != NULL && i < due->len; i++)
+        sim_deliver (s, g_ptr_array_index (due, i));
+      if (due != NULL)
+        g_ptr_array_unref (due);
+      s->due[s->now] = NULL;
+      if (s->opt.faults)
+        sim_fail (s);
+      sim_fail_by_plan (s);
+      if (s->opt.limit_changes && s->now % 700 == 0)
+        sim_change_limit (s);
+      if (s->opt.keys > 0 && sim_chance (s, s->opt.keys / 1000))
+        sim_add_key (s);
+      if (s->now % SIM_TICK_MS == 0)
+        sim_try_keys (s);
+      for (int i = 0; i < s->opt.nodes; i++)
+        {
+          struct sim_node *n = &s->nodes[i];
+
+          if (n->alive && n->leave_at != 0 && s->now >= n->leave_at)
+            sim_kill (s, i, 3000);
+          if (!n->alive || n->paused_until > s->now)
+            continue;
+          if (s->opt.hoard && i % 2 == 0)
+            sim_hoard (s, n,
+                       s->now % SIM_TICK_MS == 0 && s->now / 3000 % 2 == 1);
+          else
+            sim_arrive (s, n);
+          if (s->now % SIM_TICK_MS == 0)
+            sim_tick (s, n);
+        }
+      sim_check_holders (s);
+    }
+}
+
+static void
+sim_open (struct sim *s, const struct sim_options *opt)
+{
+  memset (s, 0, sizeof *s);
+  s->opt = *opt;
+  s->rand = g_rand_new_with_seed (opt->seed);
+  s->due_len = opt->length_ms + 1;
+  s->due = g_new0 (GPtrArray *, s->due_len);
+  s->keys = g_array_new (FALSE, TRUE, sizeof (struct sim_key));
+  for (int w = 0; w < opt->workspaces_len; w++)
+    {
+      s->spends[w].limit = opt->workspaces[w].limit;
+      s->spends[w].naive_level = opt->workspaces[w].limit.burst;
+      s->spends[w].times = g_array_new (FALSE, FALSE, sizeof (double));
+    }
+  for (int i = 0; i < SIM_SHARDS; i++)
+    s->hint[i] = -1;
+  for (int i = 0; i < opt->nodes; i++)
+    {
+      s->nodes[i].index = i;
+      s->nodes[i].domain = (uint32_t)i % 3;
+      sim_start_node (s, &s->nodes[i]);
+    }
+}
+
+static void
+sim_close (struct sim *s)
+{
+  for (int64_t i = 0; i < s->due_len; i++)
+    if (s->due[i] != NULL)
+      g_ptr_array_unref (s->due[i]);
+  g_free (s->due);
+  for (int i = 0; i < s->opt.nodes; i++)
+    if (s->nodes[i].alive)
+      sim_stop_node (&s->nodes[i]);
+  for (int w = 0; w < s->opt.workspaces_len; w++)
+    g_array_unref (s->spends[w].times);
+  g_array_unref (s->keys);
+  g_rand_free (s->rand);
+}
+
+#endif
--- /dev/null
+++ b/tests/test_bucket.c
@@ -0,0 +1,357 @@
+/* Tests of bucket and its use with quota: the bound in every window, small
+   rates, division of tokens, changes of the limit, takeover.  */
+
+#include "bucket.h"
+#include "shard_sim.h"
+
+#include <check.h>
+#include <stdlib.h>
+
+#define SEED 200
+#define SEEDS 6
+#define EPOCH 1
+
+static const struct sim_workspace workspaces[] = {
+  { "large", { 40, 60 }, 30 },
+  { "small", { 1, 3 }, 0.8 },
+  { "middle", { 10, 20 }, 12 },
+};
+
+/* So little load of its own that the bucket is full when daemons that keep
+   tokens ask.  */
+static const struct sim_workspace quiet[] = { { "large", { 40, 60 }, 1 } };
+
+static void
+open_set (struct bucket_set *set, struct bucket_limit limit)
+{
+  bucket_init_set (set, 1);
+  bucket_set_limit (set, STR_LIT ("w"), limit, 0);
+  bucket_start_shard (set, 0, EPOCH, 0);
+}
+
+/* One ask in one run; gives the tokens, or -1 if the ask is held.  */
+static int
+ask (struct bucket_set *set, uint32_t waiting, uint32_t demand, int64_t now_us)
+{
+  struct bucket_grant grant;
+  void *row;
+  uint64_t id;
+
+  ck_assert (bucket_add_ask (set, 1, STR_LIT ("w"), waiting, demand, 0, 0, 1,
+                             now_us));
+  bucket_run (set, now_us);
+  id = table_next (&set->grants, 0, &row);
+  if (id == 0)
+    return -1;
+  grant = *(struct bucket_grant *)row;
+  table_remove (&set->grants, id);
+  return (int)grant.count;
+}
+
+/* Guards against small rates and bursts that never yield a whole token, or
+   that yield more than the bound when tokens are spent late.  */
+START_TEST (smallest_limit_yields_whole_tokens)
+{
+  struct bucket_set set;
+  int granted = 0;
+
+  open_set (&set, (struct bucket_limit){ 1, 1 });
+  for (int64_t ms = 0; ms < 60000; ms += 50)
+    {
+      granted += ask (&set, 1, 0, ms * 1000) == 1;
+      bucket_stop_shard (&set, 0);
+      bucket_start_shard (&set, 0, EPOCH, ms * 1000);
+    }
+  /* A token can be spent up to 0.1 s after its grant; the next one accrues
+     after that.  */
+  ck_assert_int_ge (granted, 50);
+  ck_assert_int_le (granted, 60);
+  bucket_close_set (&set);
+}
+END_TEST
+
+/* Guards against a daemon with little load that gets as much as one with much
+   load, and against tokens lost in the division.  */
+START_TEST (tokens_follow_waiting_requests)
+{
+  struct bucket_set set;
+  struct bucket_grant *g;
+  uint32_t sum = 0;
+  void *row;
+
+  open_set (&set, (struct bucket_limit){ 100, 100 });
+  bucket_add_ask (&set, 1, STR_LIT ("w"), 300, 0, 0, 0, 1, 1000000);
+  bucket_add_ask (&set, 2, STR_LIT ("w"), 100, 0, 0, 0, 1, 1000000);
+  bucket_run (&set, 1000000);
+  for (uint64_t id = table_next (&set.grants, 0, &row); id != 0;
+       id = table_next (&set.grants, id, &row))
+    {
+      g = row;
+      ck_assert_uint_eq (g->count, g->asker == 1 ? 75 : 25);
+      sum += g->count;
+    }
+  ck_assert_uint_eq (sum, 100);
+  bucket_close_set (&set);
+}
+END_TEST
+
+/* Guards against advance grants that leave nothing for a daemon whose load
+   begins, and against a refusal although tokens accrue at once.  */
+START_TEST (advance_grants_leave_a_reserve)
+{
+  struct bucket_set set;
+
+  open_set (&set, (struct bucket_limit){ 100, 100 });
+  ck_assert_int_eq (ask (&set, 0, 1000, 2000000), 75);
+  ck_assert_int_eq (ask (&set, 25, 0, 2000000), 25);
+  ck_assert_int_eq (ask (&set, 1, 0, 2000000), -1);
+  bucket_close_set (&set);
+}
+END_TEST
+
+/* Guards against an old holder's tokens counted for a new epoch, and against a
+   loss of the buckets when the same epoch goes on.  */
+START_TEST (new_epoch_starts_empty)
+{
+  struct bucket_set set;
+
+  open_set (&set, (struct bucket_limit){ 10, 100 });
+  bucket_stop_shard (&set, 0);
+  ck_assert (!bucket_add_ask (&set, 1, STR_LIT ("w"), 1, 0, 0, 0, 1, 9000000));
+  bucket_start_shard (&set, 0, EPOCH, 9000000);
+  ck_assert_int_eq (ask (&set, 50, 0, 9000000), 50);
+  bucket_start_shard (&set, 0, EPOCH + 1, 9000000);
+  ck_assert_int_eq (ask (&set, 50, 0, 9000000), 0);
+  bucket_close_set (&set);
+}
+END_TEST
+
+/* Guards against a lower burst that lets the old level pass, and a removed
+   workspace that begins again with tokens.  */
+START_TEST (lower_burst_applies_at_once)
+{
+  struct bucket_set set;
+
+  open_set (&set, (struct bucket_limit){ 10, 100 });
+  bucket_set_limit (&set, STR_LIT ("w"), (struct bucket_limit){ 1, 5 },
+                    20000000);
+  ck_assert_int_eq (ask (&set, 50, 0, 20000000), 5);
+  bucket_set_limit (&set, STR_LIT ("w"), (struct bucket_limit){ 0, 0 },
+                    20000000);
+  ck_assert (
+      !bucket_add_ask (&set, 1, STR_LIT ("w"), 1, 0, 0, 0, 1, 20000000));
+  bucket_set_limit (&set, STR_LIT ("w"), (struct bucket_limit){ 10, 5 },
+                    20000000);
+  ck_assert_int_eq (ask (&set, 1, 0, 20900000), -1);
+  bucket_close_set (&set);
+}
+END_TEST
+
+static uint64_t
+count_over_limit (const struct sim_options *opt, uint64_t *double_holders)
+{
+  struct sim *s = g_new (struct sim, 1);
+  uint64_t n;
+
+  sim_open (s, opt);
+  sim_run (s, opt->length_ms);
+  ck_assert_uint_gt (s->spends[0].times->len, 100);
+  n = s->over_limit;
+  *double_holders = s->double_holders;
+  sim_close (s);
+  g_free (s);
+  return n;
+}
+
+static struct sim_options
+get_options (uint32_t seed)
+{
+  return (struct sim_options){ .seed = seed,
+                               .length_ms = 120000,
+                               .nodes = 6,
+                               .workspaces_len = 3,
+                               .workspaces = workspaces,
+                               .hoard = true,
+                               .late = 0.02 };
+}
+
+/* Guards against more than burst + rate x w spent in any window, with daemons
+   that keep tokens until they expire, faults and, in half of the runs, changes
+   of the rate.  */
+START_TEST (bound_holds_in_every_window)
+{
+  struct sim_options opt = get_options (SEED + (uint32_t)_i);
+  uint64_t holders;
+
+  opt.faults = true;
+  opt.limit_changes = _i % 2 == 1;
+  ck_assert_uint_eq (count_over_limit (&opt, &holders), 0);
+  ck_assert_uint_eq (holders, 0);
+}
+END_TEST
+
+/* Runs with planned takeovers and daemons that keep tokens pass with the rule
+   and fail without it: a depth not reduced by outstanding tokens, and a new
+   holder that starts with full buckets.  */
+START_TEST (bucket_rule_matters)
+{
+  static const uint32_t rules[] = { BUCKET_RULE_DEPTH, BUCKET_RULE_EMPTY };
+  struct sim_options opt = get_options (SEED);
+  uint64_t holders;
+
+  opt.workspaces = quiet;
+  opt.workspaces_len = 1;
+  opt.late = 0;
+  opt.release_ms = 9050;
+  ck_assert_uint_eq (count_over_limit (&opt, &holders), 0);
+  opt.bucket_off = rules[_i];
+  ck_assert_uint_gt (count_over_limit (&opt, &holders), 0);
+}
+END_TEST
+
+/* Takes the next action of a kind.  */
+static struct lease_action
+take_action (struct lease_table *t, enum lease_action_kind kind)
+{
+  struct lease_action a = { 0 };
+  void *row;
+
+  for (uint64_t id = table_next (&t->actions, 0, &row); id != 0;
+       id = table_next (&t->actions, id, &row))
+    {
+      if (((struct lease_action *)row)->kind == kind)
+        a = *(struct lease_action *)row;
+      table_remove (&t->actions, id);
+    }
+  ck_assert_int_eq (a.kind, kind);
+  return a;
+}
+
+/* Tokens that can be spent at one moment: the burst that the old holder
+   granted just before it released the shard, and what the successor grants
+   just before those expire.  */
+static int
+spend_across_takeover (uint32_t rules_off)
+{
+  struct lease_settings settings = lease_get_defaults ();
+  struct lease_owner self = { 1, 1 }, wanted[LEASE_CANDIDATES] = { { 0 } };
+  struct lease_event e = { .kind = LEASE_EVENT_READ, .version = 1 };
+  struct bucket_limit limit = { 40, 60 };
+  int64_t expiry = 10000000 + bucket_get_validity (limit) - 1;
+  struct lease_table t;
+  struct bucket_set old, new;
+  int spent;
+
+  settings.shards = 1;
+  settings.test_rules_off = rules_off;
+  lease_init_table (&t, self, &settings);
+  lease_set_plan (&t, 0, wanted, true);
+  open_set (&old, limit);
+  open_set (&new, limit);
+  bucket_stop_shard (&new, 0);
+  spent = ask (&old, 60, 0, 10000000);
+  bucket_stop_shard (&old, 0);
+  lease_run (&t, 10000000);
+  e.object = (struct lease_object){ .holder = { 2, 1 },
+                                    .epoch = 1,
+                                    .candidates = { self },
+                                    .term_ms = 6000,
+                                    .released = true };
+  e.request = take_action (&t, LEASE_READ).request;
+  lease_apply_event (&t, &e, 10010000);
+  lease_run (&t, 10010000);
+  e.kind = LEASE_EVENT_WRITTEN;
+  e.version = 2;
+  e.request = take_action (&t, LEASE_WRITE).request;
+  lease_apply_event (&t, &e, 10020000);
+  if (lease_is_granting (&t, 0, expiry))
+    {
+      bucket_start_shard (&new, 0, 2, 10020000);
+      spent += ask (&new, 20, 0, expiry);
+    }
+  lease_close_table (&t);
+  bucket_close_set (&old);
+  bucket_close_set (&new);
+  return spent;
+}
+
+/* Guards against a successor that grants while the previous holder's tokens
+   are valid; without the wait the same steps exceed the burst.  */
+START_TEST (successor_wait_matters)
+{
+  ck_assert_int_eq (spend_across_takeover (0), 60);
+  ck_assert_int_gt (spend_across_takeover (LEASE_RULE_WAIT), 60);
+}
+END_TEST
+
+/* Tokens that can be spent at one moment when a holder paused for 3 s sends
+   its grant late and grants again.  */
+static int
+spend_late_grant (uint32_t rules_off)
+{
+  struct bucket_set set;
+  struct quota_set late, other;
+  int spent = 0;
+  int64_t t = 10000000, resumed = t + 3000000;
+
+  open_set (&set, (struct bucket_limit){ 40, 60 });
+  quota_init_set (&late, 0);
+  quota_init_set (&other, 0);
+  late.test_rules_off = rules_off;
+  for (int i = 0; i < 60; i++)
+    {
+      quota_begin (&late, STR_LIT ("w"), t);
+      quota_begin (&other, STR_LIT ("w"), resumed);
+    }
+  quota_run (&late, t);
+  quota_run (&other, resumed);
+  quota_apply_grant (&late, STR_LIT ("w"), (uint32_t)ask (&set, 60, 0, t),
+                     1000000, EPOCH, 1, resumed);
+  quota_apply_grant (&other, STR_LIT ("w"),
+                     (uint32_t)ask (&set, 60, 0, resumed), 1000000, EPOCH, 1,
+                     resumed);
+  for (int i = 0; i < 60; i++)
+    {
+      spent += quota_poll (&late, STR_LIT ("w"), t, resumed) == QUOTA_TAKEN;
+      spent += quota_poll (&other, STR_LIT ("w"), t, resumed) == QUOTA_TAKEN;
+    }
+  bucket_close_set (&set);
+  quota_close_set (&late);
+  quota_close_set (&other);
+  return spent;
+}
+
+/* Guards against a grant that a paused holder sends late; without the rule that
+   a grant ages by its round trip the same steps give twice the burst.  */
+START_TEST (round_trip_rule_matters)
+{
+  ck_assert_int_eq (spend_late_grant (0), 60);
+  ck_assert_int_eq (spend_late_grant (QUOTA_RULE_ROUND_TRIP), 120);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("bucket");
+  TCase *tc = tcase_create ("bucket");
+  SRunner *runner;
+  int failed;
+
+  tcase_set_timeout (tc, 120);
+  tcase_add_test (tc, smallest_limit_yields_whole_tokens);
+  tcase_add_test (tc, tokens_follow_waiting_requests);
+  tcase_add_test (tc, advance_grants_leave_a_reserve);
+  tcase_add_test (tc, new_epoch_starts_empty);
+  tcase_add_test (tc, lower_burst_applies_at_once);
+  tcase_add_loop_test (tc, bound_holds_in_every_window, 0, SEEDS);
+  tcase_add_loop_test (tc, bucket_rule_matters, 0, 2);
+  tcase_add_test (tc, successor_wait_matters);
+  tcase_add_test (tc, round_trip_rule_matters);
+  suite_add_tcase (suite, tc);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/test_lease.c
@@ -0,0 +1,370 @@
+/* Tests of lease: directed cases of one daemon, and several daemons under
+   random and planned faults.  */
+
+#include "lease.h"
+#include "shard_sim.h"
+
+#include <check.h>
+#include <stdlib.h>
+
+#define SEEDS 6
+#define SEED 100
+#define TERM_US 6000000
+#define PROMISE_US 4000000
+
+static const struct sim_workspace workspaces[] = {
+  { "large", { 40, 60 }, 30 },
+  { "small", { 1, 3 }, 0.8 },
+};
+
+static const struct lease_owner self = { 7, 1 };
+static const struct lease_owner other = { 8, 1 };
+static const struct lease_owner third = { 9, 1 };
+
+/* Takes the actions out of a table; gives the last one of a kind.  */
+static bool
+take_action (struct lease_table *t, enum lease_action_kind kind,
+             struct lease_action *action)
+{
+  bool found = false;
+  void *row;
+
+  for (uint64_t id = table_next (&t->actions, 0, &row); id != 0;
+       id = table_next (&t->actions, id, &row))
+    {
+      if (((struct lease_action *)row)->kind == kind)
+        {
+          *action = *(struct lease_action *)row;
+          found = true;
+        }
+      table_remove (&t->actions, id);
+    }
+  return found;
+}
+
+static void
+answer (struct lease_table *t, enum lease_event_kind kind,
+        const struct lease_action *a, uint64_t version,
+        struct lease_object object, int64_t now_us)
+{
+  struct lease_event e = { .kind = kind,
+                           .shard = a->shard,
+                           .request = a->request,
+                           .version = version,
+                           .object = object };
+
+  lease_apply_event (t, &e, now_us);
+}
+
+static bool
+ask_promise (struct lease_table *t, uint64_t epoch, int64_t now_us)
+{
+  struct lease_event e
+      = { .kind = LEASE_EVENT_PROMISE_WANTED, .peer = other, .epoch = epoch };
+  struct lease_action a;
+
+  lease_apply_event (t, &e, now_us);
+  ck_assert (take_action (t, LEASE_ANSWER_PROMISE, &a));
+  return a.promise_ms > 0;
+}
+
+/* A table with one shard held by other at version 5, read at time 0.  */
+static void
+open_candidate (struct lease_table *t, struct lease_owner candidate)
+{
+  struct lease_settings settings = lease_get_defaults ();
+  struct lease_owner wanted[LEASE_CANDIDATES] = { other, third };
+  struct lease_object object = { .holder = other,
+                                 .epoch = 3,
+                                 .candidates = { candidate, third },
+                                 .term_ms = 6000 };
+  struct lease_action a;
+
+  settings.shards = 1;
+  lease_init_table (t, self, &settings);
+  lease_set_plan (t, 0, wanted, true);
+  lease_run (t, 0);
+  ck_assert (take_action (t, LEASE_READ, &a));
+  answer (t, LEASE_EVENT_READ, &a, 5, object, 0);
+}
+
+/* Runs a tick every 100 ms with a platform that does not answer, until the
+   table writes or the time is over.  */
+static bool
+run_until_write (struct lease_table *t, int64_t from_us, int64_t until_us,
+                 enum lease_event_kind read_answer, struct lease_action *a,
+                 int64_t *at_us)
+{
+  for (int64_t now = from_us; now < until_us; now += 100000)
+    {
+      struct lease_object object = t->shards[0].object;
+      struct lease_action read;
+
+      *at_us = now;
+      lease_run (t, now);
+      if (t->shards[0].op == LEASE_WRITING)
+        return take_action (t, LEASE_WRITE, a);
+      if (take_action (t, LEASE_READ, &read))
+        answer (t, read_answer, &read, t->shards[0].version, object, now);
+    }
+  return false;
+}
+
+/* Guards against a takeover before the holder's term has passed, and against
+   a successor that grants before older grants have expired.  */
+START_TEST (candidate_waits_for_term_and_grants)
+{
+  struct lease_table t;
+  struct lease_action a;
+  int64_t at;
+
+  open_candidate (&t, self);
+  ck_assert (run_until_write (&t, 0, 2 * TERM_US, LEASE_EVENT_READ, &a, &at));
+  ck_assert_int_ge (at, TERM_US);
+  ck_assert_uint_eq (a.version, 5);
+  ck_assert_uint_eq (a.object.epoch, 4);
+  answer (&t, LEASE_EVENT_WRITTEN, &a, 6, a.object, at + 10000);
+  lease_run (&t, at + 1400000);
+  ck_assert (!lease_is_granting (&t, 0, at + 1400000));
+  lease_run (&t, at + 1600000);
+  ck_assert (lease_is_granting (&t, 0, at + 1600000));
+  ck_assert (!lease_is_granting (&t, 0, at + TERM_US));
+  lease_close_table (&t);
+}
+END_TEST
+
+/* Guards against a promise by a candidate whose takeover write may still take
+   effect: the holder would go on beside it.  */
+START_TEST (unknown_write_refuses_promises)
+{
+  struct lease_table t;
+  struct lease_action a;
+  int64_t at;
+
+  open_candidate (&t, self);
+  ck_assert (run_until_write (&t, 0, 2 * TERM_US, LEASE_EVENT_READ, &a, &at));
+  answer (&t, LEASE_EVENT_UNKNOWN, &a, 0, a.object, at);
+  ck_assert (!ask_promise (&t, 3, at));
+  /* Reading the old version back does not prove that the write is lost.  */
+  lease_run (&t, at + 300000);
+  ck_assert (take_action (&t, LEASE_READ, &a));
+  answer (&t, LEASE_EVENT_READ, &a, 5, t.shards[0].object, at + 300000);
+  ck_assert (t.shards[0].unresolved);
+  lease_run (&t, at + 400000);
+  ck_assert (take_action (&t, LEASE_WRITE, &a));
+  answer (&t, LEASE_EVENT_UNREACHABLE, &a, 0, a.object, at + 400000);
+  ck_assert (!ask_promise (&t, 3, at + 400000));
+  lease_close_table (&t);
+}
+END_TEST
+
+/* Guards against a candidate that breaks its promise, and one that promises
+   although it reaches the platform.  */
+START_TEST (promise_binds_candidate)
+{
+  struct lease_table t;
+  struct lease_action a;
+  int64_t at;
+
+  open_candidate (&t, self);
+  ck_assert (!ask_promise (&t, 3, 100000));
+  ck_assert (!run_until_write (&t, 2100000, TERM_US, LEASE_EVENT_UNREACHABLE,
+                               &a, &at));
+  ck_assert (!ask_promise (&t, 2, TERM_US));
+  ck_assert (ask_promise (&t, 3, TERM_US));
+  ck_assert_int_eq (t.shards[0].state, LEASE_PROMISED);
+  ck_assert (
+      run_until_write (&t, TERM_US, 3 * TERM_US, LEASE_EVENT_READ, &a, &at));
+  ck_assert_int_ge (at, TERM_US + PROMISE_US);
+  lease_close_table (&t);
+}
+END_TEST
+
+/* Guards against a restarted candidate that takes over although its earlier
+   run promised not to; only the abandon limit lets it.  */
+START_TEST (restarted_candidate_waits_for_abandonment)
+{
+  struct lease_table t;
+  struct lease_action a;
+  struct lease_owner before = { 7, 0 };
+  int64_t at;
+
+  open_candidate (&t, before);
+  ck_assert (run_until_write (&t, 0, INT64_C (3700) * 1000000,
+                              LEASE_EVENT_READ, &a, &at));
+  ck_assert_int_ge (at, INT64_C (3600) * 1000000);
+  lease_close_table (&t);
+}
+END_TEST
+
+/* Guards against a lease measured from the answer of a slow platform, and
+   against answers to operations that are no longer pending.  */
+START_TEST (holder_measures_from_sending)
+{
+  struct lease_settings settings = lease_get_defaults ();
+  struct lease_owner wanted[LEASE_CANDIDATES] = { other, third };
+  struct lease_table t;
+  struct lease_action a, late;
+
+  settings.shards = 1;
+  lease_init_table (&t, self, &settings);
+  lease_set_plan (&t, 0, wanted, true);
+  lease_run (&t, 0);
+  ck_assert (take_action (&t, LEASE_READ, &a));
+  answer (&t, LEASE_EVENT_ABSENT, &a, 0, a.object, 0);
+  lease_run (&t, 0);
+  ck_assert (take_action (&t, LEASE_WRITE, &a));
+  ck_assert_uint_eq (a.version, 0);
+  answer (&t, LEASE_EVENT_UNKNOWN, &a, 0, a.object, 1000000);
+  late = a;
+  answer (&t, LEASE_EVENT_WRITTEN, &late, 1, a.object, 1100000);
+  ck_assert_uint_eq (t.shards[0].version, 0);
+  lease_run (&t, 1300000);
+  ck_assert (take_action (&t, LEASE_READ, &a));
+  answer (&t, LEASE_EVENT_READ, &a, 1, late.object, 5000000);
+  ck_assert (lease_is_granting (&t, 0, TERM_US - 1));
+  ck_assert (!lease_is_granting (&t, 0, TERM_US));
+  lease_close_table (&t);
+}
+END_TEST
+
+/* Guards against a holder that goes on with one promise of two, on a late one,
+   or past the abandon limit.  */
+START_TEST (holder_needs_all_promises)
+{
+  struct lease_table t;
+  struct lease_shard *s;
+  struct lease_event e = { .kind = LEASE_EVENT_PROMISE, .epoch = 3 };
+
+  open_candidate (&t, other);
+  s = &t.shards[0];
+  s->object.holder = self;
+  s->lease_from_us = 0;
+  s->granting = true;
+  s->unreachable = true;
+  lease_run (&t, TERM_US - 500000);
+  e.promise_ms = 4000;
+  e.peer = other;
+  e.request = s->asked_number[0];
+  lease_apply_event (&t, &e, TERM_US - 100000);
+  ck_assert (!lease_is_granting (&t, 0, TERM_US));
+  e.peer = third;
+  e.request = s->asked_number[1] - 1;
+  lease_apply_event (&t, &e, TERM_US - 100000);
+  ck_assert (!lease_is_granting (&t, 0, TERM_US));
+  e.request = s->asked_number[1];
+  lease_apply_event (&t, &e, TERM_US - 100000);
+  ck_assert (lease_is_granting (&t, 0, TERM_US));
+  ck_assert (!lease_is_granting (&t, 0, TERM_US - 500000 + PROMISE_US));
+  s->promise_until_us[0] = s->promise_until_us[1] = INT64_MAX;
+  ck_assert (!lease_is_granting (&t, 0, INT64_C (3540) * 1000000));
+  s->promise_until_us[0] = s->promise_until_us[1] = INT64_MAX;
+  s->unresolved_candidates = true;
+  ck_assert (!lease_is_granting (&t, 0, TERM_US));
+  lease_close_table (&t);
+}
+END_TEST
+
+/* Guards against holders that pile up on few members and candidates in the
+   holder's failure domain.  */
+START_TEST (choice_spreads_over_members_and_domains)
+{
+  struct lease_member members[12];
+  int held[12] = { 0 };
+
+  for (uint64_t i = 0; i < 12; i++)
+    members[i] = (struct lease_member){ { i + 1, 1 }, (uint32_t)i % 3 };
+  for (uint32_t shard = 0; shard < LEASE_SHARDS_MAX; shard++)
+    {
+      struct lease_owner wanted[LEASE_CANDIDATES];
+      struct lease_owner none = { 0 };
+      struct lease_owner holder
+          = lease_choose (shard, members, 12, none, wanted);
+
+      held[holder.id - 1]++;
+      ck_assert_uint_ne ((holder.id - 1) % 3, (wanted[0].id - 1) % 3);
+      ck_assert_uint_ne ((holder.id - 1) % 3, (wanted[1].id - 1) % 3);
+      ck_assert_uint_ne ((wanted[0].id - 1) % 3, (wanted[1].id - 1) % 3);
+    }
+  for (int i = 0; i < 12; i++)
+    ck_assert (held[i] >= 8 && held[i] <= 42);
+}
+END_TEST
+
+static uint64_t
+count_double_holders (const struct sim_options *opt)
+{
+  struct sim *s = g_new (struct sim, 1);
+  uint64_t n;
+
+  sim_open (s, opt);
+  sim_run (s, opt->length_ms);
+  ck_assert_uint_gt (s->takeovers, SIM_SHARDS);
+  n = s->double_holders + s->old_epoch_grants;
+  sim_close (s);
+  g_free (s);
+  return n;
+}
+
+static struct sim_options
+get_options (uint32_t seed)
+{
+  return (struct sim_options){ .seed = seed,
+                               .length_ms = 120000,
+                               .nodes = 6,
+                               .workspaces_len = 2,
+                               .workspaces = workspaces,
+                               .late = 0.02,
+                               .drift_ppm = 4000 };
+}
+
+/* Guards against two holders that grant at the same time, or a grant of an
+   older epoch after one of a newer, under random faults.  */
+START_TEST (one_holder_under_random_faults)
+{
+  struct sim_options opt = get_options (SEED + (uint32_t)_i);
+
+  opt.faults = true;
+  ck_assert_uint_eq (count_double_holders (&opt), 0);
+}
+END_TEST
+
+/* Guards against two holders when the platform returns for the candidates
+   before it returns for the holder; without the promise rule it fails.  */
+START_TEST (promise_rule_matters)
+{
+  struct sim_options opt = get_options (SEED);
+
+  opt.length_ms = 60000;
+  opt.outage_ms = 10000;
+  ck_assert_uint_eq (count_double_holders (&opt), 0);
+  opt.lease_off = LEASE_RULE_PROMISE;
+  ck_assert_uint_gt (count_double_holders (&opt), 0);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("lease");
+  TCase *tc = tcase_create ("lease");
+  SRunner *runner;
+  int failed;
+
+  tcase_set_timeout (tc, 120);
+  tcase_add_test (tc, candidate_waits_for_term_and_grants);
+  tcase_add_test (tc, unknown_write_refuses_promises);
+  tcase_add_test (tc, promise_binds_candidate);
+  tcase_add_test (tc, restarted_candidate_waits_for_abandonment);
+  tcase_add_test (tc, holder_measures_from_sending);
+  tcase_add_test (tc, holder_needs_all_promises);
+  tcase_add_test (tc, choice_spreads_over_members_and_domains);
+  tcase_add_loop_test (tc, one_holder_under_random_faults, 0, SEEDS);
+  tcase_add_test (tc, promise_rule_matters);
+  suite_add_tcase (suite, tc);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/test_once.c
@@ -0,0 +1,231 @@
+/* Tests of once: keys, repetition, bounded memory, takeover.  */
+
+#include "once.h"
+#include "shard_sim.h"
+
+#include <check.h>
+#include <stdlib.h>
+
+#define SEED 300
+#define SEEDS 4
+#define WALL 1700000000000
+#define RUN_US 1000000
+
+static const struct sim_workspace workspaces[] = { { "w", { 10, 20 }, 1 } };
+static const struct once_attempt first = { 1, 1 }, second = { 1, 2 };
+
+static struct once_key
+make_key (int64_t ms, unsigned char tail)
+{
+  struct once_key key = { { 0 } };
+
+  for (int i = 0; i < 6; i++)
+    key.bytes[i] = (unsigned char)(ms >> (40 - 8 * i));
+  key.bytes[15] = tail;
+  return key;
+}
+
+static void
+open_registry (struct once_registry *r, uint32_t records, size_t bytes)
+{
+  struct once_settings settings = once_get_defaults ();
+
+  settings.records_max = records;
+  settings.outcome_bytes_max = bytes;
+  once_init_registry (r, 1, &settings);
+  once_start_shard (r, 0, 1, WALL - 60000);
+}
+
+static enum once_answer
+ask (struct once_registry *r, int64_t key_ms, unsigned char tail,
+     uint64_t fingerprint, struct once_attempt attempt, int64_t now_us)
+{
+  struct once_key key = make_key (key_ms, tail);
+  struct str outcome;
+
+  return once_register (r, 0, &key, fingerprint, attempt, RUN_US, now_us, WALL,
+                        &outcome);
+}
+
+/* Guards against keys without a trustworthy time.  */
+START_TEST (only_version_7_keys_are_parsed)
+{
+  static const struct
+  {
+    const char *text;
+    bool ok;
+  } cases[] = {
+    { "018bcfe5-6800-7abc-8def-0123456789ab", true },
+    { "018BCFE5-6800-7ABC-BDEF-0123456789AB", true },
+    { "018bcfe5-6800-4abc-8def-0123456789ab", false },
+    { "018bcfe5-6800-7abc-7def-0123456789ab", false },
+    { "018bcfe568007abc8def0123456789ab", false },
+    { "018bcfe5-6800-7abc-8def-0123456789a", false },
+    { "018bcfe5-6800-7abc-8def-0123456789ag", false },
+    { "018bcfe56-800-7abc-8def-0123456789ab", false },
+    { "", false },
+  };
+  struct once_key key;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    ck_assert_int_eq (once_parse_key (str_from_cstr (cases[i].text), &key),
+                      cases[i].ok);
+  once_parse_key (str_from_cstr (cases[0].text), &key);
+  ck_assert_int_eq (once_get_key_ms (&key), WALL);
+}
+END_TEST
+
+/* Guards against a repeated key that runs again, a key that stands for another
+   request, and a lost answer that blocks the first daemon's own attempt.  */
+START_TEST (repeated_key_gets_recorded_outcome)
+{
+  struct once_registry r;
+  struct once_key key = make_key (WALL, 1);
+  struct str outcome;
+
+  open_registry (&r, 10, 1000);
+  ck_assert_int_eq (ask (&r, WALL, 1, 5, first, 0), ONCE_NEW);
+  ck_assert_int_eq (ask (&r, WALL, 1, 5, first, 0), ONCE_NEW);
+  ck_assert_int_eq (ask (&r, WALL, 1, 5, second, 0), ONCE_IS_RUNNING);
+  ck_assert_int_eq (ask (&r, WALL, 1, 6, second, 0), ONCE_REUSED);
+  ck_assert (!once_complete (&r, &key, second, STR_LIT ("no")));
+  ck_assert (once_complete (&r, &key, first, STR_LIT ("yes")));
+  ck_assert (!once_release (&r, &key, first));
+  ck_assert_int_eq (
+      once_register (&r, 0, &key, 5, second, RUN_US, 0, WALL, &outcome),
+      ONCE_IS_DONE);
+  ck_assert (str_equal (outcome, STR_LIT ("yes")));
+  once_close_registry (&r);
+}
+END_TEST
+
+/* Guards against a key of a request that did not run, which is refused for 10
+   minutes, and one whose first daemon died, which is "running" for as long.  */
+START_TEST (released_and_lost_keys)
+{
+  struct once_registry r;
+  struct once_key key = make_key (WALL, 1);
+
+  open_registry (&r, 10, 1000);
+  ck_assert_int_eq (ask (&r, WALL, 1, 5, first, 0), ONCE_NEW);
+  ck_assert (once_release (&r, &key, first));
+  ck_assert_int_eq (ask (&r, WALL, 1, 5, second, 0), ONCE_NEW);
+  ck_assert_int_eq (ask (&r, WALL, 1, 5, first, 3 * RUN_US), ONCE_UNKNOWN);
+  ck_assert (once_complete (&r, &key, second, STR_LIT ("late")));
+  ck_assert_int_eq (ask (&r, WALL, 1, 5, first, 3 * RUN_US), ONCE_IS_DONE);
+  once_close_registry (&r);
+}
+END_TEST
+
+/* Guards against a key that an earlier holder may have run, and keys whose time
+   would carry them over a takeover.  */
+START_TEST (time_of_key_decides)
+{
+  struct once_registry r;
+
+  open_registry (&r, 10, 1000);
+  ck_assert_int_eq (ask (&r, WALL + 2000, 1, 5, first, 0), ONCE_NEW);
+  ck_assert_int_eq (ask (&r, WALL + 2001, 2, 5, first, 0), ONCE_FUTURE);
+  ck_assert_int_eq (ask (&r, WALL - 56001, 3, 5, first, 0), ONCE_UNKNOWN);
+  ck_assert_int_eq (ask (&r, WALL - 55999, 4, 5, first, 0), ONCE_NEW);
+  ck_assert_int_eq (ask (&r, WALL - 600000, 5, 5, first, 0), ONCE_EXPIRED);
+  once_start_shard (&r, 0, 2, WALL);
+  ck_assert_int_eq (ask (&r, WALL + 2000, 1, 5, second, 0), ONCE_UNKNOWN);
+  once_stop_shard (&r, 0);
+  ck_assert_int_eq (ask (&r, WALL, 1, 5, second, 0), ONCE_NOT_HELD);
+  once_close_registry (&r);
+}
+END_TEST
+
+/* Guards against memory without bound, against a record dropped while its key
+   could run again, and against a wall clock that is set back.  */
+START_TEST (memory_is_bounded)
+{
+  struct once_registry r;
+  struct once_key key = make_key (WALL, 1);
+
+  open_registry (&r, 2, 4);
+  ck_assert_int_eq (ask (&r, WALL, 1, 5, first, 0), ONCE_NEW);
+  ck_assert_int_eq (ask (&r, WALL, 2, 5, first, 0), ONCE_NEW);
+  ck_assert_int_eq (ask (&r, WALL, 3, 5, first, 0), ONCE_FULL);
+  ck_assert (once_complete (&r, &key, first, STR_LIT ("12345")));
+  ck_assert_int_eq (ask (&r, WALL, 1, 5, second, 0), ONCE_UNKNOWN);
+  once_run (&r, WALL + 599999);
+  ck_assert_uint_eq (r.records.count, 2);
+  once_run (&r, WALL + 600000);
+  ck_assert_uint_eq (r.records.count, 0);
+  ck_assert_uint_eq (r.outcome_bytes, 0);
+  ck_assert_int_eq (ask (&r, WALL, 1, 5, second, 0), ONCE_UNKNOWN);
+  once_close_registry (&r);
+}
+END_TEST
+
+static uint64_t
+count_double_runs (uint32_t seed, uint32_t off, bool drift)
+{
+  struct sim_options opt = { .seed = seed,
+                             .length_ms = 120000,
+                             .nodes = 6,
+                             .workspaces_len = 1,
+                             .workspaces = workspaces,
+                             .faults = true,
+                             .keys = 10,
+                             .late = 0.05,
+                             .drift_ppm = drift ? 1000 : 0,
+                             .once_off = off };
+  struct sim *s = g_new (struct sim, 1);
+  uint64_t n, ran = 0;
+
+  sim_open (s, &opt);
+  sim_run (s, opt.length_ms);
+  for (guint i = 0; i < s->keys->len; i++)
+    ran += g_array_index (s->keys, struct sim_key, i).runs > 0;
+  ck_assert_uint_gt (ran, 100);
+  n = s->double_runs;
+  sim_close (s);
+  g_free (s);
+  return n;
+}
+
+/* Guards against a key that runs twice under kills, pauses, takeovers, late
+   and lost answers, and clients whose clocks are wrong.  */
+START_TEST (no_key_runs_twice)
+{
+  ck_assert_uint_eq (count_double_runs (SEED + (uint32_t)_i, 0, true), 0);
+}
+END_TEST
+
+/* The same runs find a key that runs twice without either skew rule.  */
+START_TEST (skew_rules_matter)
+{
+  ck_assert_uint_gt (count_double_runs (SEED, ONCE_RULE_FLOOR, false), 0);
+  ck_assert_uint_gt (
+      count_double_runs (SEED, ONCE_RULE_FUTURE, false)
+          + count_double_runs (SEED + 1, ONCE_RULE_FUTURE, false),
+      0);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("once");
+  TCase *tc = tcase_create ("once");
+  SRunner *runner;
+  int failed;
+
+  tcase_set_timeout (tc, 120);
+  tcase_add_test (tc, only_version_7_keys_are_parsed);
+  tcase_add_test (tc, repeated_key_gets_recorded_outcome);
+  tcase_add_test (tc, released_and_lost_keys);
+  tcase_add_test (tc, time_of_key_decides);
+  tcase_add_test (tc, memory_is_bounded);
+  tcase_add_loop_test (tc, no_key_runs_twice, 0, SEEDS);
+  tcase_add_test (tc, skew_rules_matter);
+  suite_add_tcase (suite, tc);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
