--- a/src/quota.h
+++ b/src/quota.h
@@ -89,7 +89,8 @@
 
 /* Public functions */
 
-/* empty set; sequences continue after first_sequence */
+/* empty set; sequences follow first_sequence and never repeat those of an
+   earlier run, whose late grants would else seem to answer this one's asks */
 void quota_init_set (struct quota_set *set, uint64_t first_sequence);
 /* frees everything */
 void quota_close_set (struct quota_set *set);
