Join daemons by gossip; keep drains and the last attempt's error

Cause: a front saw only its own backend server; test_dispatch found that a repeated announcement ended a drain, and that a request refused by a leaving backend server was told as unreachable. Ruled out: ending a drain on an announcement of the same backend server (its heartbeat cannot be told from a restart); rebuilding endpoints on each delta (a digest of the usable rows decides instead). Change: node_gossip joins member, gossip and fresh to the control port (UDP and TCP), publishes endpoints and the time until which keyed routes are served; settings member failure_domains; a drain ends with a leave.

--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,7 @@
 
 $(BUILD)/%.o: src/%.c
 	@mkdir -p $(@D)
-	$(CC) $(CPPFLAGS_BASE) $(CPPFLAGS) $(CFLAGS_BASE) $(CFLAGS) -MMD -c $< -o $@
+	$(CC) $(CPPFLAGS_BASE) $(CPPFLAGS) $(CFLAGS_BASE) $(CFLAGS) -MMD -MP -c $< -o $@
 
 $(BUILD)/almondvaled: $(BUILD)/almondvaled.o $(BUILD)/libalmondvale.a
 	$(CC) $(LDFLAGS_BASE) $^ $(LIBS) -o $@
@@ -53,14 +53,14 @@
 	$(CC) $(LDFLAGS_BASE) $^ $(LIBS) -o $@
 
 $(BUILD)/%: standins/%.c $(BUILD)/libalmondvale.a
-	$(CC) $(CPPFLAGS_BASE) $(CPPFLAGS) $(CFLAGS_BASE) -MMD -MF $@.d $(LDFLAGS_BASE) $< $(BUILD)/libalmondvale.a $(LIBS) -o $@
+	$(CC) $(CPPFLAGS_BASE) $(CPPFLAGS) $(CFLAGS_BASE) -MMD -MP -MF $@.d $(LDFLAGS_BASE) $< $(BUILD)/libalmondvale.a $(LIBS) -o $@
 
 $(BUILD)/%: bench/%.c $(BUILD)/libalmondvale.a
-	$(CC) $(CPPFLAGS_BASE) $(CPPFLAGS) $(CFLAGS_BASE) -MMD -MF $@.d $(LDFLAGS_BASE) $< $(BUILD)/libalmondvale.a $(LIBS) -o $@
+	$(CC) $(CPPFLAGS_BASE) $(CPPFLAGS) $(CFLAGS_BASE) -MMD -MP -MF $@.d $(LDFLAGS_BASE) $< $(BUILD)/libalmondvale.a $(LIBS) -o $@
 
 $(BUILD)/tests/%: tests/%.c $(BUILD)/libalmondvale.a
 	@mkdir -p $(@D)
-	$(CC) $(CPPFLAGS_BASE) $(CPPFLAGS) $(CFLAGS_BASE) -Itests $(shell pkg-config --cflags check) -MMD -MF $@.d $(LDFLAGS_BASE) $< $(BUILD)/libalmondvale.a $(LIBS) $(shell pkg-config --libs check) -o $@
+	$(CC) $(CPPFLAGS_BASE) $(CPPFLAGS) $(CFLAGS_BASE) -Itests $(shell pkg-config --cflags check) -MMD -MP -MF $@.d $(LDFLAGS_BASE) $< $(BUILD)/libalmondvale.a $(LIBS) $(shell pkg-config --libs check) -o $@
 
 packages:
 	tools/install-packages
--- a/src/control.c
+++ b/src/control.c
@@ -76,9 +76,14 @@
 set_backend (struct control *c, enum control_backend state,
              const struct note *n)
 {
-  if (state == c->backend_state
-      && (state != CONTROL_BACKEND_SERVING
-          || note_equal_backend (&c->backend, &n->backend)))
+  bool same = note_equal_backend (&c->backend, &n->backend);
+
+  /* Repeated announcements do not end a drain; a leave does.  */
+  if (state == CONTROL_BACKEND_SERVING && same
+      && (c->backend_state == CONTROL_BACKEND_SERVING
+          || c->backend_state == CONTROL_BACKEND_DRAINING))
+    return;
+  if (state == c->backend_state && state != CONTROL_BACKEND_SERVING)
     return;
   if (state == CONTROL_BACKEND_SERVING)
     {
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -246,8 +246,7 @@
   if (member == 0)
     {
       front_fail (f, call,
-                  call->attempts > 0 ? ERR_BACKEND_UNREACHABLE
-                                     : ERR_NO_BACKEND,
+                  call->attempts > 0 ? call->attempt_error : ERR_NO_BACKEND,
                   STR_EMPTY);
       return;
     }
@@ -626,6 +625,7 @@
 
   call->member = 0;
   call->link = 0;
+  call->attempt_error = error;
   if (!err_is_not_run (error))
     call->may_have_run = true;
   if (call->receiving)
--- a/src/front.h
+++ b/src/front.h
@@ -88,8 +88,9 @@
   uint32_t part; /* budget handed down */
   int64_t sent_us;
   int64_t query_until_us;
-  bool may_have_run; /* an earlier attempt may have run */
-  bool receiving;    /* the response's first part is there */
+  enum err_kind attempt_error; /* of the last attempt that failed */
+  bool may_have_run;           /* an earlier attempt may have run */
+  bool receiving;              /* the response's first part is there */
   uint32_t attempts;
   uint32_t tried_len;
   uint64_t tried[FRONT_TRIED_MAX];
--- /dev/null
+++ b/src/node_gossip.c
@@ -0,0 +1,644 @@
+/* node_gossip: glue between member, gossip and fresh and the control thread. */
+
+#include "node_gossip.h"
+
+#include "clock.h"
+#include "logger.h"
+#include "wire_control.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+/* Constants */
+
+#define DATAGRAM_MAX_BYTES 2048
+/* Datagrams taken in one event, so that a flood leaves time for the rest.  */
+#define DATAGRAMS_PER_EVENT 256
+#define ENDPOINTS_INTERVAL_US (250 * CLOCK_US_PER_MS)
+
+/* Internal functions: addresses */
+
+static const unsigned char mapped_prefix[12]
+    = { 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xff };
+
+static bool
+parse_ip (struct str text, unsigned char ip[MEMBER_IP_BYTES])
+{
+  char *copy = str_dup_cstr (text);
+  bool ok;
+
+  memcpy (ip, mapped_prefix, sizeof mapped_prefix);
+  ok = inet_pton (AF_INET, copy, ip + sizeof mapped_prefix) == 1
+       || inet_pton (AF_INET6, copy, ip) == 1;
+  g_free (copy);
+  return ok;
+}
+
+static socklen_t
+make_sockaddr (const struct member_address *a, struct sockaddr_storage *out)
+{
+  struct sockaddr_in *v4 = (struct sockaddr_in *)out;
+  struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)out;
+
+  memset (out, 0, sizeof *out);
+  if (memcmp (a->ip, mapped_prefix, sizeof mapped_prefix) == 0)
+    {
+      v4->sin_family = AF_INET;
+      v4->sin_port = htons (a->ports[MEMBER_PORT_CONTROL]);
+      memcpy (&v4->sin_addr, a->ip + sizeof mapped_prefix, 4);
+      return sizeof *v4;
+    }
+  v6->sin6_family = AF_INET6;
+  v6->sin6_port = htons (a->ports[MEMBER_PORT_CONTROL]);
+  memcpy (&v6->sin6_addr, a->ip, MEMBER_IP_BYTES);
+  return sizeof *v6;
+}
+
+static void
+read_sockaddr (const struct sockaddr_storage *from, struct member_address *a)
+{
+  const struct sockaddr_in *v4 = (const struct sockaddr_in *)from;
+  const struct sockaddr_in6 *v6 = (const struct sockaddr_in6 *)from;
+
+  memset (a, 0, sizeof *a);
+  if (from->ss_family == AF_INET)
+    {
+      memcpy (a->ip, mapped_prefix, sizeof mapped_prefix);
+      memcpy (a->ip + sizeof mapped_prefix, &v4->sin_addr, 4);
+      a->ports[MEMBER_PORT_CONTROL] = ntohs (v4->sin_port);
+      return;
+    }
+  memcpy (a->ip, &v6->sin6_addr, MEMBER_IP_BYTES);
+  a->ports[MEMBER_PORT_CONTROL] = ntohs (v6->sin6_port);
+}
+
+/* Internal functions: datagrams */
+
+static void
+receive_datagram (struct control *c, struct str bytes,
+                  const struct sockaddr_storage *from)
+{
+  struct node_gossip *n = c->node_gossip;
+  struct wire_control_message m;
+
+  metrics_count (c->shared->stats.control_bytes_received, bytes.len);
+  if (!wire_control_load_message (&m, bytes))
+    {
+      metrics_count (c->shared->stats.bad_frames, 1);
+      return;
+    }
+  if (m.type == WIRE_PROBE || m.type == WIRE_ACK || m.type == WIRE_PROBE_REQ)
+    {
+      read_sockaddr (from, &m.u.datagram.address);
+      gossip_receive (&n->gossip, &m.u.datagram, clock_now_us ());
+    }
+  wire_control_unload_message (&m);
+}
+
+static void
+on_readable (evutil_socket_t fd, short what, void *data)
+{
+  for (int i = 0; i < DATAGRAMS_PER_EVENT; i++)
+    {
+      struct sockaddr_storage from;
+      socklen_t from_len = sizeof from;
+      char buffer[DATAGRAM_MAX_BYTES];
+      ssize_t len = recvfrom (fd, buffer, sizeof buffer, 0,
+                              (struct sockaddr *)&from, &from_len);
+
+      if (len < 0)
+        return;
+      receive_datagram (data, (struct str){ (size_t)len, buffer }, &from);
+    }
+}
+
+static void
+send_datagrams (struct control *c)
+{
+  struct node_gossip *n = c->node_gossip;
+  struct gossip_datagram *d;
+
+  for (uint64_t id = table_next (&n->gossip.out, 0, (void **)&d); id != 0;
+       id = table_next (&n->gossip.out, id, (void **)&d))
+    {
+      struct sockaddr_storage to;
+      socklen_t to_len = make_sockaddr (&d->address, &to);
+      struct str_buf out = { 0 };
+
+      wire_control_append_datagram (&out, d);
+      /* A datagram that cannot be sent is lost, as on the network.  */
+      if (sendto (n->socket, out.data, out.len, 0, (struct sockaddr *)&to,
+                  to_len)
+          > 0)
+        metrics_count (c->shared->stats.control_bytes_sent, out.len);
+      str_reset (&out);
+      table_remove (&n->gossip.out, id);
+    }
+}
+
+/* Internal functions: exchanges over TCP */
+
+static void
+send_frame (struct control *c, uint64_t member,
+            const struct member_address *address,
+            const struct wire_control_message *m)
+{
+  struct str text = node_gossip_format_address (address);
+  struct str_buf out = { 0 };
+  uint16_t port = address->ports[MEMBER_PORT_CONTROL];
+
+  /* A seed address stands for a member that is not known yet.  */
+  if (member == 0)
+    member = str_hash (text) ^ port;
+  wire_control_append_frame (&out, m);
+  control_send (c, member, text, port, str_view (&out));
+  str_reset (&out);
+  str_free (&text);
+}
+
+static void
+send_syncs (struct control *c)
+{
+  struct node_gossip *n = c->node_gossip;
+  struct member_message *ask;
+
+  for (uint64_t id = table_next (&n->members.out, 0, (void **)&ask); id != 0;
+       id = table_next (&n->members.out, id, (void **)&ask))
+    {
+      struct wire_control_message m = { .type = WIRE_SYNC_MEMBERS };
+
+      m.u.sync.service_hash
+          = ask->type == MEMBER_SEND_WANT ? ask->service_hash : 0;
+      m.u.sync.max_bytes = ask->max_bytes;
+      m.u.sync.window = ask->window;
+      memcpy (m.u.sync.digests,
+              n->members.digests + (size_t)ask->window * MEMBER_WINDOW,
+              sizeof m.u.sync.digests);
+      send_frame (c, ask->to, &ask->address, &m);
+      table_remove (&n->members.out, id);
+    }
+}
+
+static void
+send_pulls (struct control *c)
+{
+  struct node_gossip *n = c->node_gossip;
+  struct gossip_pull *pull;
+
+  for (uint64_t id = table_next (&n->gossip.pulls, 0, (void **)&pull); id != 0;
+       id = table_next (&n->gossip.pulls, id, (void **)&pull))
+    {
+      struct wire_control_message m = { .type = WIRE_PULL_CHANGES };
+      struct member_row *row = member_find (&n->members, pull->to);
+
+      m.u.pull.revision = pull->revision;
+      if (row != NULL)
+        send_frame (c, pull->to, &row->entry.address, &m);
+      table_remove (&n->gossip.pulls, id);
+    }
+}
+
+static void
+reply (struct control *c, uint64_t link, const struct wire_control_message *m)
+{
+  struct str_buf out = { 0 };
+
+  wire_control_append_frame (&out, m);
+  control_reply (c, link, str_view (&out));
+  str_reset (&out);
+}
+
+static void
+answer_sync (struct control *c, uint64_t link,
+             const struct wire_sync_members *sync)
+{
+  struct node_gossip *n = c->node_gossip;
+  struct wire_control_message m = { .type = WIRE_MEMBERS };
+  GArray *entries = g_array_new (FALSE, FALSE, sizeof (struct member_entry));
+
+  m.u.members.service_hash = sync->service_hash;
+  m.u.members.complete = true;
+  if (sync->service_hash != 0)
+    member_answer_want (&n->members, sync->service_hash, entries);
+  else
+    m.u.members.complete = member_answer_sync (
+        &n->members, sync->window, sync->digests, sync->max_bytes, entries);
+  m.u.members.entries_len = entries->len;
+  m.u.members.entries = (struct member_entry *)(void *)entries->data;
+  reply (c, link, &m);
+  g_array_unref (entries);
+}
+
+static void
+take_members (struct control *c, const struct wire_members *members)
+{
+  struct node_gossip *n = c->node_gossip;
+  GArray *entries = g_array_new (FALSE, FALSE, sizeof (struct member_entry));
+
+  g_array_append_vals (entries, members->entries, members->entries_len);
+  if (members->service_hash != 0)
+    member_note_want (&n->members, entries, clock_now_us ());
+  else
+    member_note_sync (&n->members, entries, members->complete,
+                      clock_now_us ());
+  g_array_unref (entries);
+}
+
+static void
+answer_pull (struct control *c, uint64_t link,
+             const struct wire_pull_changes *pull)
+{
+  struct wire_control_message m = { .type = WIRE_CHANGES };
+  GArray *changes = g_array_new (FALSE, FALSE, sizeof (struct gossip_change));
+
+  m.u.changes.held
+      = gossip_answer_pull (&c->node_gossip->gossip, pull->revision, changes);
+  m.u.changes.changes_len = changes->len;
+  m.u.changes.changes = (struct gossip_change *)(void *)changes->data;
+  reply (c, link, &m);
+  g_array_unref (changes);
+}
+
+static void
+take_changes (struct control *c, uint64_t link,
+              const struct wire_changes *changes)
+{
+  for (uint32_t i = 0; i < changes->changes_len; i++)
+    gossip_add_change (&c->node_gossip->gossip, changes->changes[i].revision,
+                       changes->changes[i].bytes);
+}
+
+static bool
+on_frame (struct control *c, uint64_t link, uint32_t type, struct str frame)
+{
+  struct wire_control_message m;
+
+  if (type < WIRE_SYNC_MEMBERS || type > WIRE_CHANGES)
+    return false;
+  if (!wire_control_load_message (&m, frame))
+    return false;
+  switch (m.type)
+    {
+    case WIRE_SYNC_MEMBERS:
+      answer_sync (c, link, &m.u.sync);
+      break;
+    case WIRE_MEMBERS:
+      take_members (c, &m.u.members);
+      break;
+    case WIRE_PULL_CHANGES:
+      answer_pull (c, link, &m.u.pull);
+      break;
+    case WIRE_CHANGES:
+      take_changes (c, link, &m.u.changes);
+      break;
+    default:
+      break;
+    }
+  wire_control_unload_message (&m);
+  return true;
+}
+
+/* Internal functions: systems */
+
+static void
+announce_backend (struct control *c)
+{
+  static const enum member_backend states[]
+      = { [CONTROL_BACKEND_NONE] = MEMBER_BACKEND_NONE,
+          [CONTROL_BACKEND_SERVING] = MEMBER_BACKEND_SERVING,
+          [CONTROL_BACKEND_DRAINING] = MEMBER_BACKEND_DRAINING,
+          [CONTROL_BACKEND_LEAVING] = MEMBER_BACKEND_LEAVING };
+  struct node_gossip *n = c->node_gossip;
+
+  if (n->backend_changes != c->backend_changes)
+    {
+      n->backend_changes = c->backend_changes;
+      member_set_backend (&n->members, states[c->backend_state],
+                          c->backend.service, c->backend.slots);
+    }
+  if (c->listeners_stopped && !n->left)
+    {
+      n->left = true;
+      member_leave (&n->members);
+    }
+}
+
+static void
+need_services (struct control *c)
+{
+  const struct table *services = &c->inventory.tables[INVENTORY_SERVICE];
+  struct inventory_service *service;
+
+  for (uint64_t id = table_next (services, 0, (void **)&service); id != 0;
+       id = table_next (services, id, (void **)&service))
+    member_need_service (&c->node_gossip->members, service->name);
+}
+
+static void
+run_each_second (struct control *c, int64_t now_us)
+{
+  struct node_gossip *n = c->node_gossip;
+
+  if (now_us < n->next_second_us)
+    return;
+  n->next_second_us = now_us + CLOCK_US_PER_S;
+  member_expire_rows (&n->members, now_us);
+  n->watcher = member_is_watcher (&n->members);
+  need_services (c);
+  metrics_set (c->shared->stats.members, n->members.alive);
+}
+
+static bool
+is_endpoint (const struct member_row *row)
+{
+  return row->entry.full && row->entry.backend == MEMBER_BACKEND_SERVING
+         && member_is_usable (row);
+}
+
+static int64_t
+get_first_seen (struct node_gossip *n, uint64_t member, int64_t now_us)
+{
+  int64_t *seen = g_hash_table_lookup (n->first_seen, &member);
+  uint64_t *key;
+
+  if (seen != NULL)
+    return *seen;
+  key = g_new (uint64_t, 1);
+  seen = g_new (int64_t, 1);
+  *key = member;
+  *seen = now_us;
+  g_hash_table_insert (n->first_seen, key, seen);
+  return now_us;
+}
+
+static void
+add_endpoint (struct node_gossip *n, GArray *endpoints,
+              const struct member_entry *entry, int64_t now_us)
+{
+  struct snapshot_endpoint e
+      = { .member = node_gossip_get_process (entry->id, entry->incarnation),
+          .address = node_gossip_format_address (&entry->address),
+          .peer_port = entry->address.ports[MEMBER_PORT_PEER],
+          .domain = entry->domain,
+          .service = entry->service };
+
+  e.announced_us = get_first_seen (n, e.member, now_us);
+  g_array_append_val (endpoints, e);
+}
+
+static uint64_t
+get_digest (const struct member_row *row)
+{
+  uint64_t parts[2]
+      = { node_gossip_get_process (row->entry.id, row->entry.incarnation),
+          row->entry.service_hash };
+
+  return str_hash ((struct str){ sizeof parts, (const char *)parts });
+}
+
+/* The digest is the sum over the endpoints, so that an unchanged list costs no
+   allocation.  */
+static uint64_t
+sum_digests (const struct member_table *t)
+{
+  struct member_row *row;
+  uint64_t sum = 1;
+
+  for (uint64_t id = table_next (&t->rows, 0, (void **)&row); id != 0;
+       id = table_next (&t->rows, id, (void **)&row))
+    if (is_endpoint (row))
+      sum += get_digest (row);
+  return sum;
+}
+
+static void
+publish_endpoints (struct control *c, int64_t now_us)
+{
+  struct node_gossip *n = c->node_gossip;
+  GArray *endpoints;
+  struct member_row *row;
+  uint64_t digest;
+
+  if (now_us < n->next_endpoints_us)
+    return;
+  n->next_endpoints_us = now_us + ENDPOINTS_INTERVAL_US;
+  digest = sum_digests (&n->members);
+  if (digest == n->endpoints_digest)
+    return;
+  n->endpoints_digest = digest;
+  endpoints = g_array_new (FALSE, FALSE, sizeof (struct snapshot_endpoint));
+  for (uint64_t id = table_next (&n->members.rows, 0, (void **)&row); id != 0;
+       id = table_next (&n->members.rows, id, (void **)&row))
+    if (is_endpoint (row))
+      add_endpoint (n, endpoints, &row->entry, now_us);
+  control_set_endpoints (
+      c, (struct snapshot_endpoint *)(void *)endpoints->data, endpoints->len);
+  for (guint i = 0; i < endpoints->len; i++)
+    str_free (&g_array_index (endpoints, struct snapshot_endpoint, i).address);
+  g_array_unref (endpoints);
+}
+
+/* Traffic threads serve keyed routes until the time given here, so that a
+   control thread that is late fails closed.  */
+static void
+publish_freshness (struct control *c, int64_t now_us)
+{
+  struct node_gossip *n = c->node_gossip;
+  int64_t until_us = 0;
+
+  if (c->settings->platform.address.len == 0)
+    return;
+  if (fresh_is_current (&n->fresh, now_us))
+    until_us = MIN (fresh_get_time (&n->fresh), now_us) + n->fresh.bound_us;
+  atomic_store (&c->shared->keyed_until_us, until_us);
+}
+
+static void
+run_node (struct control *c, int64_t now_us)
+{
+  struct node_gossip *n = c->node_gossip;
+
+  announce_backend (c);
+  member_expire_probes (&n->members, now_us);
+  member_send_probes (&n->members, now_us);
+  run_each_second (c, now_us);
+  member_send_syncs (&n->members, now_us);
+  fresh_set_applied (&n->fresh, c->inventory.revision);
+  gossip_collect_deltas (&n->gossip, now_us);
+  gossip_send_changes (&n->gossip, now_us);
+  gossip_send_answers (&n->gossip, now_us);
+  gossip_send_probes (&n->gossip, now_us);
+  gossip_send_pulls (&n->gossip, now_us);
+  send_datagrams (c);
+  send_syncs (c);
+  send_pulls (c);
+  publish_endpoints (c, now_us);
+  publish_freshness (c, now_us);
+}
+
+/* Internal functions: set-up */
+
+static bool
+open_socket (struct control *c, const struct member_address *self,
+             GError **error)
+{
+  struct node_gossip *n = c->node_gossip;
+  struct sockaddr_storage address;
+  socklen_t len = make_sockaddr (self, &address);
+
+  n->socket = socket (address.ss_family,
+                      SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (n->socket >= 0
+      && bind (n->socket, (struct sockaddr *)&address, len) == 0)
+    {
+      n->readable = event_new (c->loop.base, n->socket, EV_READ | EV_PERSIST,
+                               on_readable, c);
+      event_add (n->readable, NULL);
+      return true;
+    }
+  g_set_error (error, ERR_QUARK, ERR_SETTINGS_INVALID,
+               "cannot use UDP port %d (control)",
+               (int)c->settings->ports.control);
+  return false;
+}
+
+static struct member_entry
+make_self (const struct settings *s)
+{
+  struct member_entry self
+      = { .id = str_hash (s->member_id),
+          .incarnation = (uint64_t)clock_wall_ms () << MEMBER_RUN_SHIFT,
+          .domain = member_hash_domain (s->failure_domain),
+          .service = STR_EMPTY,
+          .backend = MEMBER_BACKEND_NONE,
+          .full = true };
+
+  parse_ip (s->address, self.address.ip);
+  self.address.ports[MEMBER_PORT_CALLER] = (uint16_t)s->ports.caller;
+  self.address.ports[MEMBER_PORT_LOCAL] = (uint16_t)s->ports.local;
+  self.address.ports[MEMBER_PORT_PEER] = (uint16_t)s->ports.peer;
+  self.address.ports[MEMBER_PORT_CONTROL] = (uint16_t)s->ports.control;
+  return self;
+}
+
+static void
+add_seeds (struct node_gossip *n, const struct settings *s)
+{
+  for (size_t i = 0; i < s->seeds.len; i++)
+    {
+      struct member_address a = { 0 };
+
+      if (!parse_ip (s->seeds.items[i].address, a.ip))
+        continue;
+      a.ports[MEMBER_PORT_CONTROL] = (uint16_t)s->seeds.items[i].port;
+      member_add_seed (&n->members, &a);
+    }
+}
+
+/* Without the list of failure domains no set of statements is ever complete:
+   the domain 0 belongs to no member.  */
+static void
+init_fresh (struct node_gossip *n, const struct settings *s)
+{
+  uint32_t domains[FRESH_DOMAINS_MAX] = { 0 };
+  uint32_t len = 0;
+
+  for (size_t i = 0; i < s->failure_domains.len && len < FRESH_DOMAINS_MAX;
+       i++)
+    domains[len++] = member_hash_domain (s->failure_domains.items[i]);
+  fresh_init (&n->fresh, s->fresh.bound_ms * CLOCK_US_PER_MS, domains,
+              MAX (len, 1));
+}
+
+static bool
+init_node (struct control *c, GError **error)
+{
+  struct member_entry self = make_self (c->settings);
+  struct node_gossip *n = g_new0 (struct node_gossip, 1);
+  int64_t now_us = clock_now_us ();
+
+  c->node_gossip = n;
+  n->socket = -1;
+  n->first_seen
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  member_init_table (&n->members, &self, g_random_int (), now_us);
+  c->shared->member = node_gossip_get_process (self.id, self.incarnation);
+  init_fresh (n, c->settings);
+  gossip_init (&n->gossip, &n->members, &n->fresh, now_us);
+  add_seeds (n, c->settings);
+  return open_socket (c, &self.address, error);
+}
+
+static void
+close_node (struct control *c)
+{
+  struct node_gossip *n = c->node_gossip;
+
+  if (n == NULL)
+    return;
+  if (n->readable != NULL)
+    event_free (n->readable);
+  if (n->socket >= 0)
+    evutil_closesocket (n->socket);
+  gossip_close (&n->gossip);
+  member_close_table (&n->members);
+  g_hash_table_unref (n->first_seen);
+  g_free (n);
+  c->node_gossip = NULL;
+}
+
+static void
+append_status (struct control *c, JsonBuilder *b)
+{
+  struct node_gossip *n = c->node_gossip;
+  int64_t time_us = fresh_get_time (&n->fresh);
+
+  json_builder_set_member_name (b, "members_alive");
+  json_builder_add_int_value (b, n->members.alive);
+  json_builder_set_member_name (b, "watcher");
+  json_builder_add_boolean_value (b, n->watcher);
+  json_builder_set_member_name (b, "evidence_age_ms");
+  json_builder_add_int_value (
+      b, time_us == INT64_MIN ? -1
+                              : (clock_now_us () - time_us) / CLOCK_US_PER_MS);
+}
+
+/* State */
+
+const struct control_node_ops node_gossip_ops = {
+  .name = "gossip",
+  .init = init_node,
+  .close = close_node,
+  .on_frame = on_frame,
+  .run = run_node,
+  .append_status = append_status,
+};
+
+/* Public functions */
+
+/**
+ * node_gossip_get_process - id of one run of a daemon
+ * @id: member id
+ * @incarnation: incarnation, whose high part is the run
+ *
+ * Return: a number that differs between runs of one member.
+ */
+uint64_t
+node_gossip_get_process (uint64_t id, uint64_t incarnation)
+{
+  uint64_t parts[2] = { id, member_get_run (incarnation) };
+
+  return str_hash ((struct str){ sizeof parts, (const char *)parts });
+}
+
+struct str
+node_gossip_format_address (const struct member_address *a)
+{
+  char text[INET6_ADDRSTRLEN];
+
+  if (memcmp (a->ip, mapped_prefix, sizeof mapped_prefix) == 0)
+    inet_ntop (AF_INET, a->ip + sizeof mapped_prefix, text, sizeof text);
+  else
+    inet_ntop (AF_INET6, a->ip, text, sizeof text);
+  return str_copy (str_from_cstr (text));
+}
--- /dev/null
+++ b/src/node_gossip.h
@@ -0,0 +1,39 @@
+/* node_gossip: glue between member, gossip and fresh and the control thread:
+   UDP datagrams and TCP exchanges at the control port, endpoints, freshness. */
+
+#ifndef ALMONDVALE_NODE_GOSSIP_H
+#define ALMONDVALE_NODE_GOSSIP_H
+
+#include "control.h"
+#include "gossip.h"
+
+/* Types */
+
+struct node_gossip
+{
+  struct member_table members;
+  struct fresh fresh;
+  struct gossip gossip;
+  evutil_socket_t socket;
+  struct event *readable;
+  uint64_t backend_changes; /* of the control thread, announced here */
+  bool left;
+  bool watcher; /* of this failure domain */
+  int64_t next_second_us;
+  int64_t next_endpoints_us;
+  uint64_t endpoints_digest; /* of the list published last */
+  GHashTable *first_seen;    /* member of an endpoint -> int64_t time */
+};
+
+/* State */
+
+extern const struct control_node_ops node_gossip_ops;
+
+/* Public functions */
+
+/* id of a process in snapshots, from its member id and incarnation */
+uint64_t node_gossip_get_process (uint64_t id, uint64_t incarnation);
+/* IP address as text; free with str_free */
+struct str node_gossip_format_address (const struct member_address *a);
+
+#endif
--- a/src/serve.c
+++ b/src/serve.c
@@ -484,7 +484,8 @@
 
   /* A backend server announces itself again and again; only a change begins a
      new slow start.  */
-  if (s->backend_state == SERVE_BACKEND_SERVING
+  if ((s->backend_state == SERVE_BACKEND_SERVING
+       || s->backend_state == SERVE_BACKEND_DRAINING)
       && note_equal_backend (&s->backend, &n->backend))
     return;
   if (s->pool != NULL
@@ -530,8 +531,9 @@
     {
       if (n->kind == NOTE_ANNOUNCE)
         set_backend (s, n, now_us);
-      if (n->kind == NOTE_DRAIN || n->kind == NOTE_LEAVE
-          || n->kind == NOTE_SHUTDOWN)
+      if (n->kind == NOTE_DRAIN && s->backend_state == SERVE_BACKEND_SERVING)
+        s->backend_state = SERVE_BACKEND_DRAINING;
+      if (n->kind == NOTE_LEAVE || n->kind == NOTE_SHUTDOWN)
         s->backend_state = SERVE_BACKEND_LEAVING;
       note_unload (n);
     }
@@ -566,7 +568,7 @@
 {
   if (s->backend_state == SERVE_BACKEND_NONE)
     return ERR_NO_BACKEND;
-  if (s->backend_state == SERVE_BACKEND_LEAVING)
+  if (s->backend_state != SERVE_BACKEND_SERVING)
     return ERR_BACKEND_LEAVING;
   if (!str_equal (job->message.u.request.service, s->backend.service))
     return ERR_NO_BACKEND;
--- a/src/serve.h
+++ b/src/serve.h
@@ -52,6 +52,7 @@
 {
   SERVE_BACKEND_NONE,
   SERVE_BACKEND_SERVING,
+  SERVE_BACKEND_DRAINING, /* until it leaves; announcements do not end it */
   SERVE_BACKEND_LEAVING
 };
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -30,7 +30,8 @@
   TYPE_ADDRESS,
   TYPE_INTEGER,
   TYPE_RATIO,
-  TYPE_ENDPOINTS
+  TYPE_ENDPOINTS,
+  TYPE_NAMES
 };
 
 /* One member of the file.  */
@@ -81,6 +82,7 @@
 static const struct member members[] = {
   { "member_id", TYPE_NAME, 0, 0, NULL, NULL, AT (member_id), "Name of this daemon, different from that of every other daemon." },
   { "failure_domain", TYPE_NAME, 0, 0, NULL, NULL, AT (failure_domain), "Failure domain of the VM." },
+  { "failure_domains", TYPE_NAMES, 0, SETTINGS_DOMAINS_MAX, NULL, "[]", AT (failure_domains), "All failure domains of the fleet. Without them keyed routes are refused when the platform is unreachable." },
   { "region", TYPE_NAME, 0, 0, NULL, NULL, AT (region), "Region of the VM." },
   { "address", TYPE_ADDRESS, 0, 0, NULL, NULL, AT (address), "IP address at which callers and other daemons reach this daemon." },
   { "ports.caller", TYPE_INTEGER, 1, PORT_MAX, NULL, "8080", AT (ports.caller), "HTTP port for callers." },
@@ -380,6 +382,54 @@
                      m->max, PORT_MAX);
 }
 
+static void
+unload_names (void *place)
+{
+  struct settings_names *list = place;
+
+  for (size_t i = 0; i < list->len; i++)
+    str_free (&list->items[i]);
+  g_free (list->items);
+  *list = (struct settings_names){ 0, NULL };
+}
+
+static bool
+load_names (const struct member *m, JsonNode *node, void *place)
+{
+  struct settings_names list = { 0, NULL };
+  JsonArray *array;
+  guint len;
+
+  if (!JSON_NODE_HOLDS_ARRAY (node))
+    return false;
+  array = json_node_get_array (node);
+  len = json_array_get_length (array);
+  if (len > (guint)m->max)
+    return false;
+  list.items = g_new0 (struct str, len);
+  for (guint i = 0; i < len; i++)
+    {
+      const char *text = get_text (json_array_get_element (array, i));
+
+      if (text == NULL || !is_name (str_from_cstr (text)))
+        {
+          unload_names (&list);
+          return false;
+        }
+      list.items[list.len++] = str_copy (str_from_cstr (text));
+    }
+  unload_names (place);
+  *(struct settings_names *)place = list;
+  return true;
+}
+
+static void
+allow_names (const struct member *m, struct str_buf *out)
+{
+  str_append_format (out, "an array of at most %" G_GINT64_FORMAT " names",
+                     m->max);
+}
+
 static const struct type_ops types[] = {
   [TYPE_NAME] = { load_name, unload_text, allow_name },
   [TYPE_CHOICE] = { load_choice, unload_text, allow_choice },
@@ -388,6 +438,7 @@
   [TYPE_INTEGER] = { load_integer, unload_nothing, allow_integer },
   [TYPE_RATIO] = { load_ratio, unload_nothing, allow_ratio },
   [TYPE_ENDPOINTS] = { load_endpoints, unload_endpoints, allow_endpoints },
+  [TYPE_NAMES] = { load_names, unload_names, allow_names },
 };
 
 /* Internal functions: rules over several members */
--- a/src/settings.h
+++ b/src/settings.h
@@ -18,6 +18,7 @@
 
 #define SETTINGS_FILE_MAX_BYTES ((size_t)256 * 1024)
 #define SETTINGS_SEEDS_MAX 64
+#define SETTINGS_DOMAINS_MAX 16
 
 /* Types */
 
@@ -33,6 +34,12 @@
   struct settings_endpoint *items;
 };
 
+struct settings_names
+{
+  size_t len;
+  struct str *items;
+};
+
 struct settings_ports
 {
   int64_t caller;  /* HTTP of callers */
@@ -101,7 +108,8 @@
   struct str region;
   struct str address; /* IP address that other daemons and callers reach */
   struct settings_ports ports;
-  struct settings_endpoints seeds; /* control ports of other daemons */
+  struct settings_names failure_domains; /* of the whole fleet */
+  struct settings_endpoints seeds;       /* control ports of other daemons */
   struct settings_endpoint
       platform;              /* empty address: inventory_file is used */
   struct str inventory_file; /* empty: the platform is used */
--- /dev/null
+++ b/src/wire_snapshot.c
@@ -0,0 +1,110 @@
+/* wire_snapshot: msgpack encoding of the messages by which a daemon gets the
+   whole configuration from a peer, in parts.  */
+
+#include "wire_snapshot.h"
+
+#include "frame.h"
+#include "scan.h"
+
+#include <msgpack.h>
+
+/* Internal functions */
+
+static void
+append_frame (struct str_buf *out, msgpack_sbuffer *bytes)
+{
+  frame_append (out, (struct str){ bytes->size, bytes->data });
+  msgpack_sbuffer_destroy (bytes);
+}
+
+/* Decodes an array of a type and unsigned numbers, and a bin member at the end
+   if `part` is not NULL.  */
+static bool
+load (struct str frame, uint64_t type, uint64_t *numbers, uint32_t len,
+      struct str *part)
+{
+  uint32_t size = 1 + len + (part != NULL);
+  msgpack_unpacked u;
+  const msgpack_object *items;
+  size_t offset = 0;
+  bool ok;
+
+  if (!scan_check_msgpack (frame))
+    return false;
+  msgpack_unpacked_init (&u);
+  ok = msgpack_unpack_next (&u, frame.data, frame.len, &offset)
+           == MSGPACK_UNPACK_SUCCESS
+       && u.data.type == MSGPACK_OBJECT_ARRAY && u.data.via.array.size == size;
+  items = ok ? u.data.via.array.ptr : NULL;
+  for (uint32_t i = 0; ok && i <= len; i++)
+    {
+      ok = items[i].type == MSGPACK_OBJECT_POSITIVE_INTEGER
+           && (i > 0 || items[i].via.u64 == type);
+      if (ok && i > 0)
+        numbers[i - 1] = items[i].via.u64;
+    }
+  ok = ok && (part == NULL || items[len + 1].type == MSGPACK_OBJECT_BIN);
+  if (ok && part != NULL)
+    *part = (struct str){ items[len + 1].via.bin.size,
+                          items[len + 1].via.bin.ptr };
+  msgpack_unpacked_destroy (&u);
+  return ok;
+}
+
+/* Public functions */
+
+void
+wire_snapshot_append_pull (struct str_buf *out,
+                           const struct wire_pull_snapshot *m)
+{
+  msgpack_sbuffer bytes;
+  msgpack_packer p;
+
+  msgpack_sbuffer_init (&bytes);
+  msgpack_packer_init (&p, &bytes, msgpack_sbuffer_write);
+  msgpack_pack_array (&p, 3);
+  msgpack_pack_int (&p, WIRE_PULL_SNAPSHOT);
+  msgpack_pack_uint64 (&p, m->revision);
+  msgpack_pack_uint64 (&p, m->offset);
+  append_frame (out, &bytes);
+}
+
+void
+wire_snapshot_append (struct str_buf *out, const struct wire_snapshot *m)
+{
+  msgpack_sbuffer bytes;
+  msgpack_packer p;
+
+  msgpack_sbuffer_init (&bytes);
+  msgpack_packer_init (&p, &bytes, msgpack_sbuffer_write);
+  msgpack_pack_array (&p, 5);
+  msgpack_pack_int (&p, WIRE_SNAPSHOT);
+  msgpack_pack_uint64 (&p, m->revision);
+  msgpack_pack_uint64 (&p, m->total);
+  msgpack_pack_uint64 (&p, m->offset);
+  msgpack_pack_bin_with_body (&p, m->part.data, m->part.len);
+  append_frame (out, &bytes);
+}
+
+bool
+wire_snapshot_load_pull (struct wire_pull_snapshot *m, struct str frame)
+{
+  uint64_t numbers[2];
+
+  if (!load (frame, WIRE_PULL_SNAPSHOT, numbers, 2, NULL))
+    return false;
+  *m = (struct wire_pull_snapshot){ numbers[0], numbers[1] };
+  return true;
+}
+
+bool
+wire_snapshot_load (struct wire_snapshot *m, struct str frame)
+{
+  uint64_t numbers[3];
+  struct str part;
+
+  if (!load (frame, WIRE_SNAPSHOT, numbers, 3, &part))
+    return false;
+  *m = (struct wire_snapshot){ numbers[0], numbers[1], numbers[2], part };
+  return true;
+}
