Measure the cost of a shard holder

Cause: a daemon has 1.9% of a core, 128 MB and 2 KB/s for control, and a shard holder pays for all daemons that ask.

Ruled out: a run with sockets; the control thread's glue does not exist yet.

Change: bench_shard runs asks, grants, registrations and completions through the encoding for several numbers of workspaces, daemons, asks and keys.

--- /dev/null
+++ b/bench/bench_shard.c
@@ -0,0 +1,261 @@
+/* bench_shard: CPU, memory and bytes of a shard holder against the number of
+   workspaces, asks and idempotency keys.
+
+   Usage: bench_shard [SEED]
+
+   Each row runs 10 s of virtual time in ticks of 50 ms through the messages'
+   encoding, as the control thread would, without the sockets.  */
+
+#include "bucket.h"
+#include "frame.h"
+#include "once.h"
+#include "wire_shard.h"
+
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <time.h>
+
+/* Constants */
+
+#define SECONDS 10
+#define TICKS_PER_S 20
+#define TICK_US 50000
+#define WALL_MS 1700000000000
+#define OUTCOME_BYTES 512
+#define SEED_DEFAULT 1
+
+/* Types */
+
+struct load
+{
+  uint32_t workspaces;
+  uint32_t daemons;
+  uint32_t asks; /* a second, over all daemons and workspaces */
+  uint32_t keys; /* registered and completed a second */
+};
+
+struct result
+{
+  double cpu;       /* s of CPU a second */
+  size_t memory;    /* bytes allocated at the end */
+  uint64_t in, out; /* bytes of frames */
+};
+
+struct holder
+{
+  struct bucket_set buckets;
+  struct once_registry once;
+  struct str_buf in, out;
+  GRand *rand;
+  uint64_t sequence;
+  struct result result;
+};
+
+/* Internal functions */
+
+static double
+get_cpu_s (void)
+{
+  struct timespec t;
+
+  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &t);
+  return (double)t.tv_sec + (double)t.tv_nsec / 1e9;
+}
+
+/* Encodes a message as a daemon does; its CPU is not the holder's.  */
+static struct str
+encode (struct holder *h, const struct wire_shard_message *m, double *cpu)
+{
+  double from = get_cpu_s ();
+
+  h->in.len = 0;
+  wire_shard_append_message (&h->in, m);
+  h->result.in += h->in.len;
+  *cpu += get_cpu_s () - from;
+  return str_slice (str_view (&h->in), FRAME_HEADER_BYTES, h->in.len);
+}
+
+static void
+reply (struct holder *h, const struct wire_shard_message *m)
+{
+  h->out.len = 0;
+  wire_shard_append_message (&h->out, m);
+  h->result.out += h->out.len;
+}
+
+static void
+receive_ask (struct holder *h, const struct load *load, int64_t now_us,
+             double *other_cpu)
+{
+  char name[32];
+  int len = snprintf (name, sizeof name, "workspace-%d",
+                      g_rand_int_range (h->rand, 0, (gint)load->workspaces));
+  int asker = g_rand_int_range (h->rand, 0, (gint)load->daemons);
+  struct wire_shard_message m = { .type = WIRE_TOKENS_WANTED };
+  struct str frame;
+
+  m.u.tokens_wanted = (struct wire_tokens_wanted){
+    .workspace = { (size_t)len, name },
+    .waiting = 1,
+    .demand = 5,
+    .sequence = ++h->sequence,
+  };
+  frame = encode (h, &m, other_cpu);
+  if (!wire_shard_load_message (&m, frame))
+    abort ();
+  bucket_add_ask (&h->buckets, (uint64_t)asker, m.u.tokens_wanted.workspace,
+                  m.u.tokens_wanted.waiting, m.u.tokens_wanted.demand, 0, 0,
+                  m.u.tokens_wanted.sequence, now_us);
+  wire_shard_unload_message (&m);
+}
+
+static void
+send_grants (struct holder *h)
+{
+  void *row;
+
+  for (uint64_t id = table_next (&h->buckets.grants, 0, &row); id != 0;
+       id = table_next (&h->buckets.grants, id, &row))
+    {
+      const struct bucket_grant *g = row;
+      struct wire_shard_message m = { .type = WIRE_TOKENS };
+
+      m.u.tokens = (struct wire_tokens){
+        .workspace = g->workspace,
+        .count = g->count,
+        .validity_ms = (uint32_t)(g->validity_us / 1000),
+        .epoch = g->epoch,
+        .sequence = g->sequence,
+        .held = true,
+      };
+      reply (h, &m);
+      table_remove (&h->buckets.grants, id);
+    }
+}
+
+static void
+receive_key (struct holder *h, int64_t now_us, double *other_cpu)
+{
+  static const char outcome[OUTCOME_BYTES] = { 0 };
+  int64_t wall_ms = WALL_MS + now_us / 1000;
+  struct wire_shard_message m = { .type = WIRE_REGISTER };
+  struct wire_shard_message answer = { .type = WIRE_REGISTERED };
+  struct once_key key = { { 0 } };
+  struct once_attempt attempt = { 1, ++h->sequence };
+  struct str done = STR_EMPTY;
+
+  for (int i = 0; i < 6; i++)
+    key.bytes[i] = (unsigned char)(wall_ms >> (40 - 8 * i));
+  for (int i = 6; i < (int)ONCE_KEY_BYTES; i++)
+    key.bytes[i] = (unsigned char)g_rand_int (h->rand);
+  m.u.reg = (struct wire_register){
+    .key = key, .fingerprint = 1, .attempt = attempt, .timeout_us = 1000000
+  };
+  if (!wire_shard_load_message (&m, encode (h, &m, other_cpu)))
+    abort ();
+  answer.u.registered.answer = once_register (
+      &h->once, 0, &m.u.reg.key, m.u.reg.fingerprint, m.u.reg.attempt,
+      m.u.reg.timeout_us, now_us, wall_ms, &done);
+  wire_shard_unload_message (&m);
+  answer.u.registered.outcome = done;
+  reply (h, &answer);
+  m = (struct wire_shard_message){ .type = WIRE_COMPLETE };
+  m.u.complete.key = key;
+  m.u.complete.attempt = attempt;
+  m.u.complete.outcome = (struct str){ OUTCOME_BYTES, outcome };
+  if (!wire_shard_load_message (&m, encode (h, &m, other_cpu)))
+    abort ();
+  once_complete (&h->once, &m.u.complete.key, m.u.complete.attempt,
+                 m.u.complete.outcome);
+  wire_shard_unload_message (&m);
+}
+
+static void
+open_holder (struct holder *h, const struct load *load, uint32_t seed)
+{
+  struct once_settings settings = once_get_defaults ();
+
+  *h = (struct holder){ .rand = g_rand_new_with_seed (seed) };
+  bucket_init_set (&h->buckets, 1);
+  once_init_registry (&h->once, 1, &settings);
+  for (uint32_t i = 0; i < load->workspaces; i++)
+    {
+      char name[32];
+      int len = snprintf (name, sizeof name, "workspace-%u", i);
+
+      bucket_set_limit (&h->buckets, (struct str){ (size_t)len, name },
+                        (struct bucket_limit){ 1000, 1000 }, 0);
+    }
+  bucket_start_shard (&h->buckets, 0, 1, 0);
+  once_start_shard (&h->once, 0, 1, WALL_MS - 60000);
+}
+
+static void
+close_holder (struct holder *h)
+{
+  bucket_close_set (&h->buckets);
+  once_close_registry (&h->once);
+  str_reset (&h->in);
+  str_reset (&h->out);
+  g_rand_free (h->rand);
+}
+
+static struct result
+run_load (const struct load *load, uint32_t seed)
+{
+  size_t before = mallinfo2 ().uordblks;
+  struct holder h;
+  double other_cpu = 0, from;
+
+  open_holder (&h, load, seed);
+  from = get_cpu_s ();
+  for (int64_t tick = 0; tick < SECONDS * TICKS_PER_S; tick++)
+    {
+      int64_t now_us = tick * TICK_US;
+
+      for (uint32_t i = 0; i < load->asks / TICKS_PER_S; i++)
+        receive_ask (&h, load, now_us, &other_cpu);
+      for (uint32_t i = 0; i < load->keys / TICKS_PER_S; i++)
+        receive_key (&h, now_us, &other_cpu);
+      bucket_run (&h.buckets, now_us);
+      send_grants (&h);
+      once_run (&h.once, WALL_MS + now_us / 1000);
+    }
+  h.result.cpu = (get_cpu_s () - from - other_cpu) / SECONDS;
+  h.result.memory = mallinfo2 ().uordblks - before;
+  close_holder (&h);
+  return h.result;
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct load loads[] = {
+    { 10, 100, 200, 0 },      { 1000, 100, 200, 0 },
+    { 10000, 100, 200, 0 },   { 1000, 100, 2000, 0 },
+    { 1000, 10000, 2000, 0 }, { 1000, 10000, 20000, 0 },
+    { 10, 100, 200, 100 },    { 10, 100, 200, 1000 },
+    { 10, 100, 200, 4000 },
+  };
+  uint32_t seed
+      = argc > 1 ? (uint32_t)strtoul (argv[1], NULL, 10) : SEED_DEFAULT;
+
+  printf ("bench_shard seed %u, %d s of virtual time, tick %d ms, outcomes of "
+          "%d bytes\n\n"
+          "| workspaces | daemons | asks/s | keys/s | CPU | memory at the end "
+          "| received/s | sent/s |\n|---|---|---|---|---|---|---|---|\n",
+          seed, SECONDS, TICK_US / 1000, OUTCOME_BYTES);
+  for (size_t i = 0; i < G_N_ELEMENTS (loads); i++)
+    {
+      const struct load *l = &loads[i];
+      struct result r = run_load (l, seed);
+
+      printf ("| %u | %u | %u | %u | %.3f%% | %.1f KiB | %.1f KiB | %.1f KiB "
+              "|\n",
+              l->workspaces, l->daemons, l->asks, l->keys, 100 * r.cpu,
+              (double)r.memory / 1024, (double)r.in / 1024 / SECONDS,
+              (double)r.out / 1024 / SECONDS);
+    }
+  return EXIT_SUCCESS;
+}
