--- a/src/gossip.c
+++ b/src/gossip.c
@@ -241,13 +241,26 @@
   h->evidence = d->evidence;
 }
 
+/* Tells a member that answered what the table says of it, so that it refutes:
+   a daemon that alone takes a member for dead would do so for long.  */
 static void
-receive_ack (struct gossip *g, const struct gossip_datagram *d, int64_t now_us)
+send_told (struct gossip *g, uint64_t id)
+{
+  const struct member_row *row = member_find (g->members, id);
+
+  add_entry (g, add_datagram (g, GOSSIP_PROBE, id, &row->entry.address), row);
+}
+
+static void
+receive_ack (struct gossip *g, const struct gossip_datagram *d, bool tell,
+             int64_t now_us)
 {
   int64_t sent_us;
 
   if (!member_note_ack (g->members, d->seq, d->from, &sent_us, now_us))
     return;
+  if (tell)
+    send_told (g, d->from);
   fresh_merge (g->fresh, &d->evidence,
                MIN (now_us, sent_us + (int64_t)d->hold_ms * CLOCK_US_PER_MS));
 }
@@ -420,7 +433,7 @@
         hold_probe (g, d, tell, now_us);
       break;
     case GOSSIP_ACK:
-      receive_ack (g, d, now_us);
+      receive_ack (g, d, tell, now_us);
       break;
     case GOSSIP_PROBE_REQ:
       member_note_request (g->members, d->from, d->seq, d->target, now_us);
--- a/src/member.c
+++ b/src/member.c
@@ -364,20 +364,41 @@
   return NULL;
 }
 
+/* First dead row after a random place.  */
+static struct member_row *
+pick_dead (struct member_table *t)
+{
+  uint32_t start = draw (t, t->rows.end);
+  struct member_row *first = NULL;
+  void *row;
+
+  for (uint64_t id = table_next (&t->rows, 0, &row); id != 0;
+       id = table_next (&t->rows, id, &row))
+    {
+      if (((struct member_row *)row)->entry.liveness != MEMBER_DEAD)
+        continue;
+      if ((uint32_t)id > start)
+        return row;
+      if (first == NULL)
+        first = row;
+    }
+  return first;
+}
+
 static struct member_row *
 pick_target (struct member_table *t, uint32_t slot)
 {
   const struct member_domain *d = pick_domain (t, slot);
   bool dead = draw (t, MEMBER_DEAD_PROBE_SHARE) == 0;
+  struct member_row *row = dead ? pick_dead (t) : NULL;
 
-  for (int i = 0; i < PICK_TRIES; i++)
+  for (int i = 0; i < PICK_TRIES && row == NULL; i++)
     {
-      struct member_row *row = d != NULL ? pick_in (t, d) : pick_any (t);
-
-      if (row != NULL && (dead || row->entry.liveness != MEMBER_DEAD))
-        return row;
+      row = d != NULL ? pick_in (t, d) : pick_any (t);
+      if (row != NULL && row->entry.liveness == MEMBER_DEAD)
+        row = NULL;
     }
-  return NULL;
+  return row;
 }
 
 /* Half of the helpers are in the own failure domain, since in the first seconds
