--- a/src/httpd.c
+++ b/src/httpd.c
@@ -342,6 +342,17 @@
   resume (x);
 }
 
+void
+httpd_drop (struct httpd_exchange *x)
+{
+  if (x->closed != NULL)
+    event_free (x->closed);
+  x->closed = NULL;
+  x->handed_over = false;
+  /* on_access closes a resumed connection that has no response.  */
+  resume (x);
+}
+
 struct str
 httpd_get_header (const struct httpd_exchange *x, struct str name)
 {
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -69,6 +69,8 @@
 void httpd_answer (struct httpd_exchange *x, int status,
                    const struct wire_header *headers, uint32_t headers_len,
                    struct str body);
+/* closes the connection of a request without an answer */
+void httpd_drop (struct httpd_exchange *x);
 /* value of a header, or an empty string */
 struct str httpd_get_header (const struct httpd_exchange *x, struct str name);
 
--- /dev/null
+++ b/standins/platform.c
@@ -0,0 +1,845 @@
+/* platform: a stand-in for the platform's object API.
+
+   One thread; requests are rows of a table.  The systems serve those that are
+   due and answer the watches whose prefix has changed.  The protocol is in
+   docs/platform-api.md.  */
+
+#include "clock.h"
+#include "err.h"
+#include "httpd.h"
+#include "jsonscan.h"
+#include "loop.h"
+#include "store.h"
+#include "table.h"
+
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <json-glib/json-glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Constants */
+
+#define TICK_US INT64_C (5000)
+#define CONNECTIONS_MAX 4096
+#define HEADERS_MAX_BYTES 16384
+#define IDLE_TIMEOUT_S 600
+#define WATCH_MAX_MS 60000
+#define DELAY_MAX_MS 60000
+#define RETRY_AFTER "1"
+#define OBJECTS_PATH "/v1/objects"
+#define WATCH_PATH "/v1/watch"
+#define FAULTS_PATH "/v1/admin/faults"
+#define COUNTERS_PATH "/v1/admin/counters"
+
+/* Types */
+
+enum outage
+{
+  OUTAGE_NONE,
+  OUTAGE_REFUSE, /* 503, not applied */
+  OUTAGE_HANG    /* no answer, not applied */
+};
+
+static const char *const outage_names[] = { "none", "refuse", "hang" };
+
+enum operation
+{
+  OPERATION_GET,
+  OPERATION_PUT,
+  OPERATION_DELETE,
+  OPERATION_LIST,
+  OPERATION_WATCH,
+  OPERATION_ADMIN,
+  OPERATION_UNKNOWN
+};
+
+enum call_state
+{
+  CALL_DELAYED,
+  CALL_WATCHING,
+  CALL_HELD /* by an outage */
+};
+
+struct call
+{
+  struct httpd_exchange *exchange; /* NULL if the client has gone */
+  enum call_state state;
+  enum operation operation;
+  int64_t due_us;  /* start of a delayed call, end of a watch */
+  int64_t wait_us; /* of a watch */
+  struct str key;  /* key or prefix */
+  struct str after;
+  bool values;
+  uint64_t version; /* a watch answers versions above it */
+  uint64_t seen;    /* platform version a watch last looked at */
+  enum store_condition condition;
+  bool valid; /* conditions and parameters were understood */
+  struct str body;
+};
+
+struct object
+{
+  struct str key;
+  struct str value;
+  uint64_t version;
+  bool deleted; /* kept, so that watches learn of it */
+};
+
+struct counters
+{
+  uint64_t operations[OPERATION_UNKNOWN + 1];
+  uint64_t refused;
+  uint64_t held;
+  uint64_t dropped;
+  uint64_t conflicts;
+};
+
+struct platform
+{
+  struct loop loop;
+  struct httpd *httpd;
+  struct table calls;
+  GTree *objects;   /* struct object by struct str */
+  uint64_t version; /* of the last write */
+  enum outage outage;
+  int64_t delay_ms;
+  int64_t drop_answers; /* writes still to be applied without an answer */
+  struct counters counters;
+};
+
+/* Internal functions: objects */
+
+static gint
+compare_keys (gconstpointer a, gconstpointer b, gpointer data)
+{
+  return str_compare (*(const struct str *)a, *(const struct str *)b);
+}
+
+static void
+free_object (gpointer data)
+{
+  struct object *o = data;
+
+  str_free (&o->key);
+  str_free (&o->value);
+  g_free (o);
+}
+
+static struct object *
+find_object (struct platform *p, struct str key)
+{
+  struct object *o = g_tree_lookup (p->objects, &key);
+
+  return o != NULL && !o->deleted ? o : NULL;
+}
+
+static void
+set_object (struct platform *p, struct str key, struct str value, bool deleted)
+{
+  struct object *o = g_tree_lookup (p->objects, &key);
+
+  if (o == NULL)
+    {
+      o = g_new0 (struct object, 1);
+      o->key = str_copy (key);
+      o->value = STR_EMPTY;
+      g_tree_insert (p->objects, &o->key, o);
+    }
+  str_free (&o->value);
+  o->value = deleted ? STR_EMPTY : str_copy (value);
+  o->deleted = deleted;
+  o->version = ++p->version;
+}
+
+static bool
+is_key (struct str key)
+{
+  if (key.len > STORE_KEY_MAX_BYTES)
+    return false;
+  for (size_t i = 0; i < key.len; i++)
+    if (!g_ascii_islower (key.data[i]) && !g_ascii_isdigit (key.data[i])
+        && key.data[i] != '-' && key.data[i] != '.' && key.data[i] != '_'
+        && key.data[i] != '/')
+      return false;
+  return true;
+}
+
+/* Internal functions: requests */
+
+static enum operation
+find_operation (struct str method, struct str path)
+{
+  if (str_equal (path, STR_LIT (FAULTS_PATH))
+      || str_equal (path, STR_LIT (COUNTERS_PATH)))
+    return OPERATION_ADMIN;
+  if (str_equal (path, STR_LIT (WATCH_PATH))
+      && str_equal (method, STR_LIT ("GET")))
+    return OPERATION_WATCH;
+  if (str_equal (path, STR_LIT (OBJECTS_PATH))
+      && str_equal (method, STR_LIT ("GET")))
+    return OPERATION_LIST;
+  if (!str_has_prefix (path, STR_LIT (OBJECTS_PATH "/")))
+    return OPERATION_UNKNOWN;
+  if (str_equal (method, STR_LIT ("GET")))
+    return OPERATION_GET;
+  if (str_equal (method, STR_LIT ("PUT")))
+    return OPERATION_PUT;
+  if (str_equal (method, STR_LIT ("DELETE")))
+    return OPERATION_DELETE;
+  return OPERATION_UNKNOWN;
+}
+
+static bool
+parse_parameters (struct call *c, struct str query)
+{
+  char *text = str_dup_cstr (query);
+  struct evkeyvalq parameters = { 0 };
+  struct evkeyval *kv;
+  uint64_t wait_ms = 0;
+  bool valid = evhttp_parse_query_str (text, &parameters) == 0;
+
+  for (kv = parameters.tqh_first; valid && kv != NULL; kv = kv->next.tqe_next)
+    {
+      struct str value = str_from_cstr (kv->value);
+
+      if (strcmp (kv->key, "prefix") == 0)
+        c->key = str_copy (value);
+      else if (strcmp (kv->key, "after") == 0)
+        c->after = str_copy (value);
+      else if (strcmp (kv->key, "values") == 0)
+        c->values = str_equal (value, STR_LIT ("true"));
+      else if (strcmp (kv->key, "version") == 0)
+        valid = str_parse_u64 (value, &c->version);
+      else if (strcmp (kv->key, "wait_ms") == 0)
+        valid = str_parse_u64 (value, &wait_ms) && wait_ms <= WATCH_MAX_MS;
+      else
+        valid = false;
+    }
+  evhttp_clear_headers (&parameters);
+  g_free (text);
+  c->wait_us = (int64_t)wait_ms * CLOCK_US_PER_MS;
+  return valid && is_key (c->key) && is_key (c->after);
+}
+
+/* Version in an entity tag such as "17".  */
+static bool
+parse_tag (struct str tag, uint64_t *version)
+{
+  return tag.len > 2 && tag.data[0] == '"' && tag.data[tag.len - 1] == '"'
+         && str_parse_u64 (str_slice (tag, 1, tag.len - 1), version);
+}
+
+static bool
+parse_conditions (struct call *c, const struct httpd_exchange *x)
+{
+  struct str match = httpd_get_header (x, STR_LIT ("If-Match"));
+  struct str none = httpd_get_header (x, STR_LIT ("If-None-Match"));
+
+  if (match.len > 0 && none.len > 0)
+    return false;
+  if (match.len > 0)
+    {
+      c->condition = STORE_IF_VERSION;
+      return parse_tag (match, &c->version);
+    }
+  if (none.len > 0)
+    {
+      c->condition = STORE_IF_ABSENT;
+      return c->operation == OPERATION_PUT && str_equal (none, STR_LIT ("*"));
+    }
+  return true;
+}
+
+static void
+parse_call (struct call *c, struct httpd_exchange *x)
+{
+  const char *mark = memchr (x->target.data, '?', x->target.len);
+  size_t end = mark != NULL ? (size_t)(mark - x->target.data) : x->target.len;
+  struct str path = str_slice (x->target, 0, end);
+  struct str query = str_slice (x->target, end + 1, x->target.len);
+
+  c->key = STR_EMPTY;
+  c->after = STR_EMPTY;
+  c->operation = find_operation (x->method, path);
+  switch (c->operation)
+    {
+    case OPERATION_LIST:
+    case OPERATION_WATCH:
+      c->valid = parse_parameters (c, query);
+      break;
+    case OPERATION_ADMIN:
+      c->key = str_copy (path);
+      c->valid = true;
+      break;
+    default:
+      c->key = str_copy (str_slice (path, sizeof OBJECTS_PATH, path.len));
+      c->valid = is_key (c->key) && c->key.len > 0 && parse_conditions (c, x);
+    }
+}
+
+static void
+remove_call (struct platform *p, uint64_t id)
+{
+  struct call *c = table_get (&p->calls, id);
+
+  if (c == NULL)
+    return;
+  str_free (&c->key);
+  str_free (&c->after);
+  str_free (&c->body);
+  table_remove (&p->calls, id);
+}
+
+/* Internal functions: answers */
+
+static void
+answer (struct call *c, int status, uint64_t version, const char *type,
+        struct str body)
+{
+  char *tag = g_strdup_printf ("\"%" PRIu64 "\"", version);
+  struct wire_header headers[]
+      = { { STR_LIT ("Content-Type"), str_from_cstr (type) },
+          { STR_LIT ("ETag"), str_from_cstr (tag) },
+          { STR_LIT ("Retry-After"), STR_LIT (RETRY_AFTER) } };
+  uint32_t len = status == 503 ? 3 : 2;
+
+  if (c->exchange != NULL)
+    httpd_answer (c->exchange, status, headers, len, body);
+  c->exchange = NULL;
+  g_free (tag);
+}
+
+static void
+answer_error (struct call *c, int status, uint64_t version, const char *text)
+{
+  char *body = g_strdup_printf ("{\"error\": \"%s\"}\n", text);
+
+  answer (c, status, version, "application/json", str_from_cstr (body));
+  g_free (body);
+}
+
+static void
+answer_json (struct call *c, uint64_t version, JsonBuilder *b)
+{
+  JsonNode *root = json_builder_get_root (b);
+  char *text = json_to_string (root, FALSE);
+
+  answer (c, 200, version, "application/json", str_from_cstr (text));
+  g_free (text);
+  json_node_unref (root);
+}
+
+static void
+add_object (JsonBuilder *b, const struct object *o, bool values)
+{
+  json_builder_begin_object (b);
+  json_builder_set_member_name (b, "key");
+  json_builder_add_string_value (b, o->key.data);
+  json_builder_set_member_name (b, "version");
+  json_builder_add_int_value (b, (gint64)o->version);
+  json_builder_set_member_name (b, "deleted");
+  json_builder_add_boolean_value (b, o->deleted);
+  if (values)
+    {
+      char *text
+          = g_base64_encode ((const guchar *)o->value.data, o->value.len);
+
+      json_builder_set_member_name (b, "value");
+      json_builder_add_string_value (b, text);
+      g_free (text);
+    }
+  json_builder_end_object (b);
+}
+
+/* Whether an object belongs into the answer to a list or watch.  */
+static bool
+is_listed (const struct call *c, const struct object *o)
+{
+  if (c->operation == OPERATION_WATCH)
+    return o->version > c->version;
+  return !o->deleted && str_compare (o->key, c->after) > 0;
+}
+
+/* Answers with a page of objects; at least one if there are any.  */
+static void
+answer_page (struct platform *p, struct call *c)
+{
+  JsonBuilder *b = json_builder_new ();
+  GTreeNode *node = g_tree_lower_bound (p->objects, &c->key);
+  size_t bytes = 0;
+  uint32_t count = 0;
+  struct str last = STR_EMPTY;
+  bool more = false;
+
+  json_builder_begin_object (b);
+  json_builder_set_member_name (b, "objects");
+  json_builder_begin_array (b);
+  for (; node != NULL; node = g_tree_node_next (node))
+    {
+      const struct object *o = g_tree_node_value (node);
+
+      if (!str_has_prefix (o->key, c->key))
+        break;
+      if (!is_listed (c, o))
+        continue;
+      bytes += c->values ? o->value.len : 0;
+      more = count > 0
+             && (count == STORE_PAGE_MAX || bytes > STORE_VALUE_MAX_BYTES);
+      if (more)
+        break;
+      add_object (b, o, c->values);
+      last = o->key;
+      count++;
+    }
+  json_builder_end_array (b);
+  json_builder_set_member_name (b, "version");
+  json_builder_add_int_value (b, (gint64)p->version);
+  json_builder_set_member_name (b, "next");
+  json_builder_add_string_value (b, more ? last.data : "");
+  json_builder_end_object (b);
+  answer_json (c, p->version, b);
+  g_object_unref (b);
+}
+
+static bool
+has_news (struct platform *p, const struct call *c)
+{
+  GTreeNode *node = g_tree_lower_bound (p->objects, &c->key);
+
+  for (; node != NULL; node = g_tree_node_next (node))
+    {
+      const struct object *o = g_tree_node_value (node);
+
+      if (!str_has_prefix (o->key, c->key))
+        return false;
+      if (o->version > c->version)
+        return true;
+    }
+  return false;
+}
+
+/* Internal functions: writes */
+
+/* Applies a put or delete; gives the status.  */
+static int
+apply_write (struct platform *p, struct call *c, uint64_t *version)
+{
+  struct object *o = find_object (p, c->key);
+  uint64_t now = o != NULL ? o->version : 0;
+
+  *version = now;
+  if (c->operation == OPERATION_DELETE && o == NULL)
+    return 404;
+  if ((c->condition == STORE_IF_ABSENT && o != NULL)
+      || (c->condition == STORE_IF_VERSION && now != c->version))
+    {
+      p->counters.conflicts++;
+      return 412;
+    }
+  set_object (p, c->key, c->body, c->operation == OPERATION_DELETE);
+  *version = p->version;
+  if (c->operation == OPERATION_DELETE)
+    return 204;
+  return o != NULL ? 200 : 201;
+}
+
+static void
+serve_write (struct platform *p, struct call *c)
+{
+  uint64_t version;
+  int status = apply_write (p, c, &version);
+
+  if (p->drop_answers > 0)
+    {
+      p->drop_answers--;
+      p->counters.dropped++;
+      if (c->exchange != NULL)
+        httpd_drop (c->exchange);
+      c->exchange = NULL;
+      return;
+    }
+  if (status == 404)
+    answer_error (c, status, 0, "no such object");
+  else if (status == 412)
+    answer_error (c, status, version, "the condition failed");
+  else
+    answer (c, status, version, "application/json", STR_EMPTY);
+}
+
+/* Internal functions: administration */
+
+static void
+answer_faults (struct platform *p, struct call *c)
+{
+  char *text = g_strdup_printf ("{\"outage\": \"%s\", \"delay_ms\": %" PRId64
+                                ", \"drop_answers\": %" PRId64 "}\n",
+                                outage_names[p->outage], p->delay_ms,
+                                p->drop_answers);
+
+  answer (c, 200, p->version, "application/json", str_from_cstr (text));
+  g_free (text);
+}
+
+static void
+answer_counters (struct platform *p, struct call *c)
+{
+  const uint64_t *n = p->counters.operations;
+  char *text = g_strdup_printf (
+      "{\"get\": %" PRIu64 ", \"put\": %" PRIu64 ", \"delete\": %" PRIu64
+      ", \"list\": %" PRIu64 ", \"watch\": %" PRIu64
+      ", \"conflicts\": %" PRIu64 ", \"refused\": %" PRIu64
+      ", \"held\": %" PRIu64 ", \"dropped\": %" PRIu64
+      ", \"version\": %" PRIu64 "}\n",
+      n[OPERATION_GET], n[OPERATION_PUT], n[OPERATION_DELETE],
+      n[OPERATION_LIST], n[OPERATION_WATCH], p->counters.conflicts,
+      p->counters.refused, p->counters.held, p->counters.dropped, p->version);
+
+  answer (c, 200, p->version, "application/json", str_from_cstr (text));
+  g_free (text);
+}
+
+static bool
+get_number (JsonObject *object, const char *name, int64_t max, int64_t *value)
+{
+  JsonNode *node = json_object_get_member (object, name);
+
+  if (node == NULL)
+    return true;
+  if (json_node_get_value_type (node) != G_TYPE_INT64
+      || json_node_get_int (node) < 0 || json_node_get_int (node) > max)
+    return false;
+  *value = json_node_get_int (node);
+  return true;
+}
+
+static bool
+get_outage (JsonObject *object, enum outage *outage)
+{
+  JsonNode *node = json_object_get_member (object, "outage");
+
+  if (node == NULL)
+    return true;
+  if (json_node_get_value_type (node) != G_TYPE_STRING)
+    return false;
+  for (size_t i = 0; i < G_N_ELEMENTS (outage_names); i++)
+    if (g_strcmp0 (json_node_get_string (node), outage_names[i]) == 0)
+      {
+        *outage = (enum outage)i;
+        return true;
+      }
+  return false;
+}
+
+static bool
+set_faults (struct platform *p, struct str body)
+{
+  JsonNode *root = jsonscan_parse (body, NULL);
+  int64_t delay_ms = p->delay_ms;
+  int64_t drop_answers = p->drop_answers;
+  enum outage outage = p->outage;
+  bool valid = root != NULL && JSON_NODE_HOLDS_OBJECT (root);
+
+  if (valid)
+    {
+      JsonObject *object = json_node_get_object (root);
+
+      valid = get_number (object, "delay_ms", DELAY_MAX_MS, &delay_ms)
+              && get_number (object, "drop_answers", INT32_MAX, &drop_answers)
+              && get_outage (object, &outage);
+    }
+  if (valid)
+    {
+      p->delay_ms = delay_ms;
+      p->drop_answers = drop_answers;
+      p->outage = outage;
+    }
+  if (root != NULL)
+    json_node_unref (root);
+  return valid;
+}
+
+static void
+serve_admin (struct platform *p, struct call *c)
+{
+  if (str_equal (c->key, STR_LIT (COUNTERS_PATH)))
+    answer_counters (p, c);
+  else if (str_equal (c->exchange->method, STR_LIT ("PUT"))
+           && !set_faults (p, c->body))
+    answer_error (c, 400, p->version,
+                  "expected outage, delay_ms and drop_answers");
+  else
+    answer_faults (p, c);
+}
+
+/* Internal functions: systems */
+
+static void
+serve_get (struct platform *p, struct call *c)
+{
+  struct object *o = find_object (p, c->key);
+
+  if (o == NULL)
+    answer_error (c, 404, 0, "no such object");
+  else
+    answer (c, 200, o->version, "application/octet-stream", o->value);
+}
+
+static void
+serve_call (struct platform *p, struct call *c, int64_t now_us)
+{
+  if (!c->valid)
+    {
+      answer_error (c, 400, p->version, "malformed request");
+      return;
+    }
+  switch (c->operation)
+    {
+    case OPERATION_GET:
+      serve_get (p, c);
+      return;
+    case OPERATION_PUT:
+    case OPERATION_DELETE:
+      serve_write (p, c);
+      return;
+    case OPERATION_LIST:
+      answer_page (p, c);
+      return;
+    case OPERATION_WATCH:
+      c->state = CALL_WATCHING;
+      c->due_us = now_us + c->wait_us;
+      return;
+    default:
+      answer_error (c, 404, p->version, "no such path or method");
+    }
+}
+
+/* Serves the calls whose delay has passed; ends held ones after an outage.  */
+static void
+run_due_calls (void *owner, int64_t now_us)
+{
+  struct platform *p = owner;
+  struct call *c;
+
+  for (uint64_t id = table_next (&p->calls, 0, (void **)&c); id != 0;
+       id = table_next (&p->calls, id, (void **)&c))
+    {
+      if (c->state == CALL_HELD && p->outage != OUTAGE_HANG)
+        {
+          httpd_drop (c->exchange);
+          remove_call (p, id);
+        }
+      else if (c->state == CALL_DELAYED && c->due_us <= now_us)
+        {
+          serve_call (p, c, now_us);
+          if (c->state != CALL_WATCHING)
+            remove_call (p, id);
+        }
+    }
+}
+
+/* Answers the watches whose prefix has changed or whose time is over.  */
+static void
+run_watches (void *owner, int64_t now_us)
+{
+  struct platform *p = owner;
+  struct call *c;
+
+  for (uint64_t id = table_next (&p->calls, 0, (void **)&c); id != 0;
+       id = table_next (&p->calls, id, (void **)&c))
+    {
+      bool news;
+
+      if (c->state != CALL_WATCHING)
+        continue;
+      news = c->seen != p->version && has_news (p, c);
+      c->seen = p->version;
+      if (!news && c->due_us > now_us)
+        continue;
+      answer_page (p, c);
+      remove_call (p, id);
+    }
+}
+
+/* Ticks only while there are calls.  */
+static void
+run_timers (void *owner, int64_t now_us)
+{
+  struct platform *p = owner;
+
+  loop_set_tick (&p->loop, p->calls.count > 0 ? TICK_US : 0);
+}
+
+static const struct system systems[] = { { "due calls", run_due_calls },
+                                         { "watches", run_watches },
+                                         { "timers", run_timers } };
+
+/* Internal functions: callbacks */
+
+static void
+refuse (struct platform *p, struct call *c)
+{
+  p->counters.refused++;
+  answer_error (c, 503, p->version, "outage; not applied");
+}
+
+static void
+on_request (void *owner, struct httpd_exchange *x)
+{
+  struct platform *p = owner;
+  struct call *c;
+  uint64_t id = table_add (&p->calls, (void **)&c);
+
+  x->call = id;
+  c->exchange = x;
+  parse_call (c, x);
+  c->body = str_copy (str_view (&x->body));
+  p->counters.operations[c->operation]++;
+  if (c->operation == OPERATION_ADMIN)
+    serve_admin (p, c);
+  else if (x->body_too_large)
+    answer_error (c, 413, 0, "a value has at most 1048576 bytes");
+  else if (p->outage == OUTAGE_REFUSE)
+    refuse (p, c);
+  else if (p->outage == OUTAGE_HANG)
+    {
+      p->counters.held++;
+      c->state = CALL_HELD;
+      return;
+    }
+  else
+    {
+      c->state = CALL_DELAYED;
+      c->due_us = clock_now_us () + p->delay_ms * CLOCK_US_PER_MS;
+      return;
+    }
+  remove_call (p, id);
+}
+
+/* A write whose client has gone is still applied, as a real platform does.  */
+static void
+on_gone (void *owner, struct httpd_exchange *x)
+{
+  struct platform *p = owner;
+  struct call *c = table_get (&p->calls, x->call);
+
+  if (c == NULL)
+    return;
+  c->exchange = NULL;
+  if (c->state != CALL_DELAYED
+      || (c->operation != OPERATION_PUT && c->operation != OPERATION_DELETE))
+    remove_call (p, x->call);
+}
+
+static const struct httpd_ops http_ops = { on_request, on_gone };
+
+static void
+on_signal (evutil_socket_t fd, short what, void *data)
+{
+  struct platform *p = data;
+
+  loop_stop (&p->loop);
+}
+
+/* Closes the connections of calls that wait.  */
+static void
+drop_calls (struct platform *p)
+{
+  struct call *c;
+
+  for (uint64_t id = table_next (&p->calls, 0, (void **)&c); id != 0;
+       id = table_next (&p->calls, id, (void **)&c))
+    {
+      if (c->exchange != NULL)
+        httpd_drop (c->exchange);
+      remove_call (p, id);
+    }
+}
+
+static bool
+parse_options (int argc, char **argv, char **address, int *port)
+{
+  GOptionEntry entries[]
+      = { { "address", 0, 0, G_OPTION_ARG_STRING, address,
+            "IP address to listen at (127.0.0.1)", "ADDRESS" },
+          { "port", 0, 0, G_OPTION_ARG_INT, port, "TCP port (7700)", "PORT" },
+          { 0 } };
+  GOptionContext *context
+      = g_option_context_new ("- stand-in for the platform's object API");
+  GError *error = NULL;
+  bool valid;
+
+  g_option_context_add_main_entries (context, entries, NULL);
+  valid = g_option_context_parse (context, &argc, &argv, &error);
+  if (!valid)
+    {
+      fprintf (stderr, "platform: %s\n", error->message);
+      g_error_free (error);
+    }
+  else if (*port < 1 || *port > 65535)
+    {
+      fprintf (stderr, "platform: --port: found %d, allowed: 1..65535\n",
+               *port);
+      valid = false;
+    }
+  g_option_context_free (context);
+  return valid;
+}
+
+static bool
+init_platform (struct platform *p, const char *address, uint16_t port)
+{
+  struct httpd_limits limits = { .headers_bytes = HEADERS_MAX_BYTES,
+                                 .body_bytes = STORE_VALUE_MAX_BYTES,
+                                 .connections = CONNECTIONS_MAX,
+                                 .idle_timeout_s = IDLE_TIMEOUT_S };
+
+  table_init (&p->calls, sizeof (struct call));
+  p->objects = g_tree_new_full (compare_keys, NULL, NULL, free_object);
+  if (!loop_init (&p->loop, systems, G_N_ELEMENTS (systems), p))
+    return false;
+  p->httpd = httpd_load (p->loop.base, str_from_cstr (address), port, &limits,
+                         &http_ops, p, 0);
+  return p->httpd != NULL;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct platform p = { 0 };
+  struct event *term, *interrupt;
+  char *address = NULL;
+  int port = 7700;
+
+  if (!parse_options (argc, argv, &address, &port))
+    return EXIT_FAILURE;
+  if (address == NULL)
+    address = g_strdup ("127.0.0.1");
+  signal (SIGPIPE, SIG_IGN);
+  if (!init_platform (&p, address, (uint16_t)port))
+    {
+      fprintf (stderr, "platform: cannot listen at %s:%d\n", address, port);
+      return EXIT_FAILURE;
+    }
+  term = evsignal_new (p.loop.base, SIGTERM, on_signal, &p);
+  interrupt = evsignal_new (p.loop.base, SIGINT, on_signal, &p);
+  event_add (term, NULL);
+  event_add (interrupt, NULL);
+  printf ("platform: listening at %s:%d\n", address, port);
+  fflush (stdout);
+  loop_run (&p.loop);
+  drop_calls (&p);
+  event_free (term);
+  event_free (interrupt);
+  httpd_unload (p.httpd);
+  loop_close (&p.loop);
+  table_close (&p.calls);
+  g_tree_unref (p.objects);
+  g_free (address);
+  return EXIT_SUCCESS;
+}
