Hold back at the sender what a service rejects

Cause: the importance that an overloaded service serves in part was still sent in full; in the scenario with the slow service the excess filled the slots of the first service. Change: feedback_throttle and feedback_note_outcome count answers and acceptances by route, workspace and importance; released when no service on the path reports a level.

--- a/bench/bench_overload.c
+++ b/bench/bench_overload.c
@@ -207,6 +207,10 @@
     = { STR_LIT ("s0"), STR_LIT ("s1"), STR_LIT ("s2"), STR_LIT ("s3"),
         STR_LIT ("s4") };
 
+static const struct str workspace_names[WORKSPACES]
+    = { STR_LIT ("w0"), STR_LIT ("w1"), STR_LIT ("w2"), STR_LIT ("w3"),
+        STR_LIT ("w4"), STR_LIT ("w5"), STR_LIT ("w6"), STR_LIT ("w7") };
+
 static const struct scenario scenarios[] = {
   { "steady", 1, 1, 1, TROUBLE_US, "60% of the capacity" },
   { "burst", 3, 1, 1, 400000, "3 times the steady rate for 0.4 s" },
@@ -373,6 +377,25 @@
     end_attempt (s, request, error);
 }
 
+static bool
+is_held_back (struct sim *s, struct sender *sender, uint32_t levels,
+              uint32_t workspace, uint32_t importance)
+{
+  struct str route = get_route (levels);
+
+  switch (feedback_check (&sender->feedback, route, importance, s->now_us))
+    {
+    case FEEDBACK_REJECT:
+      return true;
+    case FEEDBACK_PROBE:
+      return false;
+    case FEEDBACK_PASS:
+      break;
+    }
+  return feedback_throttle (&sender->feedback, route,
+                            workspace_names[workspace], importance, s->now_us);
+}
+
 /* Sends one attempt of a request (parent 0) or of a nested call.  */
 static void
 send_call (struct sim *s, uint64_t parent, uint64_t request)
@@ -381,6 +404,7 @@
   struct call *p = get_call (s, parent);
   struct outgoing *out = p != NULL ? &p->out : &r->out;
   struct sender *sender = get_sender (s, r, p);
+  uint32_t workspace = p != NULL ? p->workspace : r->workspace;
   uint32_t importance = p != NULL ? p->importance : r->importance;
   uint32_t levels = p != NULL ? p->levels : r->levels;
   int64_t deadline_us = p != NULL ? p->deadline_us : r->deadline_us;
@@ -389,9 +413,7 @@
   void *row;
 
   if (s->policy->protects
-      && feedback_check (&sender->feedback, get_route (levels), importance,
-                         s->now_us)
-             == FEEDBACK_REJECT)
+      && is_held_back (s, sender, levels, workspace, importance))
     {
       fail_outgoing (s, parent, request, ERR_OVERLOADED);
       return;
@@ -413,7 +435,7 @@
   c = row;
   c->parent_call = parent;
   c->request = request;
-  c->workspace = p != NULL ? p->workspace : r->workspace;
+  c->workspace = workspace;
   c->importance = importance;
   c->levels = levels;
   c->level = out->level;
@@ -621,6 +643,11 @@
   if (parent != NULL)
     parent->lowest = MAX (parent->lowest, c->lowest);
   feedback_note (&sender->feedback, get_route (c->levels), t, len, s->now_us);
+  feedback_note_outcome (&sender->feedback, get_route (c->levels),
+                         workspace_names[c->workspace], c->importance,
+                         c->error != ERR_OVERLOADED
+                             && c->error != ERR_DEADLINE_NOT_RUN,
+                         s->now_us);
 }
 
 static void
--- a/src/feedback.c
+++ b/src/feedback.c
@@ -13,6 +13,17 @@
 /* Weight of one response.  The responses of a service come from several
    backend servers, and one of them alone must not stop the others' work.  */
 #define FEEDBACK_GAIN 0.25
+/* Requests sent for each one accepted.  The surplus lets the count of accepted
+   requests grow.  With 1.2 a flow of few requests fell below what was
+   accepted; with 2 more work was rejected after it had run elsewhere.  */
+#define FEEDBACK_SURPLUS 1.5
+/* Below this level no service on the path is overloaded.  */
+#define FEEDBACK_LEVEL_CALM 0.5
+/* Rejected requests that a flow may have before any is held back, so that a few
+   rejections of a quiet workspace have no effect.  */
+#define FEEDBACK_SLACK 3.0
+/* The counts of a flow fade to a third in this time.  */
+#define FEEDBACK_FADE_US 2000000.0
 #define FEEDBACK_IDLE_US 60000000
 
 /* Internal functions */
@@ -142,6 +153,74 @@
   return level;
 }
 
+/* Level of a route by name, before rounding.  */
+static double
+get_served_level (const struct feedback *f, struct str route, int64_t now_us)
+{
+  const struct feedback_route *r
+      = table_get (&f->routes, find_id (f->route_by_name, route));
+
+  return r != NULL ? get_route_level (f, r, now_us) : 0;
+}
+
+static uint64_t
+make_flow_key (struct str route, struct str workspace)
+{
+  return str_hash (route) ^ (str_hash (workspace) * UINT64_C (31));
+}
+
+static struct feedback_flow *
+take_flow (struct feedback *f, struct str route, struct str workspace,
+           int64_t now_us)
+{
+  uint64_t key = make_flow_key (route, workspace);
+  uint64_t *id = g_hash_table_lookup (f->flow_by_key, &key);
+  struct feedback_flow *flow;
+  void *row;
+
+  if (id != NULL)
+    return table_get (&f->flows, *id);
+  if (f->flows.count >= f->settings.routes_max)
+    return NULL;
+  id = g_new (uint64_t, 1);
+  *id = table_add (&f->flows, &row);
+  flow = row;
+  flow->key = key;
+  flow->faded_us = now_us;
+  g_hash_table_insert (f->flow_by_key, &flow->key, id);
+  return flow;
+}
+
+static void
+fade_flow (struct feedback_flow *flow, int64_t now_us)
+{
+  double factor = exp (-(double)(now_us - flow->faded_us) / FEEDBACK_FADE_US);
+
+  flow->faded_us = now_us;
+  for (uint32_t i = 0; i < FEEDBACK_IMPORTANCES; i++)
+    {
+      flow->requests[i] *= factor;
+      flow->accepts[i] *= factor;
+    }
+}
+
+static void
+expire_flows (struct feedback *f, int64_t now_us)
+{
+  void *row;
+
+  for (uint64_t id = table_next (&f->flows, 0, &row); id != 0;
+       id = table_next (&f->flows, id, &row))
+    {
+      const struct feedback_flow *flow = row;
+
+      if (now_us - flow->faded_us <= FEEDBACK_IDLE_US)
+        continue;
+      g_hash_table_remove (f->flow_by_key, &flow->key);
+      table_remove (&f->flows, id);
+    }
+}
+
 /* Public functions */
 
 struct feedback_settings
@@ -158,6 +237,9 @@
   *f = (struct feedback){ .settings = *s };
   table_init (&f->services, sizeof (struct feedback_service));
   table_init (&f->routes, sizeof (struct feedback_route));
+  table_init (&f->flows, sizeof (struct feedback_flow));
+  f->flow_by_key
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   f->service_by_name
       = g_hash_table_new_full (hash_str, equal_str, NULL, g_free);
   f->route_by_name = g_hash_table_new_full (hash_str, equal_str, NULL, g_free);
@@ -172,6 +254,8 @@
   g_hash_table_unref (f->route_by_name);
   table_close (&f->services);
   table_close (&f->routes);
+  g_hash_table_unref (f->flow_by_key);
+  table_close (&f->flows);
   g_rand_free (f->rand);
 }
 
@@ -208,10 +292,7 @@
 uint32_t
 feedback_get_level (struct feedback *f, struct str route, int64_t now_us)
 {
-  const struct feedback_route *r
-      = table_get (&f->routes, find_id (f->route_by_name, route));
-
-  return r != NULL ? (uint32_t)lround (get_route_level (f, r, now_us)) : 0;
+  return (uint32_t)lround (get_served_level (f, route, now_us));
 }
 
 /**
@@ -235,11 +316,69 @@
   return FEEDBACK_REJECT;
 }
 
+/**
+ * feedback_throttle - decides whether a request is held back
+ * @f: feedback
+ * @route: name of its route
+ * @workspace: its workspace, empty on an open route
+ * @importance: 0..9
+ * @now_us: current time
+ *
+ * The threshold names the importance that is served in part.  What exceeds
+ * that part would be rejected after it has used the services above; here it is
+ * rejected first.  Each workspace is counted alone, so that the excess of one
+ * does not hold back another.
+ *
+ * Return: true if the request is to be rejected as overloaded, not run.
+ */
+bool
+feedback_throttle (struct feedback *f, struct str route, struct str workspace,
+                   uint32_t importance, int64_t now_us)
+{
+  struct feedback_flow *flow = take_flow (f, route, workspace, now_us);
+  uint32_t i = MIN (importance, FEEDBACK_IMPORTANCES - 1);
+  double excess;
+
+  if (flow == NULL || is_off (f, FEEDBACK_RULE_THROTTLE))
+    return false;
+  if (get_served_level (f, route, now_us) < FEEDBACK_LEVEL_CALM)
+    {
+      flow->requests[i] = 0;
+      flow->accepts[i] = 0;
+      return false;
+    }
+  fade_flow (flow, now_us);
+  excess = flow->requests[i] - FEEDBACK_SURPLUS * flow->accepts[i]
+           - FEEDBACK_SLACK;
+  if (g_rand_double (f->rand) >= excess / (flow->requests[i] + 1))
+    return false;
+  flow->requests[i]++;
+  return true;
+}
+
+void
+feedback_note_outcome (struct feedback *f, struct str route,
+                       struct str workspace, uint32_t importance,
+                       bool accepted, int64_t now_us)
+{
+  struct feedback_flow *flow = take_flow (f, route, workspace, now_us);
+
+  uint32_t i = MIN (importance, FEEDBACK_IMPORTANCES - 1);
+
+  if (flow == NULL)
+    return;
+  fade_flow (flow, now_us);
+  flow->requests[i]++;
+  if (accepted)
+    flow->accepts[i]++;
+}
+
 void
 feedback_expire (struct feedback *f, int64_t now_us)
 {
   void *row;
 
+  expire_flows (f, now_us);
   for (uint64_t id = table_next (&f->services, 0, &row); id != 0;
        id = table_next (&f->services, id, &row))
     {
--- a/src/feedback.h
+++ b/src/feedback.h
@@ -17,13 +17,18 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* Constants */
+
+#define FEEDBACK_IMPORTANCES 10u
+
 /* Types */
 
 /* Rules that a test can switch off.  */
 enum feedback_rule
 {
-  FEEDBACK_RULE_EXPIRY = 1, /* levels fall when not renewed */
-  FEEDBACK_RULE_PROBE = 2   /* a fraction passes */
+  FEEDBACK_RULE_EXPIRY = 1,  /* levels fall when not renewed */
+  FEEDBACK_RULE_PROBE = 2,   /* a fraction passes */
+  FEEDBACK_RULE_THROTTLE = 4 /* send what is accepted, and some more */
 };
 
 enum feedback_verdict
@@ -57,11 +62,22 @@
   int64_t used_us;
 };
 
+/* Requests of one workspace on one route, by importance.  The counts fade.  */
+struct feedback_flow
+{
+  uint64_t key;                          /* hash of the names */
+  double requests[FEEDBACK_IMPORTANCES]; /* answered or held back */
+  double accepts[FEEDBACK_IMPORTANCES];  /* not rejected as overloaded */
+  int64_t faded_us;                      /* time the counts were faded to */
+};
+
 struct feedback
 {
   struct feedback_settings settings;
   struct table services;
   struct table routes;
+  struct table flows;
+  GHashTable *flow_by_key;
   GHashTable *service_by_name;
   GHashTable *route_by_name;
   GRand *rand;
@@ -82,6 +98,15 @@
 /* whether a request may be sent */
 enum feedback_verdict feedback_check (struct feedback *f, struct str route,
                                       uint32_t importance, int64_t now_us);
+/* whether a request that feedback_check lets pass is held back, because too few
+   of its kind were accepted lately */
+bool feedback_throttle (struct feedback *f, struct str route,
+                        struct str workspace, uint32_t importance,
+                        int64_t now_us);
+/* a request that was sent has ended; accepted: not rejected as overloaded */
+void feedback_note_outcome (struct feedback *f, struct str route,
+                            struct str workspace, uint32_t importance,
+                            bool accepted, int64_t now_us);
 /* system: removes routes and services without traffic */
 void feedback_expire (struct feedback *f, int64_t now_us);
 
--- a/tests/test_feedback.c
+++ b/tests/test_feedback.c
@@ -99,6 +99,44 @@
 }
 END_TEST
 
+/* Share of 10 requests a step that is sent, while at most 2 of them are
+   accepted and the service reports `level`.  */
+static double
+get_sent_share (uint32_t rules_off, uint32_t level)
+{
+  struct feedback f = make_feedback (rules_off);
+  int sent = 0;
+
+  for (int64_t step = 0; step < 1000; step++)
+    {
+      int64_t now_us = step * 10000;
+      int in_step = 0;
+
+      note_times (&f, route, "deep", level, 1, now_us);
+      for (int i = 0; i < 10; i++)
+        if (!feedback_throttle (&f, route, STR_LIT ("w1"), 5, now_us))
+          feedback_note_outcome (&f, route, STR_LIT ("w1"), 5, in_step++ < 2,
+                                 now_us);
+      sent += in_step;
+    }
+  /* Another workspace is not held back for it.  */
+  ck_assert (!feedback_throttle (&f, route, STR_LIT ("w2"), 5, 10000000));
+  feedback_close (&f);
+  return sent / 10000.0;
+}
+
+/* Guards against requests of the importance that is served in part, which use
+   the services above and are then rejected; and against holding back after the
+   overload has ended, or another workspace.  */
+START_TEST (excess_is_held_back_while_overloaded)
+{
+  ck_assert_double_lt (get_sent_share (0, 5), 0.35);
+  ck_assert_double_gt (get_sent_share (0, 5), 0.2);
+  ck_assert_double_eq (get_sent_share (0, 0), 1);
+  ck_assert_double_eq (get_sent_share (FEEDBACK_RULE_THROTTLE, 5), 1);
+}
+END_TEST
+
 /* Guards against tables that grow with every name that a peer sends.  */
 START_TEST (rows_are_bounded_and_expire)
 {
@@ -110,12 +148,14 @@
       char *name = g_strdup_printf ("s%d", i);
 
       note_times (&f, str_from_cstr (name), name, 3, 1, i);
+      feedback_note_outcome (&f, str_from_cstr (name), STR_EMPTY, 1, true, i);
       g_free (name);
     }
   ck_assert_uint_eq (f.services.count, 5);
   ck_assert_uint_eq (f.routes.count, 5);
+  ck_assert_uint_eq (f.flows.count, 5);
   feedback_expire (&f, INT64_MAX / 2);
-  ck_assert_uint_eq (f.services.count + f.routes.count, 0);
+  ck_assert_uint_eq (f.services.count + f.routes.count + f.flows.count, 0);
   feedback_close (&f);
 }
 END_TEST
@@ -126,7 +166,7 @@
   const TTest *const cases[]
       = { level_is_the_maximum_over_the_path,
           one_backend_does_not_set_the_level, levels_expire_and_probes_pass,
-          rows_are_bounded_and_expire };
+          excess_is_held_back_while_overloaded, rows_are_bounded_and_expire };
 
   return suite_run ("feedback", cases, G_N_ELEMENTS (cases));
 }
