--- a/src/quota.c
+++ b/src/quota.c
@@ -99,22 +99,29 @@
   return true;
 }
 
-/* Place for a new lot: an empty one, or the one that expires first.  */
-static struct quota_lot *
-choose_place (struct quota *q, int64_t now_us)
+/* Adds a lot in an empty place.  If there is none, the tokens join the lot that
+   expires last and expire with it; those of two epochs are never returned.  */
+static void
+add_lot (struct quota *q, struct quota_lot added, int64_t now_us)
 {
-  struct quota_lot *place = &q->lots[0];
+  struct quota_lot *last = &q->lots[0];
 
   for (uint32_t i = 0; i < QUOTA_LOTS; i++)
     {
       struct quota_lot *lot = &q->lots[i];
 
       if (lot->count == 0 || lot->expires_us <= now_us)
-        return lot;
-      if (lot->expires_us < place->expires_us)
-        place = lot;
+        {
+          *lot = added;
+          return;
+        }
+      if (lot->expires_us > last->expires_us)
+        last = lot;
     }
-  return place;
+  last->count += added.count;
+  last->expires_us = MIN (last->expires_us, added.expires_us);
+  if (last->epoch != added.epoch)
+    last->epoch = 0;
 }
 
 /* Internal functions: demand */
@@ -337,8 +344,11 @@
       q->next_ask_us = now_us + BACKOFF_US;
     }
   if (count > 0)
-    *choose_place (q, now_us)
-        = (struct quota_lot){ count, from + q->validity_us, epoch };
+    add_lot (q,
+             (struct quota_lot){ .count = count,
+                                 .expires_us = from + q->validity_us,
+                                 .epoch = epoch },
+             now_us);
   return true;
 }
 
