--- a/src/config.h
+++ b/src/config.h
@@ -14,9 +14,10 @@
 /* Nodes of the control thread, in the order in which they run.  */
 #define CONFIG_NODES                                                          \
   {                                                                           \
-    &node_static_ops, &node_gossip_ops, NULL                                  \
+    &node_static_ops, &node_gossip_ops, &node_config_ops, NULL                \
   }
 
+#include "node_config.h"
 #include "node_gossip.h"
 #include "node_static.h"
 
--- /dev/null
+++ b/src/node_config.c
@@ -0,0 +1,433 @@
+/* node_config: glue between the platform's changes, the inventory in force and
+   the control thread.  */
+
+#include "node_config.h"
+
+#include "change_json.h"
+#include "clock.h"
+#include "inventory_json.h"
+#include "logger.h"
+#include "node_gossip.h"
+#include "wire_snapshot.h"
+
+#include <string.h>
+
+/* Constants */
+
+#define CHANGES_PREFIX STR_LIT ("changes/")
+/* A watcher's evidence is as old as its longest wait.  */
+#define WATCH_WAIT_US (200 * CLOCK_US_PER_MS)
+#define WATCH_TIMEOUT_US (500 * CLOCK_US_PER_MS)
+#define CALL_TIMEOUT_US (2 * CLOCK_US_PER_S)
+#define LOAD_TIMEOUT_US (10 * CLOCK_US_PER_S)
+#define RETRY_US (200 * CLOCK_US_PER_MS)
+/* Time for the seeds to answer: a daemon that knows nobody would take itself
+   for a watcher.  */
+#define JOIN_US (2 * CLOCK_US_PER_S)
+#define STORE_CONNECTIONS 2u
+#define SNAPSHOT_MAX_BYTES ((uint64_t)64 << 20)
+
+/* Internal functions: applying changes */
+
+static bool
+apply_change (struct control *c, struct str bytes)
+{
+  GError *error = NULL;
+  struct change change;
+  bool ok = change_json_load (&change, bytes, &error);
+
+  if (ok)
+    {
+      ok = change_apply (&c->inventory, &change, &error);
+      change_close (&change);
+    }
+  if (ok)
+    {
+      control_note_config (c);
+      return true;
+    }
+  LOGGER_WRITE (LOGGER_ERROR, "change_rejected",
+                LOGGER_NUMBER ("revision", (int64_t)c->inventory.revision + 1),
+                LOGGER_TEXT ("reason", str_from_cstr (error->message)));
+  g_error_free (error);
+  return false;
+}
+
+/* Applies in order whatever gossip or the platform has brought.  A change that
+   cannot be applied stops here: the freshness evidence then shows a higher
+   revision than the one applied, and keyed routes are refused.  */
+static void
+apply_changes (struct control *c)
+{
+  struct node_config *n = c->node_config;
+  const struct gossip *g = &c->node_gossip->gossip;
+
+  while (!n->failed)
+    {
+      struct str bytes = gossip_get_change (g, c->inventory.revision + 1);
+
+      if (bytes.len == 0)
+        return;
+      n->failed = !apply_change (c, bytes);
+    }
+}
+
+/* Internal functions: reading the platform */
+
+static bool
+parse_revision (struct str key, uint64_t *revision)
+{
+  return str_has_prefix (key, CHANGES_PREFIX)
+         && str_parse_u64 (str_slice (key, CHANGES_PREFIX.len, key.len),
+                           revision);
+}
+
+static void
+note_failure (struct control *c, enum err_kind error)
+{
+  struct node_config *n = c->node_config;
+
+  n->next_us = clock_now_us () + RETRY_US;
+  fresh_note_unreachable (&c->node_gossip->fresh,
+                          member_hash_domain (c->settings->failure_domain),
+                          n->sent_us);
+  LOGGER_WRITE (
+      LOGGER_DEBUG, "platform_read_failed",
+      LOGGER_TEXT ("error", str_from_cstr (err_get_answer (error)->name)));
+}
+
+static void
+stop_loading (struct node_config *n)
+{
+  if (n->loading)
+    journal_close (&n->journal);
+  n->loading = false;
+}
+
+/* What peers have brought meanwhile may be newer than what was read.  */
+static void
+finish_loading (struct control *c)
+{
+  struct node_config *n = c->node_config;
+  uint64_t revision = n->journal.inv.revision;
+
+  n->highest = MAX (n->highest, revision);
+  n->phase = NODE_CONFIG_WATCHING;
+  if (revision > c->inventory.revision || c->config == NULL)
+    {
+      inventory_close (&c->inventory);
+      inventory_copy (&c->inventory, &n->journal.inv);
+      n->failed = false;
+      gossip_set_revision (&c->node_gossip->gossip, revision);
+      control_note_config (c);
+    }
+  stop_loading (n);
+}
+
+static void
+check_loading (struct control *c)
+{
+  struct node_config *n = c->node_config;
+
+  if (n->journal.result == JOURNAL_RUNNING)
+    return;
+  if (n->journal.result == JOURNAL_LOADED)
+    {
+      finish_loading (c);
+      return;
+    }
+  if (n->journal.result == JOURNAL_CORRUPT)
+    LOGGER_WRITE (LOGGER_ERROR, "configuration_unreadable",
+                  LOGGER_TEXT ("reason", str_view (&n->journal.problems)));
+  note_failure (c, ERR_STORE_UNAVAILABLE);
+  stop_loading (n);
+}
+
+static void
+on_loaded (void *data, const struct store_answer *answer)
+{
+  struct control *c = data;
+  struct node_config *n = c->node_config;
+
+  n->busy = false;
+  if (answer->error == ERR_STORE_UNAVAILABLE)
+    note_failure (c, answer->error);
+  /* A change written during the load is seen by the watch: the first list's
+     version counts.  */
+  if (n->version == 0 && n->journal.step == JOURNAL_LIST)
+    n->version = answer->version;
+  journal_answer (&n->journal, answer, clock_now_us ());
+  check_loading (c);
+}
+
+static void
+load_journal (struct control *c, int64_t now_us)
+{
+  struct node_config *n = c->node_config;
+  const struct store_ops *ops = n->store->ops;
+  struct store_call call = { CALL_TIMEOUT_US, on_loaded, c };
+  struct journal_action action;
+
+  if (!n->loading)
+    {
+      n->loading = true;
+      n->version = 0;
+      journal_init (&n->journal);
+      journal_load (&n->journal, 0, now_us + LOAD_TIMEOUT_US);
+    }
+  if (!journal_next (&n->journal, now_us, &action))
+    {
+      check_loading (c);
+      return;
+    }
+  n->busy = true;
+  n->sent_us = now_us;
+  if (action.verb == JOURNAL_ACTION_LIST)
+    ops->list (n->store, action.key, action.after, true, &call);
+  else
+    ops->get (n->store, action.key, &call);
+}
+
+static void
+on_watch (void *data, const struct store_answer *answer)
+{
+  struct control *c = data;
+  struct node_config *n = c->node_config;
+
+  n->busy = false;
+  if (answer->error != ERR_NONE)
+    {
+      note_failure (c, answer->error);
+      return;
+    }
+  for (uint32_t i = 0; i < answer->objects_len; i++)
+    {
+      const struct store_object *o = &answer->objects[i];
+      uint64_t revision;
+
+      if (o->deleted || !parse_revision (o->key, &revision))
+        continue;
+      n->highest = MAX (n->highest, revision);
+      gossip_add_change (&c->node_gossip->gossip, revision, o->value);
+    }
+  if (answer->next.len > 0)
+    {
+      n->phase = NODE_CONFIG_LOADING;
+      return;
+    }
+  n->version = answer->version;
+  fresh_note_read (&c->node_gossip->fresh, n->highest, n->sent_us);
+}
+
+static bool
+may_read (struct control *c, int64_t now_us)
+{
+  const struct node_config *n = c->node_config;
+  const struct node_gossip *g = c->node_gossip;
+
+  if (n->store == NULL || n->busy || now_us < n->next_us || !g->watcher)
+    return false;
+  return c->settings->seeds.len == 0 || g->members.alive > 1
+         || now_us >= n->started_us + JOIN_US;
+}
+
+static void
+read_platform (struct control *c, int64_t now_us)
+{
+  struct node_config *n = c->node_config;
+  struct store_call watch = { WATCH_TIMEOUT_US, on_watch, c };
+
+  if (!may_read (c, now_us))
+    return;
+  if (n->phase == NODE_CONFIG_LOADING)
+    {
+      load_journal (c, now_us);
+      return;
+    }
+  n->busy = true;
+  n->sent_us = now_us;
+  n->store->ops->watch (n->store, CHANGES_PREFIX, n->version, WATCH_WAIT_US,
+                        true, &watch);
+}
+
+/* Internal functions: snapshots between daemons */
+
+static void
+offer_snapshot (struct control *c, uint64_t link,
+                const struct wire_pull_snapshot *pull)
+{
+  struct node_config *n = c->node_config;
+  struct wire_snapshot m;
+  struct str_buf out = { 0 };
+
+  if (c->inventory.revision == 0)
+    return;
+  /* A peer that is in the middle of a snapshot gets the rest of that one.  */
+  if (pull->revision != n->offered_revision || n->offered_revision == 0)
+    {
+      str_reset (&n->offered);
+      inventory_json_append (&n->offered, &c->inventory);
+      n->offered_revision = c->inventory.revision;
+    }
+  m.revision = n->offered_revision;
+  m.total = n->offered.len;
+  m.offset = pull->revision == n->offered_revision ? pull->offset : 0;
+  m.part = str_slice (str_view (&n->offered), m.offset,
+                      m.offset + WIRE_SNAPSHOT_PART_BYTES);
+  wire_snapshot_append (&out, &m);
+  control_reply (c, link, str_view (&out));
+  str_reset (&out);
+}
+
+static void
+send_snapshot_pull (struct control *c, uint64_t link)
+{
+  struct node_config *n = c->node_config;
+  struct wire_pull_snapshot m = { n->snapshot_revision, n->snapshot.len };
+  struct str_buf out = { 0 };
+
+  wire_snapshot_append_pull (&out, &m);
+  control_reply (c, link, str_view (&out));
+  str_reset (&out);
+}
+
+/* A snapshot that is older than what is in force is dropped: a revision never
+   goes back.  */
+static void
+apply_snapshot (struct control *c)
+{
+  struct node_config *n = c->node_config;
+  struct inventory loaded;
+  GError *error = NULL;
+
+  if (!inventory_json_load (&loaded, str_view (&n->snapshot), &error))
+    {
+      LOGGER_WRITE (LOGGER_ERROR, "snapshot_rejected",
+                    LOGGER_TEXT ("reason", str_from_cstr (error->message)));
+      g_error_free (error);
+      return;
+    }
+  if (loaded.revision <= c->inventory.revision)
+    {
+      inventory_close (&loaded);
+      return;
+    }
+  inventory_close (&c->inventory);
+  c->inventory = loaded;
+  n->failed = false;
+  gossip_set_revision (&c->node_gossip->gossip, loaded.revision);
+  control_note_config (c);
+}
+
+static void
+take_snapshot (struct control *c, uint64_t link, const struct wire_snapshot *m)
+{
+  struct node_config *n = c->node_config;
+
+  if (m->revision <= c->inventory.revision || m->total > SNAPSHOT_MAX_BYTES)
+    return;
+  if (m->offset == 0)
+    {
+      str_reset (&n->snapshot);
+      n->snapshot_revision = m->revision;
+    }
+  if (m->revision != n->snapshot_revision || m->offset != n->snapshot.len
+      || m->part.len == 0)
+    return;
+  str_append (&n->snapshot, m->part);
+  if (n->snapshot.len < m->total)
+    {
+      send_snapshot_pull (c, link);
+      return;
+    }
+  apply_snapshot (c);
+  str_reset (&n->snapshot);
+  n->snapshot_revision = 0;
+}
+
+static bool
+on_frame (struct control *c, uint64_t link, uint32_t type, struct str frame)
+{
+  struct wire_pull_snapshot pull;
+  struct wire_snapshot part;
+
+  if (type == WIRE_PULL_SNAPSHOT && wire_snapshot_load_pull (&pull, frame))
+    {
+      offer_snapshot (c, link, &pull);
+      return true;
+    }
+  if (type == WIRE_SNAPSHOT && wire_snapshot_load (&part, frame))
+    {
+      take_snapshot (c, link, &part);
+      return true;
+    }
+  return false;
+}
+
+/* Internal functions: node */
+
+static bool
+init_node (struct control *c, GError **error)
+{
+  const struct settings *s = c->settings;
+  struct node_config *n = g_new0 (struct node_config, 1);
+
+  c->node_config = n;
+  n->started_us = clock_now_us ();
+  if (s->platform.address.len > 0)
+    n->store = store_load_http (c->loop.base, s->platform.address,
+                                (uint16_t)s->platform.port, STORE_CONNECTIONS);
+  return true;
+}
+
+static void
+close_node (struct control *c)
+{
+  struct node_config *n = c->node_config;
+
+  if (n == NULL)
+    return;
+  if (n->store != NULL)
+    n->store->ops->unload (n->store);
+  stop_loading (n);
+  str_reset (&n->snapshot);
+  str_reset (&n->offered);
+  g_free (n);
+  c->node_config = NULL;
+}
+
+static void
+run_node (struct control *c, int64_t now_us)
+{
+  read_platform (c, now_us);
+  apply_changes (c);
+}
+
+/* State */
+
+const struct control_node_ops node_config_ops = {
+  .name = "config",
+  .init = init_node,
+  .close = close_node,
+  .on_frame = on_frame,
+  .run = run_node,
+};
+
+/* Public functions */
+
+/**
+ * node_config_pull_snapshot - asks a peer for the whole configuration
+ * @c: control thread
+ * @link: link to the peer
+ *
+ * Called when the peer no longer holds the changes that are missing here.
+ */
+void
+node_config_pull_snapshot (struct control *c, uint64_t link)
+{
+  struct node_config *n = c->node_config;
+
+  str_reset (&n->snapshot);
+  n->snapshot_revision = 0;
+  send_snapshot_pull (c, link);
+}
--- /dev/null
+++ b/src/node_config.h
@@ -0,0 +1,52 @@
+/* node_config: glue between the platform's changes, the inventory in force and
+   the control thread.
+
+   A watcher reads the platform; the others get changes by gossip, or a
+   snapshot from a peer when they are far behind.  */
+
+#ifndef ALMONDVALE_NODE_CONFIG_H
+#define ALMONDVALE_NODE_CONFIG_H
+
+#include "control.h"
+#include "journal.h"
+#include "store.h"
+
+/* Types */
+
+enum node_config_phase
+{
+  NODE_CONFIG_LOADING, /* reads the snapshot and the changes after it */
+  NODE_CONFIG_WATCHING /* waits for new changes */
+};
+
+struct node_config
+{
+  struct store *store; /* NULL without a platform */
+  enum node_config_phase phase;
+  struct journal journal; /* while loading */
+  bool loading;           /* the journal has begun */
+  bool busy;              /* a call is under way */
+  int64_t sent_us;        /* when it was sent */
+  int64_t next_us;        /* no call before this time */
+  int64_t started_us;
+  uint64_t version; /* of the platform, up to which changes are known */
+  uint64_t highest; /* highest revision seen in the platform */
+  bool failed;      /* a change could not be applied */
+  /* snapshot from a peer */
+  uint64_t snapshot_revision;
+  struct str_buf snapshot;
+  /* snapshot for peers, made when first asked for */
+  uint64_t offered_revision;
+  struct str_buf offered;
+};
+
+/* State */
+
+extern const struct control_node_ops node_config_ops;
+
+/* Public functions */
+
+/* asks the peer at the end of a link for a snapshot */
+void node_config_pull_snapshot (struct control *c, uint64_t link);
+
+#endif
--- a/src/node_gossip.c
+++ b/src/node_gossip.c
@@ -4,6 +4,7 @@
 
 #include "clock.h"
 #include "logger.h"
+#include "node_config.h"
 #include "wire_control.h"
 
 #include <arpa/inet.h>
@@ -14,7 +15,7 @@
 #define DATAGRAM_MAX_BYTES 2048
 /* Datagrams taken in one event, so that a flood leaves time for the rest.  */
 #define DATAGRAMS_PER_EVENT 256
-#define ENDPOINTS_INTERVAL_US (250 * CLOCK_US_PER_MS)
+#define ENDPOINTS_INTERVAL_US 250000
 
 /* Internal functions: addresses */
 
@@ -100,13 +101,13 @@
 {
   for (int i = 0; i < DATAGRAMS_PER_EVENT; i++)
     {
-      struct sockaddr_storage from;
+      struct sockaddr_storage from = { 0 };
       socklen_t from_len = sizeof from;
       char buffer[DATAGRAM_MAX_BYTES];
       ssize_t len = recvfrom (fd, buffer, sizeof buffer, 0,
                               (struct sockaddr *)&from, &from_len);
 
-      if (len < 0)
+      if (len < 0 || from_len < sizeof (struct sockaddr_in))
         return;
       receive_datagram (data, (struct str){ (size_t)len, buffer }, &from);
     }
@@ -266,6 +267,8 @@
   for (uint32_t i = 0; i < changes->changes_len; i++)
     gossip_add_change (&c->node_gossip->gossip, changes->changes[i].revision,
                        changes->changes[i].bytes);
+  if (!changes->held)
+    node_config_pull_snapshot (c, link);
 }
 
 static bool
