Test configuration with real daemons through outages, cuts and pauses

Cause: the freshness rules were shown in virtual time only. Change: tests/test_node_config.c starts three daemons and the platform stand-in: revocation at all daemons, outages of 5 s that refuse or hang, a silent failure domain, a daemon paused over a revocation, a restart during an outage.

--- /dev/null
+++ b/tests/test_node_config.c
@@ -0,0 +1,284 @@
+/* Tests of node_config and node_gossip with real daemons and the platform
+   stand-in: revocation, outages, restarts and pauses.  */
+
+#include "process.h"
+#include "suite.h"
+
+#define KEY "av_k1_0123456789abcdef0123"
+#define DAEMONS 3
+/* More than the freshness bound of 3.5 s, so that evidence from before an
+   outage has run out.  */
+#define OUTAGE_US (5 * CLOCK_US_PER_S)
+
+struct fixture
+{
+  char *dir;
+  pid_t platform;
+  uint16_t platform_port;
+  struct process_daemon daemons[DAEMONS];
+  pid_t backend;
+};
+
+static void
+put_change (const struct fixture *f, int revision, const char *ops)
+{
+  const char *headers[] = { "If-None-Match: *", NULL };
+  char *target = g_strdup_printf ("/v1/objects/changes/%d", revision);
+  char *body = g_strdup_printf ("{\"revision\":%d,\"nonce\":\"%032d\","
+                                "\"author\":\"test\",\"ops\":[%s]}",
+                                revision, revision, ops);
+
+  ck_assert_int_eq (
+      process_send (f->platform_port, "PUT", target, body, headers).status,
+      201);
+  g_free (target);
+  g_free (body);
+}
+
+static void
+put_inventory (const struct fixture *f)
+{
+  char *hash = process_hash_key (KEY);
+  char *ops = g_strdup_printf (
+      "{\"put\":\"service\",\"row\":{\"name\":\"notes\"}},"
+      "{\"put\":\"route\",\"row\":{\"name\":\"notes\",\"service\":\"notes\","
+      "\"path_prefix\":\"/notes\",\"methods\":[\"GET\"],"
+      "\"idempotent\":true}},"
+      "{\"put\":\"route\",\"row\":{\"name\":\"public\",\"service\":\"notes\","
+      "\"path_prefix\":\"/public\",\"methods\":[\"GET\"],\"open\":true,"
+      "\"idempotent\":true}},"
+      "{\"put\":\"workspace\",\"row\":{\"name\":\"w1\","
+      "\"rate_per_s\":100000,\"burst\":100000}},"
+      "{\"put\":\"key\",\"row\":{\"id\":\"k1\",\"sha256\":\"%s\","
+      "\"workspace\":\"w1\"}}",
+      hash);
+
+  put_change (f, 1, ops);
+  g_free (ops);
+  g_free (hash);
+}
+
+static void
+start_daemon (struct fixture *f, int i)
+{
+  char *id = g_strdup_printf ("d%d", i + 1);
+  char *domain = g_strdup_printf ("fd%d", i + 1);
+  char *members = g_strdup_printf (
+      ",\"platform\":{\"address\":\"127.0.0.1\",\"port\":%u},"
+      "\"failure_domains\":[\"fd1\",\"fd2\",\"fd3\"],\"seeds\":["
+      "{\"address\":\"127.0.0.1\",\"port\":%u},"
+      "{\"address\":\"127.0.0.1\",\"port\":%u}]",
+      f->platform_port, f->daemons[0].control, f->daemons[1].control);
+
+  process_start_daemon (&f->daemons[i], f->dir, id, domain, members);
+  g_free (id);
+  g_free (domain);
+  g_free (members);
+}
+
+static void
+take_ports (struct process_daemon *d)
+{
+  d->caller = process_get_port ();
+  d->local = process_get_port ();
+  d->peer = process_get_port ();
+  d->control = process_get_port ();
+}
+
+static struct fixture
+start (void)
+{
+  struct fixture f
+      = { .dir = process_make_dir (), .platform_port = process_get_port () };
+  char *port = g_strdup_printf ("%u", f.platform_port);
+  char *log = g_strdup_printf ("%s/platform.log", f.dir);
+  char *local;
+
+  f.platform = process_start (log, "platform", "--address", "127.0.0.1",
+                              "--port", port, NULL);
+  process_await (f.platform_port, "/v1/admin/counters", 200);
+  put_inventory (&f);
+  for (int i = 0; i < DAEMONS; i++)
+    take_ports (&f.daemons[i]);
+  for (int i = 0; i < DAEMONS; i++)
+    start_daemon (&f, i);
+  local = g_strdup_printf ("--local=127.0.0.1:%u", f.daemons[1].local);
+  f.backend = process_start (log, "backend", "--service=notes",
+                             "--address=127.0.0.1", "--port=0", local,
+                             "--slots=8", "--queue=100", "--connections=32",
+                             "--service-time=fixed:1", "--seed=1", NULL);
+  for (int i = 0; i < DAEMONS; i++)
+    {
+      process_await_text (f.daemons[i].local, "/almondvale/status",
+                          "\"endpoints\" : 1");
+      process_await_text (f.daemons[i].local, "/almondvale/status",
+                          "\"keyed_routes_served\" : true");
+    }
+  g_free (port);
+  g_free (log);
+  g_free (local);
+  return f;
+}
+
+static void
+stop (struct fixture *f)
+{
+  for (int i = 0; i < DAEMONS; i++)
+    if (f->daemons[i].pid > 0)
+      process_stop (f->daemons[i].pid, SIGKILL);
+  process_stop (f->backend, SIGKILL);
+  process_stop (f->platform, SIGKILL);
+  g_free (f->dir);
+}
+
+static struct process_reply
+get (const struct fixture *f, int i, const char *target)
+{
+  const char *headers[] = { "Authorization: Bearer " KEY, NULL };
+
+  return process_send (f->daemons[i].caller, "GET", target, "", headers);
+}
+
+/* Repeats a keyed request until it gives the status.  */
+static void
+await_keyed (const struct fixture *f, int i, int status)
+{
+  int64_t end_us = clock_now_us () + PROCESS_WAIT_US;
+
+  while (get (f, i, "/notes/1").status != status)
+    {
+      ck_assert_msg (clock_now_us () < end_us, "daemon %d: not %d", i, status);
+      g_usleep (PROCESS_POLL_US);
+    }
+}
+
+static void
+set_outage (const struct fixture *f, const char *kind)
+{
+  char *body = g_strdup_printf ("{\"outage\":\"%s\"}", kind);
+
+  ck_assert_int_eq (
+      process_send (f->platform_port, "PUT", "/v1/admin/faults", body, NULL)
+              .status
+          / 100,
+      2);
+  g_free (body);
+}
+
+/* Guards against a key that goes on working at some daemon after the change
+   that deletes it was accepted, and against a revision that goes back.  */
+START_TEST (deleted_key_is_refused_everywhere)
+{
+  struct fixture f = start ();
+
+  for (int i = 0; i < DAEMONS; i++)
+    ck_assert_int_eq (get (&f, i, "/notes/1").status, 200);
+  put_change (&f, 2, "{\"delete\":\"key\",\"name\":\"k1\"}");
+  for (int i = 0; i < DAEMONS; i++)
+    await_keyed (&f, i, 401);
+  for (int round = 0; round < 50; round++)
+    ck_assert_int_eq (get (&f, round % DAEMONS, "/notes/1").status, 401);
+  stop (&f);
+}
+END_TEST
+
+static void
+check_outage (const char *kind)
+{
+  struct fixture f = start ();
+  int64_t end_us;
+
+  set_outage (&f, kind);
+  end_us = clock_now_us () + OUTAGE_US;
+  while (clock_now_us () < end_us)
+    {
+      for (int i = 0; i < DAEMONS; i++)
+        ck_assert_int_eq (get (&f, i, "/notes/1").status, 200);
+      g_usleep (20000);
+    }
+  set_outage (&f, "none");
+  put_change (&f, 2, "{\"delete\":\"key\",\"name\":\"k1\"}");
+  for (int i = 0; i < DAEMONS; i++)
+    await_keyed (&f, i, 401);
+  stop (&f);
+}
+
+/* Guards against keyed routes refused while the platform is down for all, and
+   against a key that survives the outage.  */
+START_TEST (keyed_routes_go_on_in_an_outage) { check_outage ("refuse"); }
+END_TEST
+
+/* The same with a platform that does not answer.  */
+START_TEST (keyed_routes_go_on_without_answers) { check_outage ("hang"); }
+END_TEST
+
+/* Guards against a daemon that serves keyed routes although a failure domain
+   is silent, and so may be the one that still reaches the platform.  */
+START_TEST (cut_off_daemon_fails_closed)
+{
+  struct fixture f = start ();
+  struct process_reply r;
+
+  set_outage (&f, "refuse");
+  kill (f.daemons[2].pid, SIGSTOP);
+  await_keyed (&f, 0, 503);
+  r = get (&f, 0, "/notes/1");
+  ck_assert_ptr_nonnull (strstr (r.body, "stale_configuration"));
+  ck_assert_ptr_nonnull (strstr (r.body, "\"not_run\""));
+  ck_assert_int_eq (get (&f, 0, "/public/1").status, 200);
+  kill (f.daemons[2].pid, SIGCONT);
+  await_keyed (&f, 0, 200);
+  stop (&f);
+}
+END_TEST
+
+/* Guards against a paused daemon that serves a key deleted meanwhile.  */
+START_TEST (paused_daemon_does_not_serve_a_deleted_key)
+{
+  struct fixture f = start ();
+
+  kill (f.daemons[0].pid, SIGSTOP);
+  put_change (&f, 2, "{\"delete\":\"key\",\"name\":\"k1\"}");
+  await_keyed (&f, 1, 401);
+  g_usleep (OUTAGE_US);
+  kill (f.daemons[0].pid, SIGCONT);
+  for (int i = 0; i < 100; i++)
+    ck_assert_int_ne (get (&f, 0, "/notes/1").status, 200);
+  await_keyed (&f, 0, 401);
+  stop (&f);
+}
+END_TEST
+
+/* Guards against a daemon that starts during an outage with no configuration
+   or an old one.  */
+START_TEST (restart_in_an_outage_gets_the_newest_revision)
+{
+  struct fixture f = start ();
+
+  put_change (&f, 2, "{\"put\":\"service\",\"row\":{\"name\":\"second\"}}");
+  for (int i = 0; i < DAEMONS; i++)
+    process_await_text (f.daemons[i].local, "/almondvale/status",
+                        "\"revision\" : 2");
+  set_outage (&f, "refuse");
+  process_stop (f.daemons[2].pid, SIGKILL);
+  start_daemon (&f, 2);
+  process_await_text (f.daemons[2].local, "/almondvale/status",
+                      "\"revision\" : 2");
+  await_keyed (&f, 2, 200);
+  stop (&f);
+}
+END_TEST
+
+int
+main (void)
+{
+  const TTest *const cases[]
+      = { deleted_key_is_refused_everywhere,
+          keyed_routes_go_on_in_an_outage,
+          keyed_routes_go_on_without_answers,
+          cut_off_daemon_fails_closed,
+          paused_daemon_does_not_serve_a_deleted_key,
+          restart_in_an_outage_gets_the_newest_revision };
+
+  return suite_run ("node_config", cases, G_N_ELEMENTS (cases));
+}
