--- a/Makefile
+++ b/Makefile
@@ -44,23 +44,29 @@
 
 $(BUILD)/%.o: src/%.c
 	@mkdir -p $(@D)
-	$(CC) $(CPPFLAGS_BASE) $(CPPFLAGS) $(CFLAGS_BASE) $(CFLAGS) -MMD -MP -c $< -o $@
+	@echo CC $@
+	@$(CC) $(CPPFLAGS_BASE) $(CPPFLAGS) $(CFLAGS_BASE) $(CFLAGS) -MMD -MP -c $< -o $@
 
 $(BUILD)/almondvaled: $(BUILD)/almondvaled.o $(BUILD)/libalmondvale.a
-	$(CC) $(LDFLAGS_BASE) $^ $(LIBS) -o $@
+	@echo CC $@
+	@$(CC) $(LDFLAGS_BASE) $^ $(LIBS) -o $@
 
 $(BUILD)/almondvalectl: $(BUILD)/almondvalectl.o $(CTL_OBJ) $(BUILD)/libalmondvale.a
-	$(CC) $(LDFLAGS_BASE) $^ $(LIBS) -o $@
+	@echo CC $@
+	@$(CC) $(LDFLAGS_BASE) $^ $(LIBS) -o $@
 
 $(BUILD)/%: standins/%.c $(BUILD)/libalmondvale.a
-	$(CC) $(CPPFLAGS_BASE) $(CPPFLAGS) $(CFLAGS_BASE) -MMD -MP -MF $@.d $(LDFLAGS_BASE) $< $(BUILD)/libalmondvale.a $(LIBS) -o $@
+	@echo CC $@
+	@$(CC) $(CPPFLAGS_BASE) $(CPPFLAGS) $(CFLAGS_BASE) -MMD -MP -MF $@.d $(LDFLAGS_BASE) $< $(BUILD)/libalmondvale.a $(LIBS) -o $@
 
 $(BUILD)/%: bench/%.c $(BUILD)/libalmondvale.a
-	$(CC) $(CPPFLAGS_BASE) $(CPPFLAGS) $(CFLAGS_BASE) -MMD -MP -MF $@.d $(LDFLAGS_BASE) $< $(BUILD)/libalmondvale.a $(LIBS) -o $@
+	@echo CC $@
+	@$(CC) $(CPPFLAGS_BASE) $(CPPFLAGS) $(CFLAGS_BASE) -MMD -MP -MF $@.d $(LDFLAGS_BASE) $< $(BUILD)/libalmondvale.a $(LIBS) -o $@
 
 $(BUILD)/tests/%: tests/%.c $(BUILD)/libalmondvale.a
 	@mkdir -p $(@D)
-	$(CC) $(CPPFLAGS_BASE) $(CPPFLAGS) $(CFLAGS_BASE) -Itests $(shell pkg-config --cflags check) -MMD -MP -MF $@.d $(LDFLAGS_BASE) $< $(BUILD)/libalmondvale.a $(LIBS) $(shell pkg-config --libs check) -o $@
+	@echo CC $@
+	@$(CC) $(CPPFLAGS_BASE) $(CPPFLAGS) $(CFLAGS_BASE) -Itests $(shell pkg-config --cflags check) -MMD -MP -MF $@.d $(LDFLAGS_BASE) $< $(BUILD)/libalmondvale.a $(LIBS) $(shell pkg-config --libs check) -o $@
 
 packages:
 	tools/install-packages
@@ -88,6 +94,7 @@
 # Writes the generated tables of docs/operations.md again.
 reference: $(BUILD)/reference
 	tools/write-reference $(BUILD)/reference docs/operations.md
+	tools/write-reference $(BUILD)/reference docs/errors.md
 
 clean:
 	rm -rf build build-*
--- a/bench/reference.c
+++ b/bench/reference.c
@@ -1,6 +1,9 @@
-/* reference: prints the generated tables of docs/operations.md.  */
+/* reference: prints the generated tables of the pages in docs/.  */
 
+#include "err.h"
+#include "metrics.h"
 #include "settings.h"
+#include "stats.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -14,11 +17,31 @@
   settings_append_reference (out);
 }
 
+static void
+append_errors (struct str_buf *out)
+{
+  err_append_reference (out);
+}
+
+static void
+append_metrics (struct str_buf *out)
+{
+  struct metrics m;
+  struct stats s;
+
+  metrics_init (&m);
+  stats_init (&s, &m);
+  metrics_append_reference (&m, out);
+  metrics_close (&m);
+}
+
 static const struct
 {
   const char *name;
   void (*append) (struct str_buf *out);
-} tables[] = { { "settings", append_settings } };
+} tables[] = { { "settings", append_settings },
+               { "errors", append_errors },
+               { "metrics", append_metrics } };
 
 /* Public functions */
 
@@ -35,6 +58,6 @@
         str_reset (&out);
         return EXIT_SUCCESS;
       }
-  fprintf (stderr, "Usage: reference settings\n");
+  fprintf (stderr, "Usage: reference settings|errors|metrics\n");
   return EXIT_FAILURE;
 }
--- a/src/err.c
+++ b/src/err.c
@@ -139,6 +139,25 @@
   g_object_unref (b);
 }
 
+/**
+ * err_append_reference - appends the table of all kinds in Markdown
+ * @out: buffer
+ */
+void
+err_append_reference (struct str_buf *out)
+{
+  str_append (out, STR_LIT ("| error | HTTP status | outcome | retry | "
+                            "retry_after_ms | meaning |\n"
+                            "|---|---|---|---|---|---|\n"));
+  for (int kind = ERR_NONE + 1; kind < ERR_KINDS; kind++)
+    str_append_format (out, "| `%s` | %d | %s | %s | %d | %s |\n",
+                       answers[kind].name, answers[kind].status,
+                       answers[kind].ran == ERR_RAN_NO ? "not_run"
+                                                       : "may_have_run",
+                       retry_names[answers[kind].retry],
+                       answers[kind].retry_after_ms, answers[kind].text);
+}
+
 const char *
 err_get_retry_name (enum err_retry retry)
 {
--- a/src/err.h
+++ b/src/err.h
@@ -102,6 +102,8 @@
 /* JSON body of the answer to a caller */
 void err_append_body (struct str_buf *out, enum err_kind kind,
                       struct str detail);
+/* appends the table of all kinds in Markdown */
+void err_append_reference (struct str_buf *out);
 /* stable name of a retry advice */
 const char *err_get_retry_name (enum err_retry retry);
 /* true if a request that failed so certainly did not run */
