--- /dev/null
+++ b/bench/bench_control.c
@@ -0,0 +1,433 @@
+/* bench_control: cost of membership, gossip and freshness.
+
+   one: CPU and memory of one daemon whose table has all members, fed with the
+   datagrams that it gets at that size; cost of a join.
+   fleet: bytes of each message, time until a change is in force and age of the
+   evidence, over a fleet whose tables hold all members or a part of them.  */
+
+#include "../tests/fleet.h"
+
+#include <glib.h>
+#include <malloc.h>
+#include <math.h>
+#include <stdio.h>
+#include <time.h>
+
+/* Constants */
+
+#define SERVICES 1900
+#define CHANGE_BYTES 300
+#define CHANGES_PER_S (48000.0 / 86400.0)
+/* Member updates a day at 22,000 members: 83 failures of two updates, 1,200
+   restarts of drain, leave and join.  */
+#define UPDATES_PER_S (3766.0 / 86400.0 / 22000.0)
+#define UPDATE_COPIES 15 /* each arrives this often */
+#define PROBES_PER_S 2.7 /* received; measured by the fleet part */
+#define ANSWER_MS 740    /* mean time until an answer, as measured there */
+#define ANSWER_SLOTS 2048
+#define WARM_UP_MS 8000
+
+/* Types */
+
+/* One daemon and what stands for the others.  */
+struct lone
+{
+  struct fleet f;
+  GPtrArray *answers[ANSWER_SLOTS]; /* struct fleet_packet by ms */
+  int64_t cpu_ns;                   /* of the daemon */
+  uint64_t datagrams;               /* sent and received by it */
+};
+
+/* Internal functions: one daemon */
+
+static int64_t
+get_cpu_ns (void)
+{
+  struct timespec t;
+
+  clock_gettime (CLOCK_THREAD_CPUTIME_ID, &t);
+  return (int64_t)t.tv_sec * 1000000000 + t.tv_nsec;
+}
+
+static void
+init_lone (struct lone *l, uint32_t members, uint32_t seed)
+{
+  memset (l, 0, sizeof *l);
+  l->f.len = members;
+  l->f.services = SERVICES;
+  l->f.now_us = FLEET_START_US;
+  l->f.rand = g_rand_new_with_seed (seed);
+  l->f.platform = g_ptr_array_new ();
+  l->f.nodes = g_new0 (struct fleet_node, members);
+  for (uint32_t i = 0; i < FLEET_RING_MS; i++)
+    l->f.ring[i] = g_ptr_array_new ();
+  for (uint32_t i = 0; i < ANSWER_SLOTS; i++)
+    l->answers[i] = g_ptr_array_new ();
+}
+
+static void
+close_lone (struct lone *l)
+{
+  for (uint32_t i = 0; i < ANSWER_SLOTS; i++)
+    {
+      for (guint k = 0; k < l->answers[i]->len; k++)
+        fleet_free_packet (g_ptr_array_index (l->answers[i], k));
+      g_ptr_array_unref (l->answers[i]);
+    }
+  fleet_close (&l->f);
+}
+
+static struct gossip_datagram
+make_datagram (struct lone *l, enum gossip_type type, uint32_t from)
+{
+  char name[32];
+  struct member_entry e = fleet_get_entry (from, 1, SERVICES, name);
+  struct gossip_datagram d = { .type = type,
+                               .from = e.id,
+                               .incarnation = e.incarnation,
+                               .seq = 1,
+                               .hold_ms = ANSWER_MS,
+                               .revision = l->f.platform->len };
+
+  d.evidence = (struct fresh_evidence){ .stamped = true,
+                                        .revision = l->f.platform->len,
+                                        .age_us = CLOCK_US_PER_S };
+  return d;
+}
+
+/* Puts a datagram for the daemon into the ring after a delay.  */
+static void
+post (struct lone *l, uint32_t from, const struct gossip_datagram *d,
+      int64_t delay_ms)
+{
+  struct fleet_packet *p = g_new0 (struct fleet_packet, 1);
+  struct str_buf b = { 0 };
+  int64_t at = l->f.now_us / CLOCK_US_PER_MS + delay_ms;
+
+  wire_control_append_datagram (&b, d);
+  *p = (struct fleet_packet){ 0, from, str_take (&b) };
+  g_ptr_array_add (l->answers[at % ANSWER_SLOTS], p);
+}
+
+/* Adds an update of a random member to a datagram.  */
+static void
+add_update (struct lone *l, struct gossip_datagram *d, uint32_t *number,
+            char name[32])
+{
+  double chance = UPDATES_PER_S * l->f.len * UPDATE_COPIES / PROBES_PER_S / 2;
+
+  if (g_rand_double (l->f.rand) >= chance)
+    return;
+  if (g_rand_int_range (l->f.rand, 0, UPDATE_COPIES) == 0)
+    ++*number;
+  d->entries[0] = fleet_get_entry (1 + *number * 7919 % (l->f.len - 1), 1,
+                                   SERVICES, name);
+  d->entries[0].incarnation += *number;
+  d->entries_len = 1;
+}
+
+static void
+answer_probe (struct lone *l, const struct fleet_packet *p, uint32_t *number)
+{
+  struct wire_control_message m;
+  struct gossip_datagram d;
+  char name[32];
+
+  if (wire_control_load_message (&m, p->bytes) && m.type == WIRE_PROBE
+      && m.u.datagram.seq != 0)
+    {
+      d = make_datagram (l, GOSSIP_ACK, p->to);
+      d.seq = m.u.datagram.seq;
+      add_update (l, &d, number, name);
+      post (l, p->to, &d, g_rand_int_range (l->f.rand, 480, 1000));
+    }
+  wire_control_unload_message (&m);
+}
+
+static void
+post_probe (struct lone *l, uint32_t *number)
+{
+  uint32_t from = (uint32_t)g_rand_int_range (l->f.rand, 1, (gint32)l->f.len);
+  struct gossip_datagram d = make_datagram (l, GOSSIP_PROBE, from);
+  char name[32];
+
+  add_update (l, &d, number, name);
+  post (l, from, &d, 1);
+}
+
+static void
+post_change (struct lone *l)
+{
+  uint64_t revision = fleet_change (&l->f, CHANGE_BYTES);
+
+  for (uint32_t i = 0; i < GOSSIP_FANOUT; i++)
+    {
+      uint32_t from
+          = (uint32_t)g_rand_int_range (l->f.rand, 1, (gint32)l->f.len);
+      struct gossip_datagram d = make_datagram (l, GOSSIP_PROBE, from);
+
+      d.seq = 0;
+      d.evidence.stamped = false;
+      d.changes[0] = (struct gossip_change){
+        revision,
+        *(struct str *)g_ptr_array_index (l->f.platform, revision - 1)
+      };
+      d.changes_len = 1;
+      post (l, from, &d, 1 + (int64_t)i * 20);
+    }
+}
+
+static void
+step_lone (struct lone *l, uint32_t *number)
+{
+  int64_t ms, begin;
+  GPtrArray *sent, *due;
+
+  l->f.now_us += CLOCK_US_PER_MS;
+  ms = l->f.now_us / CLOCK_US_PER_MS;
+  sent = l->f.ring[ms % FLEET_RING_MS];
+  due = l->answers[ms % ANSWER_SLOTS];
+  l->datagrams += sent->len + due->len;
+  for (guint i = 0; i < sent->len; i++)
+    {
+      answer_probe (l, g_ptr_array_index (sent, i), number);
+      fleet_free_packet (g_ptr_array_index (sent, i));
+    }
+  g_ptr_array_set_size (sent, 0);
+  begin = get_cpu_ns ();
+  for (guint i = 0; i < due->len; i++)
+    fleet_deliver (&l->f, g_ptr_array_index (due, i));
+  if (ms % FLEET_TICK_MS == 0)
+    fleet_tick (&l->f, 0);
+  l->cpu_ns += get_cpu_ns () - begin;
+  g_ptr_array_set_size (due, 0);
+}
+
+static size_t
+get_heap_bytes (void)
+{
+  struct mallinfo2 info = mallinfo2 ();
+
+  return info.uordblks + info.hblkhd;
+}
+
+/* A new daemon takes the whole table from one that has it.  */
+static void
+measure_join (struct lone *l)
+{
+  struct fleet_node *from = &l->f.nodes[0], *to = &l->f.nodes[1];
+  GArray *entries = g_array_new (FALSE, FALSE, sizeof (struct member_entry));
+  struct str_buf b = { 0 };
+  int64_t answer_ns = 0, merge_ns = 0;
+  bool complete;
+
+  fleet_start_node (&l->f, 1, 2);
+  while (member_is_joining (&to->members))
+    {
+      struct wire_control_message m = { .type = WIRE_MEMBERS };
+      uint32_t window = to->members.window;
+      int64_t begin = get_cpu_ns ();
+
+      complete = member_answer_sync (&from->members, window,
+                                     to->members.digests
+                                         + (size_t)window * MEMBER_WINDOW,
+                                     MEMBER_JOIN_BYTES, entries);
+      m.u.members.complete = complete;
+      m.u.members.entries_len = entries->len;
+      m.u.members.entries = (struct member_entry *)(void *)entries->data;
+      wire_control_append_frame (&b, &m);
+      answer_ns += get_cpu_ns () - begin;
+      begin = get_cpu_ns ();
+      member_note_sync (&to->members, entries, complete, l->f.now_us);
+      merge_ns += get_cpu_ns () - begin;
+      g_array_set_size (entries, 0);
+    }
+  printf ("  join: %zu bytes, %.1f ms CPU at the peer, %.1f ms at the new "
+          "daemon, %u rows\n",
+          b.len, (double)answer_ns / 1e6, (double)merge_ns / 1e6,
+          to->members.rows.count);
+  str_reset (&b);
+  g_array_unref (entries);
+}
+
+static void
+run_lone (uint32_t members, uint32_t seconds, bool watcher, uint32_t seed)
+{
+  struct lone l;
+  uint32_t number = 0;
+  size_t before;
+
+  init_lone (&l, members, seed);
+  before = get_heap_bytes ();
+  fleet_start_node (&l.f, 0, 1);
+  fleet_fill_node (&l.f, 0);
+  printf ("one: %u members, %s\n  heap %.2f MB\n", members,
+          watcher ? "watcher" : "ordinary",
+          (double)(get_heap_bytes () - before) / 1e6);
+  for (int64_t ms = 0; ms < WARM_UP_MS + (int64_t)seconds * 1000; ms++)
+    {
+      if (ms == WARM_UP_MS)
+        {
+          l.cpu_ns = 0;
+          l.datagrams = 0;
+          memset (l.f.message_bytes, 0, sizeof l.f.message_bytes);
+        }
+      if (g_rand_double (l.f.rand) < PROBES_PER_S / 1000)
+        post_probe (&l, &number);
+      if (g_rand_double (l.f.rand) < CHANGES_PER_S / 1000)
+        post_change (&l);
+      l.f.nodes[0].watcher = watcher;
+      step_lone (&l, &number);
+    }
+  printf ("  CPU %.3f ms a second (%.4f%% of a core), %.2f datagrams a "
+          "second, %u member updates\n",
+          (double)l.cpu_ns / 1e6 / seconds, (double)l.cpu_ns / 1e7 / seconds,
+          (double)l.datagrams / seconds, number);
+  measure_join (&l);
+  close_lone (&l);
+}
+
+/* Internal functions: fleet */
+
+struct record
+{
+  uint32_t changes;
+  int64_t worst_ms;
+  int64_t sum_ms;
+  int64_t oldest_us; /* evidence */
+  uint64_t rejecting;
+  uint64_t samples;
+};
+
+static void
+take_samples (const struct fleet *f, struct record *r)
+{
+  r->samples += f->len;
+  r->rejecting += f->len - fleet_count_current (f);
+  for (uint32_t i = 0; i < f->len; i++)
+    {
+      int64_t time_us = fresh_get_time (&f->nodes[i].fresh);
+
+      if (time_us != INT64_MIN)
+        r->oldest_us = MAX (r->oldest_us, f->now_us - time_us);
+    }
+}
+
+static void
+print_messages (const struct fleet *f, uint32_t seconds)
+{
+  static const char *const names[]
+      = { [WIRE_PROBE] = "PROBE",         [WIRE_ACK] = "ACK",
+          [WIRE_PROBE_REQ] = "PROBE_REQ", [WIRE_SYNC_MEMBERS] = "SYNC_MEMBERS",
+          [WIRE_MEMBERS] = "MEMBERS",     [WIRE_PULL_CHANGES] = "PULL_CHANGES",
+          [WIRE_CHANGES] = "CHANGES" };
+  double n = (double)f->len * seconds, total = 0;
+  uint64_t most = 0;
+
+  for (uint32_t t = 0; t < G_N_ELEMENTS (names); t++)
+    if (names[t] != NULL)
+      {
+        total += (double)f->message_bytes[t];
+        printf ("  %-12s %6.3f a second, %7.1f bytes/s sent\n", names[t],
+                (double)f->messages[t] / n, (double)f->message_bytes[t] / n);
+      }
+  for (uint32_t i = 0; i < f->len; i++)
+    most = MAX (most, f->nodes[i].bytes);
+  printf ("  sent plus received: %.0f bytes/s a daemon, %.0f at the busiest\n",
+          2 * total / n, (double)most / seconds);
+}
+
+static void
+run_fleet (uint32_t members, uint32_t view, uint32_t seconds, double loss,
+           bool outage, uint32_t seed)
+{
+  struct fleet f;
+  struct record r = { 0 };
+  uint64_t watched = 0;
+  int64_t accepted_ms = 0;
+
+  fleet_init (&f, members, view, SERVICES, loss, seed);
+  fleet_run (&f, WARM_UP_MS / 2);
+  f.platform_down = outage;
+  fleet_run (&f, WARM_UP_MS / 2);
+  memset (f.messages, 0, sizeof f.messages);
+  memset (f.message_bytes, 0, sizeof f.message_bytes);
+  for (uint32_t i = 0; i < f.len; i++)
+    f.nodes[i].bytes = 0;
+  for (int64_t ms = 0; ms < (int64_t)seconds * 1000; ms++)
+    {
+      fleet_step (&f);
+      if (!outage && ms % (int64_t)(1000 / CHANGES_PER_S) == 0)
+        {
+          uint64_t revision = fleet_change (&f, CHANGE_BYTES);
+
+          if (watched == 0)
+            {
+              watched = revision;
+              accepted_ms = ms;
+            }
+        }
+      if (watched != 0 && fleet_count_applied (&f, watched) == f.len)
+        {
+          watched = 0;
+          r.changes++;
+          r.sum_ms += ms - accepted_ms;
+          r.worst_ms = MAX (r.worst_ms, ms - accepted_ms);
+        }
+      if (ms % 100 == 0)
+        take_samples (&f, &r);
+    }
+  printf ("fleet: %u members, %u known to each, loss %.3f%s\n", members,
+          view != 0 ? view : members, loss, outage ? ", platform down" : "");
+  print_messages (&f, seconds);
+  if (r.changes > 0)
+    printf ("  change in force everywhere after %.2f s, worst %.2f s, of %u\n",
+            (double)r.sum_ms / 1000 / r.changes, (double)r.worst_ms / 1000,
+            r.changes);
+  printf ("  oldest evidence %.2f s; rejecting keyed routes %.2e of samples\n",
+          (double)r.oldest_us / 1e6, (double)r.rejecting / (double)r.samples);
+  fleet_close (&f);
+}
+
+/* Public functions */
+
+int
+main (int argc, char **argv)
+{
+  gint members = 0, view = 0, seconds = 60, seed = 1;
+  gdouble loss = 0.01;
+  gboolean fleet = FALSE, outage = FALSE;
+  const GOptionEntry options[] = {
+    { "fleet", 0, 0, G_OPTION_ARG_NONE, &fleet, "Run the fleet part", NULL },
+    { "members", 0, 0, G_OPTION_ARG_INT, &members, "Members", "N" },
+    { "view", 0, 0, G_OPTION_ARG_INT, &view, "Members known to each", "N" },
+    { "seconds", 0, 0, G_OPTION_ARG_INT, &seconds, "Virtual time", "S" },
+    { "loss", 0, 0, G_OPTION_ARG_DOUBLE, &loss, "Datagrams lost", "SHARE" },
+    { "outage", 0, 0, G_OPTION_ARG_NONE, &outage, "Platform down", NULL },
+    { "seed", 0, 0, G_OPTION_ARG_INT, &seed, "Seed", "N" },
+    { NULL }
+  };
+  static const uint32_t sizes[] = { 1000, 5000, 22000 };
+  GOptionContext *context = g_option_context_new (NULL);
+  GError *error = NULL;
+
+  g_option_context_add_main_entries (context, options, NULL);
+  if (!g_option_context_parse (context, &argc, &argv, &error))
+    {
+      fprintf (stderr, "bench_control: %s\n", error->message);
+      g_error_free (error);
+      return EXIT_FAILURE;
+    }
+  g_option_context_free (context);
+  printf ("bench_control: seed %d, %d s of virtual time\n", seed, seconds);
+  if (fleet)
+    run_fleet (members > 0 ? (uint32_t)members : 1000, (uint32_t)view,
+               (uint32_t)seconds, loss, outage, (uint32_t)seed);
+  for (size_t i = 0; !fleet && i < G_N_ELEMENTS (sizes); i++)
+    if (members == 0 || (uint32_t)members == sizes[i])
+      {
+        run_lone (sizes[i], (uint32_t)seconds, false, (uint32_t)seed);
+        run_lone (sizes[i], (uint32_t)seconds, true, (uint32_t)seed);
+      }
+  return EXIT_SUCCESS;
+}
--- a/src/member.c
+++ b/src/member.c
@@ -597,7 +597,8 @@
     g_ptr_array_unref (((struct member_domain *)row)->rows);
   for (uint64_t id = table_next (&t->services, 0, &row); id != 0;
        id = table_next (&t->services, id, &row))
-    str_free (&((struct member_service *)row)->name);
+    if (((struct member_service *)row)->name.len > 0)
+      str_free (&((struct member_service *)row)->name);
   g_hash_table_unref (t->by_id);
   g_hash_table_unref (t->by_hash);
   g_array_unref (t->changed);
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -144,6 +144,13 @@
     }
 }
 
+static inline void
+fleet_free_packet (struct fleet_packet *p)
+{
+  str_free (&p->bytes);
+  g_free (p);
+}
+
 static inline void
 fleet_stop_node (struct fleet *f, uint32_t i)
 {
@@ -154,6 +161,8 @@
   n->up = n->paused = false;
   gossip_close (&n->gossip);
   member_close_table (&n->members);
+  for (guint k = 0; k < n->waiting->len; k++)
+    fleet_free_packet (g_ptr_array_index (n->waiting, k));
   g_ptr_array_unref (n->waiting);
 }
 
@@ -210,13 +219,6 @@
     }
 }
 
-static inline void
-fleet_free_packet (struct fleet_packet *p)
-{
-  str_free (&p->bytes);
-  g_free (p);
-}
-
 static inline void
 fleet_close (struct fleet *f)
 {
