--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets: all, check, demo, bench, fuzz, format, format-check, lint, packages,
-# clean.  SANITIZE=address,undefined or SANITIZE=thread builds into its own
+# reference, clean.  SANITIZE=address,undefined or SANITIZE=thread builds into its own
 # folder.
 
 CC ?= cc
@@ -32,7 +32,8 @@
 TEST_BIN := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c))
 FORMAT_SRC := $(wildcard src/*.[ch] tests/*.[ch] standins/*.[ch] bench/*.[ch])
 
-.PHONY: all check unit packages demo bench fuzz format format-check lint clean
+.PHONY: all check unit packages demo bench fuzz format format-check lint \
+        reference clean
 .SECONDARY:
 
 all: $(BUILD)/libalmondvale.a $(PROGRAM_BIN) $(STANDIN_BIN) $(BENCH_BIN)
@@ -43,7 +44,7 @@
 
 $(BUILD)/%.o: src/%.c
 	@mkdir -p $(@D)
-	$(CC) $(CPPFLAGS_BASE) $(CPPFLAGS) $(CFLAGS_BASE) $(CFLAGS) -MMD -c $< -o $@
+	$(CC) $(CPPFLAGS_BASE) $(CPPFLAGS) $(CFLAGS_BASE) $(CFLAGS) -MMD -MP -c $< -o $@
 
 $(BUILD)/almondvaled: $(BUILD)/almondvaled.o $(BUILD)/libalmondvale.a
 	$(CC) $(LDFLAGS_BASE) $^ $(LIBS) -o $@
@@ -52,14 +53,14 @@
 	$(CC) $(LDFLAGS_BASE) $^ $(LIBS) -o $@
 
 $(BUILD)/%: standins/%.c $(BUILD)/libalmondvale.a
-	$(CC) $(CPPFLAGS_BASE) $(CPPFLAGS) $(CFLAGS_BASE) -MMD -MF $@.d $(LDFLAGS_BASE) $< $(BUILD)/libalmondvale.a $(LIBS) -o $@
+	$(CC) $(CPPFLAGS_BASE) $(CPPFLAGS) $(CFLAGS_BASE) -MMD -MP -MF $@.d $(LDFLAGS_BASE) $< $(BUILD)/libalmondvale.a $(LIBS) -o $@
 
 $(BUILD)/%: bench/%.c $(BUILD)/libalmondvale.a
-	$(CC) $(CPPFLAGS_BASE) $(CPPFLAGS) $(CFLAGS_BASE) -MMD -MF $@.d $(LDFLAGS_BASE) $< $(BUILD)/libalmondvale.a $(LIBS) -o $@
+	$(CC) $(CPPFLAGS_BASE) $(CPPFLAGS) $(CFLAGS_BASE) -MMD -MP -MF $@.d $(LDFLAGS_BASE) $< $(BUILD)/libalmondvale.a $(LIBS) -o $@
 
 $(BUILD)/tests/%: tests/%.c $(BUILD)/libalmondvale.a
 	@mkdir -p $(@D)
-	$(CC) $(CPPFLAGS_BASE) $(CPPFLAGS) $(CFLAGS_BASE) -Itests $(shell pkg-config --cflags check) -MMD -MF $@.d $(LDFLAGS_BASE) $< $(BUILD)/libalmondvale.a $(LIBS) $(shell pkg-config --libs check) -o $@
+	$(CC) $(CPPFLAGS_BASE) $(CPPFLAGS) $(CFLAGS_BASE) -Itests $(shell pkg-config --cflags check) -MMD -MP -MF $@.d $(LDFLAGS_BASE) $< $(BUILD)/libalmondvale.a $(LIBS) $(shell pkg-config --libs check) -o $@
 
 packages:
 	tools/install-packages
@@ -84,6 +85,10 @@
 	printf '%s\n' $(wildcard src/*.c standins/*.c bench/*.c) \
 	  | xargs -P $$(nproc) -I{} clang-tidy --quiet {} -- -std=gnu11 $(CPPFLAGS_BASE)
 
+# Writes the generated tables of docs/operations.md again.
+reference: $(BUILD)/reference
+	tools/write-reference $(BUILD)/reference docs/operations.md
+
 clean:
 	rm -rf build build-*
 
--- a/src/str.h
+++ b/src/str.h
@@ -9,7 +9,9 @@
 
 /* Constants */
 
-#define STR_EMPTY ((struct str){ 0, "" })
+/* One object, as str_free tells it from allocated data by its address; a
+   literal may have another address in each file.  */
+#define STR_EMPTY ((struct str){ 0, str_empty_data })
 #define STR_LIT(text) ((struct str){ sizeof (text) - 1, (text) })
 /* Arguments for a "%.*s" conversion.  */
 #define STR_ARG(s) (int)(s).len, (s).data
@@ -31,6 +33,10 @@
   char *data; /* NULL until the first append */
 };
 
+/* State */
+
+extern const char str_empty_data[1];
+
 /* Public functions */
 
 /* view of a NUL-terminated string; NULL gives empty */
@@ -65,6 +71,8 @@
 /* appends as printf does */
 void str_append_format (struct str_buf *b, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
+/* appends with each "%XX" replaced by its byte */
+void str_append_percent_decoded (struct str_buf *b, struct str s);
 /* view of the buffer, valid until the next append */
 struct str str_view (const struct str_buf *b);
 /* moves the bytes out; free with str_free */
