Count a workspace's share over all importances

Cause: a workspace far above its share with important work still got a full share of the less important slots; the others lost work there.

--- a/src/admit.c
+++ b/src/admit.c
@@ -2,6 +2,8 @@
 
 #include "admit.h"
 
+#include <math.h>
+
 /* Constants */
 
 #define ADMIT_QUEUE_MAX 1000u
@@ -18,7 +20,10 @@
 #define ADMIT_WAIT_MARGIN 1.2
 /* Intervals without overload before the threshold falls by one.  */
 #define ADMIT_CALM_INTERVALS 3u
-/* A flow without entries is kept so long, so that its share is remembered.  */
+/* What a workspace has received fades to a third in this time.  A share that
+   it did not use is not claimed back later than that.  */
+#define ADMIT_SHARE_MEMORY_US 1000000.0
+/* A flow without entries is kept so long.  */
 #define ADMIT_FLOW_IDLE_US 10000000
 
 /* Types */
@@ -47,12 +52,20 @@
   uint32_t importance;
 };
 
+/* What one workspace has received lately, at all importances.  */
+struct share
+{
+  uint64_t workspace;
+  uint32_t weight;
+  double used; /* starts divided by the weight, fading */
+  uint32_t flows;
+};
+
 /* The entries of one workspace at one importance.  */
 struct flow
 {
   struct flow_key key;
-  uint32_t weight;
-  double pass; /* work received so far divided by the weight */
+  uint64_t share; /* row id */
   struct list entries;
   int64_t used_us;
 };
@@ -62,7 +75,6 @@
 {
   GArray *flows;     /* row ids */
   uint32_t len;      /* entries */
-  double pass;       /* pass of the flow served last */
   uint32_t arrivals; /* in this interval */
   double demand;     /* average arrivals of an interval */
 };
@@ -72,7 +84,9 @@
   struct admit_settings settings;
   struct table entries;
   struct table flows;
+  struct table shares;
   GHashTable *flow_by_key;
+  GHashTable *share_by_workspace;
   struct level levels[ADMIT_IMPORTANCES];
   struct list fifo;    /* of the naive policy */
   struct list dropped; /* entries that wait for take_drop */
@@ -101,6 +115,12 @@
   return table_get (&a->flows, id);
 }
 
+static struct share *
+get_share (const struct admit *a, const struct flow *f)
+{
+  return table_get (&a->shares, f->share);
+}
+
 static void
 append_entry (struct admit *a, struct list *list, uint64_t id)
 {
@@ -183,6 +203,23 @@
   uint64_t id;
 };
 
+static uint64_t
+take_share (struct admit *a, uint64_t workspace)
+{
+  uint64_t *id = g_hash_table_lookup (a->share_by_workspace, &workspace);
+  void *row;
+  struct share *h;
+
+  if (id != NULL)
+    return *id;
+  id = g_new (uint64_t, 1);
+  *id = table_add (&a->shares, &row);
+  h = row;
+  h->workspace = workspace;
+  g_hash_table_insert (a->share_by_workspace, &h->workspace, id);
+  return *id;
+}
+
 static uint64_t
 add_flow (struct admit *a, const struct admit_item *item)
 {
@@ -194,6 +231,8 @@
   index->id = table_add (&a->flows, &row);
   f = row;
   f->key = index->key;
+  f->share = take_share (a, f->key.workspace);
+  get_share (a, f)->flows++;
   g_hash_table_insert (a->flow_by_key, &index->key, &index->id);
   return index->id;
 }
@@ -205,20 +244,14 @@
   uint64_t *found = g_hash_table_lookup (a->flow_by_key, &key);
   uint64_t id = found != NULL ? *found : add_flow (a, item);
 
-  get_flow (a, id)->weight = MAX (item->weight, 1);
+  get_share (a, get_flow (a, id))->weight = MAX (item->weight, 1);
   return id;
 }
 
-/* A flow that becomes active starts at the level's pass: an idle workspace
-   has lent its share and does not claim it back later.  */
 static void
 activate_flow (struct admit *a, uint64_t id)
 {
-  struct flow *f = get_flow (a, id);
-  struct level *l = &a->levels[f->key.importance];
-
-  f->pass = MAX (f->pass, l->pass);
-  g_array_append_val (l->flows, id);
+  g_array_append_val (a->levels[get_flow (a, id)->key.importance].flows, id);
 }
 
 static void
@@ -282,14 +315,29 @@
   return now_us + (int64_t)a->service_us > item->deadline_us;
 }
 
-static uint32_t
-sum_weights (const struct admit *a, const struct level *l)
+/* Entries of `other` that are served before the last of `own_len` entries of
+   a workspace that has used `own`.  */
+static double
+count_ahead_of (const struct admit *a, const struct flow *other,
+                const struct share *own, uint32_t own_len)
 {
-  uint32_t sum = 0;
+  const struct share *h = get_share (a, other);
 
-  for (guint i = 0; i < l->flows->len; i++)
-    sum += get_flow (a, g_array_index (l->flows, uint64_t, i))->weight;
-  return sum;
+  if (h->used > own->used)
+    return 0;
+  return MIN (other->entries.len,
+              (double)(own_len + 1) * h->weight / own->weight);
+}
+
+/* Copy of a workspace's share; one that has received nothing if it has
+   none.  */
+static struct share
+copy_share (const struct admit *a, uint64_t workspace, uint32_t weight)
+{
+  uint64_t *id = g_hash_table_lookup (a->share_by_workspace, &workspace);
+  const struct share *h = id != NULL ? table_get (&a->shares, *id) : NULL;
+
+  return h != NULL ? *h : (struct share){ .weight = MAX (weight, 1) };
 }
 
 /* Entries that are served before a new one if nothing else arrives.  */
@@ -299,15 +347,21 @@
   struct flow_key key = make_key (a, item);
   const struct level *l = &a->levels[key.importance];
   const struct flow *f = find_flow (a, key);
-  double ahead = 0;
-  double own;
+  const struct share own = copy_share (a, key.workspace, item->weight);
+  const uint32_t own_len = f != NULL ? f->entries.len : 0;
+  double ahead = own_len;
 
   for (uint32_t i = key.importance + 1; i < ADMIT_IMPORTANCES; i++)
     ahead += a->levels[i].len;
-  if (f == NULL || f->entries.len == 0)
-    return ahead;
-  own = (double)f->entries.len * sum_weights (a, l) / f->weight;
-  return ahead + MIN (own, l->len);
+  for (guint i = 0; i < l->flows->len; i++)
+    {
+      const struct flow *other
+          = get_flow (a, g_array_index (l->flows, uint64_t, i));
+
+      if (other != f)
+        ahead += count_ahead_of (a, other, &own, own_len);
+    }
+  return ahead;
 }
 
 /* True if the entries ahead alone take longer than the item can wait.  */
@@ -334,7 +388,7 @@
     {
       uint64_t id = g_array_index (l->flows, uint64_t, i);
       const struct flow *f = get_flow (a, id);
-      double per_weight = (double)f->entries.len / f->weight;
+      double per_weight = (double)f->entries.len / get_share (a, f)->weight;
 
       if (per_weight > most)
         {
@@ -362,13 +416,14 @@
     return false;
   longest = get_flow (a, find_longest_flow (a, &a->levels[lowest]));
   if (key.importance == lowest && own != NULL
-      && (double)(own->entries.len + 1) / own->weight
-             >= (double)longest->entries.len / longest->weight)
+      && (double)(own->entries.len + 1) / get_share (a, own)->weight
+             >= (double)longest->entries.len / get_share (a, longest)->weight)
     return false;
   drop (a, longest->entries.tail, ERR_OVERLOADED);
   return true;
 }
 
+/* The flow of the workspace that has received least for its weight.  */
 static uint64_t
 find_next_flow (const struct admit *a, const struct level *l)
 {
@@ -378,11 +433,11 @@
   for (guint i = 0; i < l->flows->len; i++)
     {
       uint64_t id = g_array_index (l->flows, uint64_t, i);
-      double pass = get_flow (a, id)->pass;
+      double used = get_share (a, get_flow (a, id))->used;
 
-      if (first == 0 || pass < least)
+      if (first == 0 || used < least)
         {
-          least = pass;
+          least = used;
           first = id;
         }
     }
@@ -392,11 +447,9 @@
 static void
 note_start (struct admit *a, uint64_t flow)
 {
-  struct flow *f = get_flow (a, flow);
-  struct level *l = &a->levels[f->key.importance];
+  struct share *h = get_share (a, get_flow (a, flow));
 
-  l->pass = f->pass;
-  f->pass += 1.0 / f->weight;
+  h->used += 1.0 / h->weight;
   a->starts++;
 }
 
@@ -480,6 +533,35 @@
   a->threshold--;
 }
 
+static void
+fade_shares (struct admit *a)
+{
+  double factor
+      = exp (-(double)a->settings.interval_us / ADMIT_SHARE_MEMORY_US);
+  void *row;
+
+  for (uint64_t id = table_next (&a->shares, 0, &row); id != 0;
+       id = table_next (&a->shares, id, &row))
+    ((struct share *)row)->used *= factor;
+}
+
+static void
+remove_flow (struct admit *a, uint64_t id)
+{
+  struct flow *f = get_flow (a, id);
+  struct share *h = get_share (a, f);
+
+  if (--h->flows == 0)
+    {
+      uint64_t share = f->share;
+
+      g_hash_table_remove (a->share_by_workspace, &h->workspace);
+      table_remove (&a->shares, share);
+    }
+  g_hash_table_remove (a->flow_by_key, &f->key);
+  table_remove (&a->flows, id);
+}
+
 static void
 remove_idle_flows (struct admit *a, int64_t now_us)
 {
@@ -492,10 +574,8 @@
 
       if (f->entries.len > 0)
         f->used_us = now_us;
-      if (now_us - f->used_us <= ADMIT_FLOW_IDLE_US)
-        continue;
-      g_hash_table_remove (a->flow_by_key, &f->key);
-      table_remove (&a->flows, id);
+      if (now_us - f->used_us > ADMIT_FLOW_IDLE_US)
+        remove_flow (a, id);
     }
 }
 
@@ -510,6 +590,9 @@
   a->emptied = true;
   table_init (&a->entries, sizeof (struct entry));
   table_init (&a->flows, sizeof (struct flow));
+  table_init (&a->shares, sizeof (struct share));
+  a->share_by_workspace
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   a->flow_by_key = g_hash_table_new_full (hash_key, equal_key, g_free, NULL);
   for (uint32_t i = 0; i < ADMIT_IMPORTANCES; i++)
     a->levels[i].flows = g_array_new (FALSE, FALSE, sizeof (uint64_t));
@@ -526,6 +609,8 @@
   g_hash_table_unref (a->flow_by_key);
   table_close (&a->entries);
   table_close (&a->flows);
+  g_hash_table_unref (a->share_by_workspace);
+  table_close (&a->shares);
   g_free (a);
 }
 
@@ -663,6 +748,7 @@
     return;
   a->interval_end_us = now_us + a->settings.interval_us;
   decide_threshold (a, now_us);
+  fade_shares (a);
   remove_idle_flows (a, now_us);
 }
 
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -210,6 +210,25 @@
 }
 END_TEST
 
+/* Guards against a workspace that gets a full share at each importance: it has
+   used its share with important work and takes less important slots too.  */
+START_TEST (share_counts_over_all_importances)
+{
+  struct load load = { .timeout_us = 200000, .run_us = 10000000 };
+  struct result kept, off;
+
+  load.per_s[1][7] = 500;
+  load.per_s[1][3] = 500;
+  for (int w = 2; w <= WORKSPACES; w++)
+    load.per_s[w][3] = 75;
+  kept = run (priority (), 0, &load);
+  off = run (priority (), ADMIT_RULE_FAIR, &load);
+  ck_assert_double_gt (get_share (&kept, 2, WORKSPACES, 3, 3), 0.88);
+  ck_assert_double_lt (get_share (&off, 2, WORKSPACES, 3, 3), 0.88);
+  ck_assert_double_gt (get_share (&kept, 1, 1, 7, 7), 0.95);
+}
+END_TEST
+
 /* Guards against slots left idle because a workspace may not use the share of
    the others, and against weights that are ignored.  */
 START_TEST (unused_share_is_lent_and_weights_count)
@@ -368,6 +387,7 @@
   const TTest *const cases[]
       = { important_work_is_served_first,
           workspace_above_its_share_does_not_hurt_others,
+          share_counts_over_all_importances,
           unused_share_is_lent_and_weights_count,
           work_that_cannot_finish_is_not_started,
           full_queue_drops_the_least_important,
