--- a/bench/load.c
+++ b/bench/load.c
@@ -31,6 +31,7 @@
 /* Callers open a connection each; a queue of the driver would hide the
    server's.  */
 #define CONNECTIONS 4000
+#define EXIT_REQUIREMENT 2
 #define CHECK_IDLE_US INT64_C (100000)
 
 /* Outcomes of a request other than almondvale's error kinds.  */
@@ -912,6 +913,23 @@
   printf ("\n");
 }
 
+/* True if the scenario's "require" holds: the share of requests completed
+   whole, and no non-idempotent request run twice or lost.  */
+static bool
+check_requirement (struct load *l, JsonObject *o)
+{
+  JsonObject *require;
+  double completed;
+
+  if (!json_object_has_member (o, "require"))
+    return true;
+  require = json_object_get_object_member (o, "require");
+  completed = (double)l->total->outcomes[OUTCOME_COMPLETED]
+              / MAX ((double)l->total->requests, 1);
+  return completed >= get_double (require, "completed", 0)
+         && l->duplicated == 0 && l->lost == 0 && l->collect_failed == 0;
+}
+
 static void
 print_text (struct load *l)
 {
@@ -1058,12 +1076,14 @@
   GError *error = NULL;
   JsonNode *root;
   JsonObject *scenario;
+  int status = EXIT_SUCCESS;
 
   if (argc < 2 || argc > 3)
     {
       fprintf (stderr, "Usage: load SCENARIO [RESULT]\n"
                        "Runs the load of a scenario file, prints the results "
-                       "and writes them to RESULT as JSON.\n");
+                       "and writes them to RESULT as JSON.  Ends with 2 if "
+                       "the scenario's requirement does not hold.\n");
       return EXIT_FAILURE;
     }
   signal (SIGPIPE, SIG_IGN);
@@ -1080,6 +1100,8 @@
   print_text (&l);
   if (argc == 3)
     write_json (&l, argv[2]);
+  if (!check_requirement (&l, scenario))
+    status = EXIT_REQUIREMENT;
   g_object_unref (parser);
-  return EXIT_SUCCESS;
+  return status;
 }
