Fuzz every decoder with seeded mutations

Cause: malformed frames, settings, registers and changes must not crash or leak; only some decoders had mutation tests.

--- a/Makefile
+++ b/Makefile
@@ -73,11 +73,17 @@
 
 # The unit tests of one build; `make check` is the README's test command.
 unit: all $(TEST_BIN)
+	$(BUILD)/fuzz --runs 5000 --seed 1
 	tools/run-tests $(BUILD) $(TEST_BIN)
 
 check: packages
 	$(MAKE) unit
 
+# More mutations than in `make unit`, with the sanitizers.
+fuzz:
+	$(MAKE) SANITIZE=address,undefined all
+	build-address/fuzz --runs 500000 --seed $$(date +%s)
+
 format:
 	clang-format -i $(FORMAT_SRC)
 
--- /dev/null
+++ b/bench/fuzz.c
@@ -0,0 +1,388 @@
+/* fuzz: feeds seeded mutations of valid input to every decoder.
+
+   `make unit` runs a bounded count with a fixed seed, `make fuzz` more.  Only
+   crashes, sanitizer reports and hangs are faults: what a decoder accepts is
+   the business of its module's tests.  */
+
+#include "asset.h"
+#include "change_json.h"
+#include "inventory_json.h"
+#include "once.h"
+#include "settings.h"
+#include "trace.h"
+#include "wire.h"
+#include "wire_control.h"
+#include "wire_shard.h"
+#include "wire_snapshot.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Constants */
+
+#define CORPUS_MAX 16
+#define CHANGES_MAX 6
+
+/* Types */
+
+struct target
+{
+  const char *name;
+  void (*decode) (struct str input);
+  /* valid inputs, each to be freed with str_free */
+  size_t (*load_corpus) (struct str *corpus);
+};
+
+/* Internal functions: decoders */
+
+static void
+decode_wire (struct str input)
+{
+  struct wire_message m;
+
+  wire_peek_type (input);
+  if (wire_load_message (&m, input))
+    wire_unload_message (&m);
+}
+
+static void
+decode_wire_control (struct str input)
+{
+  struct wire_control_message m;
+
+  if (wire_control_load_message (&m, input))
+    wire_control_unload_message (&m);
+}
+
+static void
+decode_wire_shard (struct str input)
+{
+  struct wire_shard_message m;
+
+  if (wire_shard_load_message (&m, input))
+    wire_shard_unload_message (&m);
+}
+
+static void
+decode_wire_snapshot (struct str input)
+{
+  struct wire_pull_snapshot pull;
+  struct wire_snapshot part;
+
+  wire_snapshot_load_pull (&pull, input);
+  wire_snapshot_load (&part, input);
+}
+
+static void
+decode_settings (struct str input)
+{
+  struct settings s;
+
+  if (settings_load (&s, STR_LIT ("fuzz"), input, NULL))
+    settings_unload (&s);
+}
+
+static void
+decode_inventory (struct str input)
+{
+  struct inventory inv;
+  struct str_buf problems = { 0 };
+
+  if (!inventory_json_load (&inv, input, NULL))
+    return;
+  inventory_validate (&inv, &problems);
+  str_reset (&problems);
+  inventory_close (&inv);
+}
+
+static void
+decode_change (struct str input)
+{
+  struct change c;
+
+  if (change_json_load (&c, input, NULL))
+    change_close (&c);
+}
+
+static void
+decode_asset_csv (struct str input)
+{
+  struct asset a;
+
+  asset_load_csv (&a, STR_LIT ("fuzz"), input, STR_EMPTY);
+  asset_unload (&a);
+}
+
+static void
+decode_asset_json (struct str input)
+{
+  struct asset a;
+
+  asset_load_json (&a, STR_LIT ("fuzz"), input, STR_EMPTY);
+  asset_unload (&a);
+}
+
+static void
+decode_ids (struct str input)
+{
+  struct trace_context context;
+  struct once_key key;
+
+  trace_parse_parent (input, &context);
+  once_parse_key (input, &key);
+}
+
+/* Internal functions: corpora */
+
+static struct str
+take_payload (struct str_buf *frame)
+{
+  struct str s = str_copy (str_slice (str_view (frame), 4, frame->len));
+
+  str_reset (frame);
+  return s;
+}
+
+static size_t
+load_wire (struct str *corpus)
+{
+  struct wire_header headers[] = { { STR_LIT ("a"), STR_LIT ("b") } };
+  struct wire_threshold thresholds[] = { { STR_LIT ("s"), 3 } };
+  struct wire_message messages[] = {
+    { .type = WIRE_REQUEST,
+      .u.request = { .service = STR_LIT ("s"),
+                     .route = STR_LIT ("r"),
+                     .method = STR_LIT ("GET"),
+                     .path = STR_LIT ("/p"),
+                     .headers_len = 1,
+                     .headers = headers,
+                     .workspace = STR_LIT ("w"),
+                     .traceparent = STR_EMPTY,
+                     .body = STR_LIT ("body") } },
+    { .type = WIRE_RESPONSE,
+      .u.response = { .status = 200,
+                      .headers_len = 1,
+                      .headers = headers,
+                      .thresholds_len = 1,
+                      .thresholds = thresholds,
+                      .body = STR_LIT ("body") } },
+    { .type = WIRE_CANCEL },
+    { .type = WIRE_QUERY },
+    { .type = WIRE_OUTCOME },
+    { .type = WIRE_BODY, .u.body = { .bytes = STR_LIT ("part") } },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (messages); i++)
+    {
+      struct str_buf out = { 0 };
+
+      wire_append_message (&out, &messages[i]);
+      corpus[i] = take_payload (&out);
+    }
+  return G_N_ELEMENTS (messages);
+}
+
+static size_t
+load_wire_control (struct str *corpus)
+{
+  struct member_entry entry
+      = { .id = 1, .service = STR_LIT ("s"), .full = true };
+  struct gossip_change change = { 1, STR_LIT ("{}") };
+  struct gossip_datagram datagram
+      = { .type = GOSSIP_ACK, .entries_len = 1, .changes_len = 1 };
+  struct wire_control_message messages[] = {
+    { .type = WIRE_SYNC_MEMBERS },
+    { .type = WIRE_MEMBERS,
+      .u.members = { .entries_len = 1, .entries = &entry } },
+    { .type = WIRE_PULL_CHANGES },
+    { .type = WIRE_CHANGES,
+      .u.changes = { .changes_len = 1, .changes = &change } },
+  };
+  struct str_buf out = { 0 };
+
+  datagram.entries[0] = entry;
+  datagram.changes[0] = change;
+  wire_control_append_datagram (&out, &datagram);
+  corpus[0] = str_take (&out);
+  for (size_t i = 0; i < G_N_ELEMENTS (messages); i++)
+    {
+      wire_control_append_frame (&out, &messages[i]);
+      corpus[i + 1] = take_payload (&out);
+    }
+  return G_N_ELEMENTS (messages) + 1;
+}
+
+static size_t
+load_wire_snapshot (struct str *corpus)
+{
+  struct wire_pull_snapshot pull = { 1, 2 };
+  struct wire_snapshot part = { 1, 4, 0, STR_LIT ("part") };
+  struct str_buf out = { 0 };
+
+  wire_snapshot_append_pull (&out, &pull);
+  corpus[0] = take_payload (&out);
+  wire_snapshot_append (&out, &part);
+  corpus[1] = take_payload (&out);
+  return 2;
+}
+
+/* Members of the shard messages vary by type, so arrays of numbers and texts
+   of the right types serve as a start.  */
+static size_t
+load_wire_shard (struct str *corpus)
+{
+  static const unsigned char types[] = { 40, 41, 50, 51, 52, 60, 61 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (types); i++)
+    {
+      unsigned char bytes[]
+          = { 0x98, types[i], 0xa1, 'w', 1, 2, 3, 4, 5, 0xc4, 1, 'b' };
+
+      corpus[i] = str_copy ((struct str){ sizeof bytes, (const char *)bytes });
+    }
+  return G_N_ELEMENTS (types);
+}
+
+static size_t
+load_settings (struct str *corpus)
+{
+  corpus[0] = str_copy (
+      STR_LIT ("{\"member_id\":\"a\",\"failure_domain\":\"b\",\"region\":"
+               "\"c\",\"address\":\"127.0.0.1\",\"inventory_file\":\"f\","
+               "\"failure_domains\":[\"x\"],\"seeds\":[{\"address\":"
+               "\"::1\",\"port\":1}],\"limits\":{\"depth\":3}}"));
+  return 1;
+}
+
+static size_t
+load_inventory (struct str *corpus)
+{
+  corpus[0] = str_copy (STR_LIT (
+      "{\"revision\":3,\"services\":[{\"name\":\"s\"}],\"routes\":[{\"name\":"
+      "\"r\",\"service\":\"s\",\"path_prefix\":\"/r\",\"methods\":[\"GET\"],"
+      "\"idempotency_key\":\"none\"}],\"workspaces\":[{\"name\":\"w\","
+      "\"rate_per_s\":1,\"burst\":1,\"routes\":[\"r\"]}],\"rules\":[{\"name\":"
+      "\"u\",\"order\":1,\"importance\":3}]}"));
+  return 1;
+}
+
+static size_t
+load_change (struct str *corpus)
+{
+  corpus[0] = str_copy (STR_LIT (
+      "{\"revision\":8,\"nonce\":\"00000000000000000000000000000008\","
+      "\"author\":\"a\",\"ops\":[{\"put\":\"route\",\"row\":{\"name\":\"b\","
+      "\"importance\":9}},{\"delete\":\"key\",\"name\":\"k1\"}]}"));
+  return 1;
+}
+
+static size_t
+load_asset_csv (struct str *corpus)
+{
+  corpus[0] = str_copy (STR_LIT ("kind,name,service,path_prefix,methods\n"
+                                 "service,s,,,\nroute,r,s,/r,\"GET POST\"\n"));
+  return 1;
+}
+
+static size_t
+load_ids (struct str *corpus)
+{
+  corpus[0] = str_copy (
+      STR_LIT ("00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"));
+  corpus[1] = str_copy (STR_LIT ("018f2b6e-7b1a-7c3d-9e4f-0123456789ab"));
+  return 2;
+}
+
+static const struct target targets[] = {
+  { "wire", decode_wire, load_wire },
+  { "wire_control", decode_wire_control, load_wire_control },
+  { "wire_shard", decode_wire_shard, load_wire_shard },
+  { "wire_snapshot", decode_wire_snapshot, load_wire_snapshot },
+  { "settings", decode_settings, load_settings },
+  { "inventory", decode_inventory, load_inventory },
+  { "change", decode_change, load_change },
+  { "asset_csv", decode_asset_csv, load_asset_csv },
+  { "asset_json", decode_asset_json, load_inventory },
+  { "ids", decode_ids, load_ids },
+};
+
+/* Internal functions: mutation */
+
+static struct str
+mutate (GRand *rand, struct str input)
+{
+  struct str_buf out = { 0 };
+  size_t from = (size_t)g_rand_int_range (rand, 0, (gint32)input.len + 1);
+  int changes = g_rand_int_range (rand, 0, CHANGES_MAX);
+
+  switch (g_rand_int_range (rand, 0, 4))
+    {
+    case 0: /* cut the end */
+      str_append (&out, str_slice (input, 0, from));
+      break;
+    case 1: /* repeat a part */
+      str_append (&out, input);
+      str_append (&out, str_slice (input, from, input.len));
+      break;
+    case 2: /* leave out a byte */
+      str_append (&out, str_slice (input, 0, from));
+      str_append (&out, str_slice (input, from + 1, input.len));
+      break;
+    default:
+      str_append (&out, input);
+      break;
+    }
+  for (int i = 0; i < changes && out.len > 0; i++)
+    out.data[g_rand_int_range (rand, 0, (gint32)out.len)]
+        = (char)g_rand_int (rand);
+  return str_take (&out);
+}
+
+static void
+run_target (const struct target *t, GRand *rand, int runs)
+{
+  struct str corpus[CORPUS_MAX];
+  size_t len = t->load_corpus (corpus);
+
+  for (size_t i = 0; i < len; i++)
+    t->decode (corpus[i]);
+  for (int i = 0; i < runs; i++)
+    {
+      struct str input
+          = mutate (rand, corpus[g_rand_int_range (rand, 0, (gint32)len)]);
+
+      t->decode (input);
+      str_free (&input);
+    }
+  for (size_t i = 0; i < len; i++)
+    str_free (&corpus[i]);
+  printf ("fuzz %s: %d runs\n", t->name, runs);
+}
+
+/* Public functions */
+
+int
+main (int argc, char **argv)
+{
+  gint runs = 20000;
+  gint seed = 1;
+  const GOptionEntry entries[]
+      = { { "runs", 0, 0, G_OPTION_ARG_INT, &runs,
+            "Mutations for each decoder", "N" },
+          { "seed", 0, 0, G_OPTION_ARG_INT, &seed, "Seed", "N" },
+          { NULL } };
+  GOptionContext *context = g_option_context_new (NULL);
+  GRand *rand;
+
+  g_option_context_add_main_entries (context, entries, NULL);
+  if (!g_option_context_parse (context, &argc, &argv, NULL))
+    return EXIT_FAILURE;
+  g_option_context_free (context);
+  rand = g_rand_new_with_seed ((guint32)seed);
+  for (size_t i = 0; i < G_N_ELEMENTS (targets); i++)
+    run_target (&targets[i], rand, runs);
+  g_rand_free (rand);
+  return EXIT_SUCCESS;
+}
