Limit freshness to revisions in force; shorten the watch

Cause: node_gossip gave traffic threads a time taken from the youngest stamp, also one whose revision was not in force, so a control thread that was late let keyed routes go on with old keys. Ruled out: a limit computed in node_gossip; it is a decision (fresh_get_limit). Change: fresh_get_limit; watch 100 ms, time-out 300 ms, retry 100 ms; fresh.bound_ms 3,500; after a time-out in another domain two probes stay inside; silent domains are found by the misses in all quiet domains, since a domain that is cut off misses few members of each other one.

--- a/src/fresh.c
+++ b/src/fresh.c
@@ -67,18 +67,17 @@
   return oldest;
 }
 
-static bool
-is_stated_unreachable (const struct fresh *f, int64_t now_us)
+static int64_t
+get_stated_limit (const struct fresh *f)
 {
   int64_t oldest = get_stated_time (f);
 
-  if (oldest == INT64_MIN || now_us - oldest >= f->bound_us
-      || f->seen > f->applied)
-    return false;
+  if (oldest == INT64_MIN || f->seen > f->applied)
+    return INT64_MIN;
   for (uint32_t i = 0; i < f->domains_len; i++)
     if (f->domains[i].revision > f->applied)
-      return false;
-  return true;
+      return INT64_MIN;
+  return oldest + f->bound_us;
 }
 
 static const struct fresh_stamp *
@@ -236,19 +235,29 @@
 }
 
 /**
- * fresh_is_current - decides whether keyed routes may be served
+ * fresh_get_limit - tells how long keyed routes may be served
  * @f: evidence
- * @now_us: current time
  *
- * Return: true with a stamp younger than the bound whose revision is in force,
- * or with statements younger than the bound from all failure domains.
+ * Threads that serve keyed routes compare this time with their clock, so that
+ * a control thread that is late fails closed.  A stamp whose revision is not
+ * in force here does not count.
+ *
+ * Return: when the youngest stamp whose revision is in force, or the oldest of
+ * the statements from all failure domains, reaches the bound.
  */
+int64_t
+fresh_get_limit (const struct fresh *f)
+{
+  int64_t limit = get_stated_limit (f);
+
+  for (uint32_t i = 0; i < f->stamps_len; i++)
+    if (f->stamps[i].revision <= f->applied)
+      limit = MAX (limit, f->stamps[i].read_us + f->bound_us);
+  return limit;
+}
+
 bool
 fresh_is_current (const struct fresh *f, int64_t now_us)
 {
-  for (uint32_t i = 0; i < f->stamps_len; i++)
-    if (f->stamps[i].revision <= f->applied
-        && now_us - f->stamps[i].read_us < f->bound_us)
-      return true;
-  return is_stated_unreachable (f, now_us);
+  return now_us < fresh_get_limit (f);
 }
--- a/src/fresh.h
+++ b/src/fresh.h
@@ -87,6 +87,9 @@
                         int64_t time_us);
 /* time for which the best evidence speaks, INT64_MIN without any */
 int64_t fresh_get_time (const struct fresh *f);
+/* time until which the evidence here allows keyed routes, INT64_MIN if it
+   does not */
+int64_t fresh_get_limit (const struct fresh *f);
 /* true if keyed routes may be served now */
 bool fresh_is_current (const struct fresh *f, int64_t now_us);
 
--- a/src/member.c
+++ b/src/member.c
@@ -357,6 +357,11 @@
 static const struct member_domain *
 pick_domain (struct member_table *t, uint32_t slot)
 {
+  if (slot == 1 && t->local_probes > 0)
+    {
+      t->local_probes--;
+      slot = 0;
+    }
   if (slot == 0 && t->self->domain->rows->len > 1)
     return t->self->domain;
   if (slot == 1 && draw (t, MEMBER_SILENT_PROBE_SHARE) == 0)
@@ -435,6 +440,8 @@
       suspect_row (t, target, now_us);
       return true;
     }
+  if (target->domain != t->self->domain)
+    t->local_probes = MEMBER_LOCAL_PROBES;
   if (target->entry.liveness != MEMBER_ALIVE)
     return true;
   target->domain->misses++;
@@ -444,26 +451,42 @@
   return false;
 }
 
-static bool
-domain_is_silent (const struct member_domain *d, int64_t now_us)
+static int64_t
+get_quiet_ms (const struct member_domain *d, int64_t now_us)
 {
-  int64_t quiet_ms = (now_us - d->last_heard_us) / CLOCK_US_PER_MS;
+  return (now_us - d->last_heard_us) / CLOCK_US_PER_MS;
+}
 
-  return (d->misses >= MEMBER_SILENT_MISSES && quiet_ms >= MEMBER_SILENT_MS)
-         || (d->misses >= MEMBER_QUIET_MISSES && quiet_ms >= MEMBER_QUIET_MS);
+/* Misses in all domains that were not heard for MEMBER_QUIET_MS.  */
+static uint32_t
+count_quiet_misses (const struct member_table *t, int64_t now_us)
+{
+  uint32_t misses = 0;
+  void *row;
+
+  for (uint64_t id = table_next (&t->domains, 0, &row); id != 0;
+       id = table_next (&t->domains, id, &row))
+    if (get_quiet_ms (row, now_us) >= MEMBER_QUIET_MS)
+      misses += ((struct member_domain *)row)->misses;
+  return misses;
 }
 
 static void
 expire_domains (struct member_table *t, int64_t now_us)
 {
+  bool quiet = count_quiet_misses (t, now_us) >= MEMBER_QUIET_MISSES;
   void *row;
 
   for (uint64_t id = table_next (&t->domains, 0, &row); id != 0;
        id = table_next (&t->domains, id, &row))
     {
       struct member_domain *d = row;
+      int64_t quiet_ms = get_quiet_ms (d, now_us);
 
-      if (d != t->self->domain && domain_is_silent (d, now_us))
+      if (d == t->self->domain)
+        continue;
+      if ((d->misses >= MEMBER_SILENT_MISSES && quiet_ms >= MEMBER_SILENT_MS)
+          || (quiet && d->misses > 0 && quiet_ms >= MEMBER_QUIET_MS))
         d->silent = true;
     }
 }
--- a/src/member.h
+++ b/src/member.h
@@ -46,13 +46,18 @@
    healthy domains as silent when a rack failed.  */
 #define MEMBER_SILENT_MISSES 64u
 #define MEMBER_SILENT_MS 10000
-/* Or after fewer misses and a longer time: once the others take the domain as
-   lost, they tell of no more members, and a daemon that heard of 63 would keep
-   the rest usable.  */
+/* Or after fewer misses and a longer time, counted over all domains not heard:
+   once the others take the domain as lost, they tell of no more members, and a
+   daemon that heard of 63 would keep the rest usable; a domain that is cut off
+   misses few members of each other one.  */
 #define MEMBER_QUIET_MISSES 8u
 #define MEMBER_QUIET_MS 30000
 #define MEMBER_DEAD_PROBE_SHARE 16u /* one probe in 16 goes to a dead member */
 #define MEMBER_SILENT_PROBE_SHARE 3u
+/* After a time-out in another domain the second slot stays inside for so many
+   probes.  Without it a domain that is cut off has too few answers in the
+   first half minute, and its evidence exceeds the bound.  */
+#define MEMBER_LOCAL_PROBES 2u
 /* A seed address is probed this often, times the members alive: the whole
    fleet sends one such probe a second.  At a fixed 30 s the seeds of 2,000
    members took 5 KB/s.  */
@@ -194,11 +199,12 @@
   GArray *changed;       /* uint64_t row ids to tell others of */
   GArray *seeds;         /* struct member_address */
   uint32_t digests[MEMBER_BUCKETS];
-  uint32_t alive;  /* rows that are alive */
-  uint32_t window; /* of the next table exchange */
-  uint32_t joined; /* windows exchanged completely since the start */
-  bool leaving;    /* the own death is not refuted */
-  uint32_t seq;    /* last sequence number given */
+  uint32_t alive;        /* rows that are alive */
+  uint32_t local_probes; /* next probes of slot 1 that stay inside */
+  uint32_t window;       /* of the next table exchange */
+  uint32_t joined;       /* windows exchanged completely since the start */
+  bool leaving;          /* the own death is not refuted */
+  uint32_t seq;          /* last sequence number given */
   uint64_t random;
   int64_t next_seed_us;
   int64_t next_sync_us;
--- a/src/node_config.c
+++ b/src/node_config.c
@@ -15,12 +15,13 @@
 /* Constants */
 
 #define CHANGES_PREFIX STR_LIT ("changes/")
-/* A watcher's evidence is as old as its longest wait.  */
-#define WATCH_WAIT_US (200 * CLOCK_US_PER_MS)
-#define WATCH_TIMEOUT_US (500 * CLOCK_US_PER_MS)
+/* A stamp is as old as the watch was pending, a statement as old as its
+   time-out: both count against the freshness bound at every daemon.  */
+#define WATCH_WAIT_US (100 * CLOCK_US_PER_MS)
+#define WATCH_TIMEOUT_US (300 * CLOCK_US_PER_MS)
 #define CALL_TIMEOUT_US (2 * CLOCK_US_PER_S)
 #define LOAD_TIMEOUT_US (10 * CLOCK_US_PER_S)
-#define RETRY_US (200 * CLOCK_US_PER_MS)
+#define RETRY_US (100 * CLOCK_US_PER_MS)
 /* Time for the seeds to answer: a daemon that knows nobody would take itself
    for a watcher.  */
 #define JOIN_US (2 * CLOCK_US_PER_S)
--- a/src/node_gossip.c
+++ b/src/node_gossip.c
@@ -447,13 +447,11 @@
 publish_freshness (struct control *c, int64_t now_us)
 {
   struct node_gossip *n = c->node_gossip;
-  int64_t until_us = 0;
 
   if (c->settings->platform.address.len == 0)
     return;
-  if (fresh_is_current (&n->fresh, now_us))
-    until_us = MIN (fresh_get_time (&n->fresh), now_us) + n->fresh.bound_us;
-  atomic_store (&c->shared->keyed_until_us, until_us);
+  atomic_store (&c->shared->keyed_until_us,
+                MAX (fresh_get_limit (&n->fresh), 0));
 }
 
 static void
--- a/src/settings.c
+++ b/src/settings.c
@@ -114,7 +114,7 @@
   { "gossip.period_ms", TYPE_INTEGER, 50, 10000, NULL, "250", AT (gossip.period_ms), "Time between two rounds of datagrams." },
   { "gossip.fanout", TYPE_INTEGER, 1, 16, NULL, "2", AT (gossip.fanout), "Members that get a datagram in each round." },
   { "gossip.bytes_per_s", TYPE_INTEGER, 256, MIB, NULL, "2000", AT (gossip.bytes_per_s), "Most bytes of datagrams sent in a second." },
-  { "fresh.bound_ms", TYPE_INTEGER, 500, 60000, NULL, "3000", AT (fresh.bound_ms), "Oldest freshness evidence with which keyed routes are served." },
+  { "fresh.bound_ms", TYPE_INTEGER, 500, 60000, NULL, "3500", AT (fresh.bound_ms), "Oldest freshness evidence with which keyed routes are served." },
   { "lease.shards", TYPE_INTEGER, 1, 256, NULL, "8", AT (lease.shards), "Number of shards, the same at all daemons." },
   { "lease.term_ms", TYPE_INTEGER, 1000, 60000, NULL, "6000", AT (lease.term_ms), "Term of a shard's lease." },
   { "lease.promise_ms", TYPE_INTEGER, 500, 60000, NULL, "4000", AT (lease.promise_ms), "Time for which a candidate promises not to take over." },
--- a/tests/test_fresh.c
+++ b/tests/test_fresh.c
@@ -80,6 +80,26 @@
 }
 END_TEST
 
+/* Guards against a limit taken from a stamp whose revision is not in force:
+   while the control thread is late, traffic threads would go on with old
+   keys.  */
+START_TEST (limit_needs_the_revision_in_force)
+{
+  struct fresh f;
+  int64_t now = FLEET_START_US;
+
+  fresh_init (&f, BOUND_US, NULL, 0);
+  ck_assert_int_eq (fresh_get_limit (&f), INT64_MIN);
+  fresh_set_applied (&f, 4);
+  fresh_note_read (&f, 4, now - 3000000);
+  fresh_note_read (&f, 5, now);
+  ck_assert (fresh_is_current (&f, now));
+  ck_assert_int_eq (fresh_get_limit (&f), now - 3000000 + BOUND_US);
+  fresh_set_applied (&f, 5);
+  ck_assert_int_eq (fresh_get_limit (&f), now + BOUND_US);
+}
+END_TEST
+
 /* Guards against a daemon that was paused, finds young evidence in its socket
    and serves keys that were revoked meanwhile.  */
 START_TEST (paused_daemon_fails_closed)
@@ -261,6 +281,7 @@
   tcase_set_timeout (tc, 240);
   tcase_add_test (tc, matches_list_of_all_stamps);
   tcase_add_test (tc, every_domain_has_to_state);
+  tcase_add_test (tc, limit_needs_the_revision_in_force);
   tcase_add_test (tc, paused_daemon_fails_closed);
   tcase_add_test (tc, cut_off_domain_fails_closed);
   tcase_add_test (tc, silent_domain_may_reach_the_platform);
