Connect leases, buckets, quotas and keys to the control thread

Cause: the control thread exists; the front asks for tokens and registers keys.

Change: node_shard carries out lease actions through the store and control links, grants and asks tokens, registers and completes keys. Messages 62 and 63 find the holder. Without a platform the daemon holds all shards itself. A completion without an outcome is not recorded as one.

--- a/bench/bench_shard.c
+++ b/bench/bench_shard.c
@@ -210,7 +210,7 @@
 
   open_holder (&h, load, seed);
   from = get_cpu_s ();
-  for (int64_t tick = 0; tick < SECONDS * TICKS_PER_S; tick++)
+  for (int64_t tick = 0; tick < (int64_t)SECONDS * TICKS_PER_S; tick++)
     {
       int64_t now_us = tick * TICK_US;
 
--- a/src/config.h
+++ b/src/config.h
@@ -14,9 +14,10 @@
 /* Nodes of the control thread, in the order in which they run.  */
 #define CONFIG_NODES                                                          \
   {                                                                           \
-    &node_static_ops, NULL                                                    \
+    &node_static_ops, &node_shard_ops, NULL                                   \
   }
 
+#include "node_shard.h"
 #include "node_static.h"
 
 #endif
--- a/src/lease.c
+++ b/src/lease.c
@@ -713,6 +713,37 @@
          && (state == LEASE_HOLDING || state == LEASE_CONTINUING);
 }
 
+/**
+ * lease_get_holder - answers a daemon that looks for the holder of a shard
+ * @t: table
+ * @shard: shard
+ * @epoch: receives the epoch
+ * @now_us: current time
+ *
+ * A bystander does not poll: its version may be old, so it reads the object,
+ * at most once in a retry interval, and the daemon that asks again gets what it
+ * read.
+ *
+ * Return: the holder, or id 0 if none is known.
+ */
+struct lease_owner
+lease_get_holder (struct lease_table *t, uint32_t shard, uint64_t *epoch,
+                  int64_t now_us)
+{
+  struct lease_shard *s = &t->shards[shard];
+  int64_t fresh = from_ms (t->settings.retry_ms);
+
+  if (!is_holder (t, s) && !s->read_wanted && now_us >= s->op_sent_us + fresh)
+    {
+      s->read_wanted = true;
+      s->next_op_us = MIN (s->next_op_us, now_us);
+    }
+  *epoch = s->object.epoch;
+  if (s->version == 0 || s->object.released)
+    return (struct lease_owner){ 0 };
+  return s->object.holder;
+}
+
 bool
 lease_equal_owner (struct lease_owner a, struct lease_owner b)
 {
--- a/src/lease.h
+++ b/src/lease.h
@@ -207,6 +207,9 @@
 /* true if the shard's holder may grant and register at this time */
 bool lease_is_granting (const struct lease_table *t, uint32_t shard,
                         int64_t now_us);
+/* holder by the version known here, or id 0; the object is read again soon */
+struct lease_owner lease_get_holder (struct lease_table *t, uint32_t shard,
+                                     uint64_t *epoch, int64_t now_us);
 /* same run of the same daemon */
 bool lease_equal_owner (struct lease_owner a, struct lease_owner b);
 
--- /dev/null
+++ b/src/node_shard.h
@@ -0,0 +1,70 @@
+/* node_shard: glue between lease, bucket, quota and once and the control
+   thread: objects of the platform, control links, notes of the fronts.
+
+   Without a platform (an inventory file) the daemon holds all shards itself.
+   With one, it serves shards once it was connected to the members and the
+   platform.  */
+
+#ifndef ALMONDVALE_NODE_SHARD_H
+#define ALMONDVALE_NODE_SHARD_H
+
+#include "bucket.h"
+#include "control.h"
+#include "lease.h"
+#include "member.h"
+#include "once.h"
+#include "store.h"
+
+/* Types */
+
+/* What this daemon knows of the holder of a shard.  */
+struct node_shard_route
+{
+  uint64_t holder; /* member id, 0 if not known */
+  uint64_t epoch;
+  int64_t next_query_us;
+  uint32_t queries; /* since the holder was last known */
+};
+
+/* One registered key of a call of this daemon.  */
+struct node_shard_entry
+{
+  uint32_t front;
+  uint64_t call;
+  uint32_t shard;
+  struct once_key key;
+  uint64_t fingerprint;
+  struct once_attempt attempt;
+  bool answered; /* the request may run */
+  int64_t arrived_us;
+  int64_t next_try_us; /* while it was not answered */
+};
+
+struct node_shard
+{
+  struct member_table *members; /* NULL: no other daemons */
+  struct store *store;          /* NULL: no platform */
+  uint32_t shards;
+  struct lease_table leases;
+  struct bucket_set buckets;
+  struct once_registry once;
+  struct node_shard_route *routes; /* by shard */
+  struct table entries;            /* struct node_shard_entry */
+  struct table events;             /* struct lease_event, not applied yet */
+  GHashTable *store_calls;         /* calls of the store that run */
+  uint64_t attempts;               /* count, for attempt ids */
+  uint32_t next_plan;              /* shard planned in the next run */
+  bool configured;
+};
+
+/* State */
+
+extern const struct control_node_ops node_shard_ops;
+
+/* Public functions */
+
+/* begins to take part in the leases; called once, before the loop runs */
+void node_shard_connect (struct control *c, struct member_table *members,
+                         struct store *store);
+
+#endif
--- a/src/once.c
+++ b/src/once.c
@@ -290,7 +290,8 @@
  * @key: key
  * @attempt: attempt that registered the key
  * @outcome: outcome, copied; one that is too large or does not fit into the
- *           memory is not kept
+ *           memory is not kept; empty if the request may have run but its
+ *           outcome is not known
  *
  * Return: false if this attempt has no running record here.
  */
@@ -304,7 +305,7 @@
   if (record == NULL || record->state != ONCE_RUNNING
       || !is_same_attempt (record->attempt, attempt))
     return false;
-  if (outcome.len > ONCE_OUTCOME_MAX_BYTES
+  if (outcome.len == 0 || outcome.len > ONCE_OUTCOME_MAX_BYTES
       || r->outcome_bytes + outcome.len > r->settings.outcome_bytes_max)
     {
       record->state = ONCE_LOST;
--- a/src/wire_shard.c
+++ b/src/wire_shard.c
@@ -11,6 +11,9 @@
 /* Constants */
 
 #define SHARD_MAX (LEASE_SHARDS_MAX - 1)
+#define OBJECT_MEMBERS 9
+#define OUTCOME_MEMBERS 3
+#define STATUS_MAX 599
 
 /* Types */
 
@@ -337,6 +340,38 @@
   q->promise_ms = read_u32 (r, INT32_MAX);
 }
 
+static void
+pack_holder_wanted (msgpack_packer *p, const struct wire_shard_message *m)
+{
+  msgpack_pack_uint32 (p, m->u.holder_wanted.shard);
+}
+
+static void
+read_holder_wanted (struct reader *r, struct wire_shard_message *m)
+{
+  m->u.holder_wanted.shard = read_u32 (r, SHARD_MAX);
+}
+
+static void
+pack_holder (msgpack_packer *p, const struct wire_shard_message *m)
+{
+  const struct wire_holder *q = &m->u.holder;
+
+  msgpack_pack_uint32 (p, q->shard);
+  msgpack_pack_uint64 (p, q->epoch);
+  pack_owner (p, q->holder);
+}
+
+static void
+read_holder (struct reader *r, struct wire_shard_message *m)
+{
+  struct wire_holder *q = &m->u.holder;
+
+  q->shard = read_u32 (r, SHARD_MAX);
+  q->epoch = read_u64 (r);
+  q->holder = read_owner (r);
+}
+
 static const struct codec codecs[] = {
   { WIRE_TOKENS_WANTED, 7, pack_tokens_wanted, read_tokens_wanted },
   { WIRE_TOKENS, 7, pack_tokens, read_tokens },
@@ -345,6 +380,8 @@
   { WIRE_COMPLETE, 6, pack_complete, read_complete },
   { WIRE_PROMISE_WANTED, 6, pack_promise_wanted, read_promise_wanted },
   { WIRE_PROMISE, 7, pack_promise, read_promise },
+  { WIRE_HOLDER_WANTED, 2, pack_holder_wanted, read_holder_wanted },
+  { WIRE_HOLDER, 5, pack_holder, read_holder },
 };
 
 static const struct codec *
@@ -436,3 +473,105 @@
     msgpack_zone_free (m->zone);
   memset (m, 0, sizeof *m);
 }
+
+/* Internal functions: values */
+
+/* Unpacks one array; the caller destroys unpacked if this is true.  */
+static bool
+unpack_array (msgpack_unpacked *unpacked, struct reader *r, struct str bytes,
+              uint32_t members)
+{
+  size_t offset = 0;
+
+  if (!scan_check_msgpack (bytes))
+    return false;
+  msgpack_unpacked_init (unpacked);
+  if (msgpack_unpack_next (unpacked, bytes.data, bytes.len, &offset)
+          != MSGPACK_UNPACK_SUCCESS
+      || unpacked->data.type != MSGPACK_OBJECT_ARRAY
+      || unpacked->data.via.array.size != members)
+    {
+      msgpack_unpacked_destroy (unpacked);
+      return false;
+    }
+  r->items = unpacked->data.via.array.ptr;
+  r->len = members;
+  return true;
+}
+
+/* Public functions: values */
+
+void
+wire_shard_append_object (struct str_buf *out, const struct lease_object *o)
+{
+  msgpack_sbuffer bytes;
+  msgpack_packer p;
+
+  msgpack_sbuffer_init (&bytes);
+  msgpack_packer_init (&p, &bytes, msgpack_sbuffer_write);
+  msgpack_pack_array (&p, OBJECT_MEMBERS);
+  pack_owner (&p, o->holder);
+  msgpack_pack_uint64 (&p, o->epoch);
+  for (uint32_t i = 0; i < LEASE_CANDIDATES; i++)
+    pack_owner (&p, o->candidates[i]);
+  msgpack_pack_uint32 (&p, o->term_ms);
+  pack_bool (&p, o->released);
+  str_append (out, (struct str){ bytes.size, bytes.data });
+  msgpack_sbuffer_destroy (&bytes);
+}
+
+bool
+wire_shard_load_object (struct lease_object *o, struct str value)
+{
+  msgpack_unpacked unpacked;
+  struct reader r = { 0 };
+
+  memset (o, 0, sizeof *o);
+  if (!unpack_array (&unpacked, &r, value, OBJECT_MEMBERS))
+    return false;
+  o->holder = read_owner (&r);
+  o->epoch = read_u64 (&r);
+  for (uint32_t i = 0; i < LEASE_CANDIDATES; i++)
+    o->candidates[i] = read_owner (&r);
+  o->term_ms = read_u32 (&r, INT32_MAX);
+  o->released = read_bool (&r);
+  msgpack_unpacked_destroy (&unpacked);
+  return !r.failed;
+}
+
+void
+wire_shard_append_outcome (struct str_buf *out,
+                           const struct wire_shard_outcome *o)
+{
+  msgpack_sbuffer bytes;
+  msgpack_packer p;
+
+  msgpack_sbuffer_init (&bytes);
+  msgpack_packer_init (&p, &bytes, msgpack_sbuffer_write);
+  msgpack_pack_array (&p, OUTCOME_MEMBERS);
+  msgpack_pack_uint32 (&p, o->status);
+  pack_bin (&p, o->content_type);
+  pack_bin (&p, o->body);
+  str_append (out, (struct str){ bytes.size, bytes.data });
+  msgpack_sbuffer_destroy (&bytes);
+}
+
+bool
+wire_shard_load_outcome (struct wire_shard_outcome *o, struct str bytes)
+{
+  msgpack_unpacked unpacked;
+  struct reader r = { 0 };
+
+  memset (o, 0, sizeof *o);
+  if (!unpack_array (&unpacked, &r, bytes, OUTCOME_MEMBERS))
+    return false;
+  o->status = read_u32 (&r, STATUS_MAX);
+  o->content_type = str_copy (read_bin (&r, ONCE_OUTCOME_MAX_BYTES));
+  o->body = str_copy (read_bin (&r, ONCE_OUTCOME_MAX_BYTES));
+  msgpack_unpacked_destroy (&unpacked);
+  if (!r.failed)
+    return true;
+  str_free (&o->content_type);
+  str_free (&o->body);
+  return false;
+}
--- a/src/wire_shard.h
+++ b/src/wire_shard.h
@@ -27,7 +27,9 @@
   WIRE_REGISTERED = 51,
   WIRE_COMPLETE = 52,
   WIRE_PROMISE_WANTED = 60,
-  WIRE_PROMISE = 61
+  WIRE_PROMISE = 61,
+  WIRE_HOLDER_WANTED = 62,
+  WIRE_HOLDER = 63
 };
 
 struct wire_tokens_wanted
@@ -91,6 +93,26 @@
   uint32_t promise_ms; /* 0: refused */
 };
 
+struct wire_holder_wanted
+{
+  uint32_t shard;
+};
+
+struct wire_holder
+{
+  uint32_t shard;
+  uint64_t epoch;
+  struct lease_owner holder; /* id 0: not known */
+};
+
+/* Answer that a repetition of a request with the same key gets.  */
+struct wire_shard_outcome
+{
+  uint32_t status;
+  struct str content_type;
+  struct str body;
+};
+
 struct wire_shard_message
 {
   enum wire_shard_type type;
@@ -103,6 +125,8 @@
     struct wire_complete complete;
     struct wire_promise_wanted promise_wanted;
     struct wire_promise promise;
+    struct wire_holder_wanted holder_wanted;
+    struct wire_holder holder;
   } u;
   void *zone; /* memory of the decoder */
 };
@@ -116,5 +140,15 @@
 bool wire_shard_load_message (struct wire_shard_message *m, struct str frame);
 /* frees what wire_shard_load_message allocated */
 void wire_shard_unload_message (struct wire_shard_message *m);
+/* appends the value of the object shards/<i> */
+void wire_shard_append_object (struct str_buf *out,
+                               const struct lease_object *o);
+/* decodes such a value; false if malformed */
+bool wire_shard_load_object (struct lease_object *o, struct str value);
+/* appends an outcome that is kept by the registry */
+void wire_shard_append_outcome (struct str_buf *out,
+                                const struct wire_shard_outcome *o);
+/* decodes it; the strings are copies, freed with str_free */
+bool wire_shard_load_outcome (struct wire_shard_outcome *o, struct str bytes);
 
 #endif
--- a/tests/test_once.c
+++ b/tests/test_once.c
@@ -113,6 +113,11 @@
   ck_assert_int_eq (ask (&r, WALL, 1, 5, first, 3 * RUN_US), ONCE_UNKNOWN);
   ck_assert (once_complete (&r, &key, second, STR_LIT ("late")));
   ck_assert_int_eq (ask (&r, WALL, 1, 5, first, 3 * RUN_US), ONCE_IS_DONE);
+  /* An end without an outcome is not a recorded outcome.  */
+  key = make_key (WALL, 2);
+  ck_assert_int_eq (ask (&r, WALL, 2, 5, first, 0), ONCE_NEW);
+  ck_assert (once_complete (&r, &key, first, STR_EMPTY));
+  ck_assert_int_eq (ask (&r, WALL, 2, 5, second, 0), ONCE_UNKNOWN);
   once_close_registry (&r);
 }
 END_TEST
--- a/tests/test_wire_shard.c
+++ b/tests/test_wire_shard.c
@@ -24,6 +24,8 @@
     .u.complete = { { { 9 } }, { 4, 5 }, false, { 3, "a\0b" } } },
   { .type = WIRE_PROMISE_WANTED, .u.promise_wanted = { 255, 3, 4, { 5, 6 } } },
   { .type = WIRE_PROMISE, .u.promise = { 0, 3, 4, { 5, 6 }, 4000 } },
+  { .type = WIRE_HOLDER_WANTED, .u.holder_wanted = { 255 } },
+  { .type = WIRE_HOLDER, .u.holder = { 255, 3, { 5, 6 } } },
 };
 
 static struct str
@@ -70,6 +72,13 @@
           str_equal (out.u.complete.outcome, (struct str){ 3, "a\0b" }));
       ck_assert_uint_eq (out.u.complete.attempt.number, 5);
       break;
+    case WIRE_HOLDER_WANTED:
+      ck_assert_uint_eq (out.u.holder_wanted.shard, 255);
+      break;
+    case WIRE_HOLDER:
+      ck_assert_uint_eq (out.u.holder.epoch, 3);
+      ck_assert_uint_eq (out.u.holder.holder.incarnation, 6);
+      break;
     default:
       ck_assert_int_eq (memcmp (&out.u, &samples[_i].u,
                                 out.type == WIRE_REGISTER ? sizeof out.u.reg
@@ -139,6 +148,42 @@
 }
 END_TEST
 
+/* Guards against a shard object or a recorded outcome that another daemon
+   reads differently, and against fragments of them.  */
+START_TEST (values_round_trip)
+{
+  struct lease_object in = { { 1, 2 }, 3, { { 4, 5 }, { 6, 7 } }, 6000, true };
+  struct lease_object object;
+  struct wire_shard_outcome first
+      = { 201, STR_LIT ("text/plain"), { 3, "a\0b" } };
+  struct wire_shard_outcome outcome;
+  struct str_buf b = { 0 };
+
+  wire_shard_append_object (&b, &in);
+  ck_assert (wire_shard_load_object (&object, str_view (&b)));
+  ck_assert (lease_equal_owner (object.holder, in.holder));
+  ck_assert (lease_equal_owner (object.candidates[1], in.candidates[1]));
+  ck_assert_uint_eq (object.epoch, 3);
+  ck_assert_uint_eq (object.term_ms, 6000);
+  ck_assert (object.released);
+  for (size_t len = 0; len < b.len; len++)
+    ck_assert (
+        !wire_shard_load_object (&object, str_slice (str_view (&b), 0, len)));
+  b.len = 0;
+  wire_shard_append_outcome (&b, &first);
+  for (size_t len = 0; len < b.len; len++)
+    ck_assert (!wire_shard_load_outcome (&outcome,
+                                         str_slice (str_view (&b), 0, len)));
+  ck_assert (wire_shard_load_outcome (&outcome, str_view (&b)));
+  ck_assert_uint_eq (outcome.status, 201);
+  ck_assert (str_equal (outcome.body, first.body));
+  ck_assert (str_equal (outcome.content_type, first.content_type));
+  str_free (&outcome.body);
+  str_free (&outcome.content_type);
+  str_reset (&b);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -150,6 +195,7 @@
   tcase_add_loop_test (tc, round_trip, 0, G_N_ELEMENTS (samples));
   tcase_add_loop_test (tc, malformed_frames, 0, G_N_ELEMENTS (samples));
   tcase_add_test (tc, values_out_of_range_are_refused);
+  tcase_add_test (tc, values_round_trip);
   suite_add_tcase (suite, tc);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
