Find a new holder when the old one falls silent

Cause: a paused holder keeps its links open, so a daemon that waited for the link to close would ask it for ever.

Ruled out: forgetting the holder after each lost answer; one loss in 50 would cost a query.

Change: a holder that left a message unanswered for longer than the round-trip bound is forgotten and looked up again. The test runs three control threads with members and a platform in memory, stops one that holds shards without closing its links, and takes tokens of every workspace from another.

Conclusion: the path with members and a platform works in one process; it has not run with node_gossip and the HTTP store.

--- a/src/node_shard.c
+++ b/src/node_shard.c
@@ -17,6 +17,8 @@
 /* Queries go to the members ranked first, in turn: their views differ.  */
 #define QUERY_MEMBERS 3u
 #define REGISTER_RETRY_US INT64_C (500000)
+/* Above the bound on the round trip of a grant.  */
+#define SILENT_HOLDER_US INT64_C (600000)
 /* A call is refused as not run when no holder answered for so long.  */
 #define REGISTER_WAIT_US INT64_C (2000000)
 /* Longest time that a registered request runs.  */
@@ -106,6 +108,7 @@
 {
   if (n->routes[shard].holder == holder)
     n->routes[shard].holder = 0;
+  n->routes[shard].unanswered_us = 0;
 }
 
 /* Member to send to, or 0; asks the members ranked first if it is not known.
@@ -120,6 +123,10 @@
   uint64_t ids[QUERY_MEMBERS];
   uint32_t len;
 
+  /* A paused holder keeps its links open and does not answer.  */
+  if (route->unanswered_us != 0
+      && now_us - route->unanswered_us > SILENT_HOLDER_US)
+    forget_holder (n, shard, route->holder);
   if (route->holder != 0 && member_find (n->members, route->holder) != NULL)
     return route->holder;
   if (now_us < route->next_query_us)
@@ -167,6 +174,24 @@
   route->holder = h->holder.id;
 }
 
+/* Sends to the holder of a shard; false if it is not known.  */
+static bool
+send_to_holder (struct control *c, uint32_t shard,
+                const struct wire_shard_message *m, int64_t now_us)
+{
+  struct node_shard *n = c->node_shard;
+  struct node_shard_route *route = &n->routes[shard];
+  uint64_t holder = find_holder (c, shard, now_us);
+
+  if (holder == n->leases.self.id)
+    forget_holder (n, shard, holder);
+  if (holder == 0 || !send_to_member (c, holder, m))
+    return false;
+  if (route->unanswered_us == 0)
+    route->unanswered_us = now_us;
+  return true;
+}
+
 /* Internal functions: leases */
 
 static void
@@ -455,6 +480,7 @@
 {
   struct node_shard *n = c->node_shard;
 
+  n->routes[bucket_get_shard (t->workspace, n->shards)].unanswered_us = 0;
   if (t->held)
     {
       apply_grant (c, t, now_us);
@@ -472,7 +498,6 @@
   struct node_shard *n = c->node_shard;
   uint32_t shard = bucket_get_shard (q->workspace, n->shards);
   struct wire_shard_message m = { .type = WIRE_TOKENS_WANTED };
-  uint64_t holder;
 
   if (is_granting (n, shard, now_us))
     {
@@ -481,10 +506,7 @@
       return;
     }
   m.u.tokens_wanted = *q;
-  holder = find_holder (c, shard, now_us);
-  if (holder == n->leases.self.id)
-    forget_holder (n, shard, holder);
-  if (holder == 0 || !send_to_member (c, holder, &m))
+  if (!send_to_holder (c, shard, &m, now_us))
     fail_ask (c, q->workspace, q->sequence, now_us);
 }
 
@@ -599,6 +621,7 @@
 
   if (e == NULL || e->answered)
     return;
+  n->routes[e->shard].unanswered_us = 0;
   if (answer == ONCE_NOT_HELD)
     {
       n->routes[e->shard].holder = 0;
@@ -617,7 +640,6 @@
   struct node_shard *n = c->node_shard;
   struct wire_shard_message m = { .type = WIRE_REGISTER };
   struct str outcome;
-  uint64_t holder;
 
   e->next_try_us = now_us + QUERY_INTERVAL_US;
   if (is_granting (n, e->shard, now_us))
@@ -629,10 +651,9 @@
       apply_answer (c, id, answer, outcome);
       return;
     }
-  holder = find_holder (c, e->shard, now_us);
   m.u.reg = (struct wire_register){ id, e->key, e->fingerprint, e->attempt,
                                     RUN_MAX_US };
-  if (holder != 0 && send_to_member (c, holder, &m))
+  if (send_to_holder (c, e->shard, &m, now_us))
     e->next_try_us = now_us + REGISTER_RETRY_US;
 }
 
--- a/src/node_shard.h
+++ b/src/node_shard.h
@@ -22,8 +22,9 @@
 {
   uint64_t holder; /* member id, 0 if not known */
   uint64_t epoch;
+  int64_t unanswered_us; /* first message without an answer, 0 if none */
   int64_t next_query_us;
-  uint32_t queries; /* since the holder was last known */
+  uint32_t queries;
 };
 
 /* One registered key of a call of this daemon.  */
--- a/tests/test_node_shard.c
+++ b/tests/test_node_shard.c
@@ -1,9 +1,13 @@
-/* Tests of node_shard with a real daemon without a platform, which holds all
-   shards itself.  */
+/* Tests of node_shard: a real daemon without a platform, which holds all shards
+   itself, and three control threads with a platform in memory.  */
 
+#include "clock.h"
+#include "node_shard.h"
 #include "process.h"
 #include "suite.h"
 
+#include <apr_general.h>
+
 #define SECRET "0123456789abcdef0123"
 #define KEY "av_k1_" SECRET
 #define AUTHORIZATION "Authorization: Bearer " KEY
@@ -148,10 +152,257 @@
 }
 END_TEST
 
+/* Platform in memory, shared by the control threads.  */
+static struct
+{
+  GMutex mutex;
+  uint64_t version[LEASE_SHARDS_MAX];
+  struct str value[LEASE_SHARDS_MAX];
+} platform;
+
+struct memory_store
+{
+  struct store store;
+  struct event_base *base;
+};
+
+struct memory_answer
+{
+  struct store_call call;
+  struct store_answer answer;
+};
+
+static void
+deliver (evutil_socket_t fd, short what, void *data)
+{
+  struct memory_answer *a = data;
+
+  a->call.done (a->call.data, &a->answer);
+  str_free (&a->answer.value);
+  g_free (a);
+}
+
+static void
+post (struct store *s, const struct store_call *call,
+      struct store_answer answer)
+{
+  struct memory_answer *a = g_new (struct memory_answer, 1);
+  struct timeval soon = { 0, 1000 };
+
+  *a = (struct memory_answer){ *call, answer };
+  event_base_once (((struct memory_store *)s)->base, -1, EV_TIMEOUT, deliver,
+                   a, &soon);
+}
+
+static uint32_t
+get_shard (struct str key)
+{
+  uint64_t shard = 0;
+
+  ck_assert (str_has_prefix (key, STR_LIT ("shards/")));
+  ck_assert (str_parse_u64 (str_slice (key, 7, key.len), &shard));
+  return (uint32_t)shard;
+}
+
+static void
+memory_get (struct store *s, struct str key, const struct store_call *call)
+{
+  struct store_answer answer = { .value = STR_EMPTY };
+  uint32_t shard = get_shard (key);
+
+  g_mutex_lock (&platform.mutex);
+  answer.version = platform.version[shard];
+  if (answer.version == 0)
+    answer.error = ERR_NOT_FOUND;
+  else
+    answer.value = str_copy (platform.value[shard]);
+  g_mutex_unlock (&platform.mutex);
+  post (s, call, answer);
+}
+
+static void
+memory_put (struct store *s, struct str key, struct str value,
+            enum store_condition condition, uint64_t version,
+            const struct store_call *call)
+{
+  struct store_answer answer = { .value = STR_EMPTY };
+  uint32_t shard = get_shard (key);
+
+  g_mutex_lock (&platform.mutex);
+  if (platform.version[shard] != (condition == STORE_IF_ABSENT ? 0 : version))
+    answer.error = ERR_STORE_CONFLICT;
+  else
+    {
+      if (version != 0)
+        str_free (&platform.value[shard]);
+      platform.value[shard] = str_copy (value);
+      answer.version = ++platform.version[shard];
+    }
+  g_mutex_unlock (&platform.mutex);
+  post (s, call, answer);
+}
+
+static const struct store_ops memory_ops
+    = { .get = memory_get, .put = memory_put };
+
+#define PEERS 3
+
+struct peer
+{
+  struct settings settings;
+  struct shared shared;
+  struct control control;
+  struct member_table members;
+  struct memory_store store;
+};
+
+static struct member_entry
+make_entry (const struct peer *peers, int i)
+{
+  struct member_entry e = { .id = (uint64_t)i + 1,
+                            .incarnation = 1u << MEMBER_RUN_SHIFT,
+                            .domain = (uint32_t)i + 1,
+                            .service = STR_EMPTY };
+
+  memcpy (e.address.ip, "\0\0\0\0\0\0\0\0\0\0\xff\xff\x7f\0\0\1",
+          MEMBER_IP_BYTES);
+  e.address.ports[MEMBER_PORT_CONTROL]
+      = (uint16_t)peers[i].settings.ports.control;
+  return e;
+}
+
+static void
+load_peer (struct peer *p, int i, const char *dir)
+{
+  char *text = g_strdup_printf (
+      "{\"member_id\":\"d%d\",\"failure_domain\":\"fd%d\","
+      "\"region\":\"r1\",\"address\":\"127.0.0.1\",\"ports\":{"
+      "\"caller\":%u,\"local\":%u,\"peer\":%u,\"control\":%u},"
+      "\"inventory_file\":\"%s/inventory.json\"}",
+      i, i, process_get_port (), process_get_port (), process_get_port (),
+      process_get_port (), dir);
+  struct trace_options trace = { .member_id = STR_LIT ("d"),
+                                 .failure_domain = STR_LIT ("fd"),
+                                 .address = STR_EMPTY,
+                                 .queue_max = 16 };
+  GError *error = NULL;
+
+  ck_assert_msg (settings_load (&p->settings, STR_LIT ("test"),
+                                str_from_cstr (text), &error),
+                 "%s", error != NULL ? error->message : "");
+  g_free (text);
+  p->shared.settings = &p->settings;
+  p->shared.member = (uint64_t)i + 1;
+  snapshot_init_board (&p->shared.board);
+  g_mutex_init (&p->shared.quota_mutex);
+  quota_init_set (&p->shared.quotas, 0);
+  metrics_init (&p->shared.metrics);
+  stats_init (&p->shared.stats, &p->shared.metrics);
+  ck_assert (control_init (&p->control, &p->shared, &error));
+  trace_init (&p->shared.trace, p->control.loop.base, &trace);
+  p->shared.serve = &p->control.loop.inbox;
+  p->store = (struct memory_store){ { &memory_ops }, p->control.loop.base };
+}
+
+/* Takes one token of a workspace; false if there is none within the time.  */
+static bool
+take_token (struct peer *p, const char *workspace, int64_t wait_us)
+{
+  struct str name = str_from_cstr (workspace);
+  int64_t begun = clock_now_us ();
+
+  while (clock_now_us () < begun + wait_us)
+    {
+      int64_t arrived = clock_now_us ();
+      enum quota_result result;
+
+      g_mutex_lock (&p->shared.quota_mutex);
+      result = quota_begin (&p->shared.quotas, name, arrived);
+      g_mutex_unlock (&p->shared.quota_mutex);
+      mailbox_wake (p->shared.control);
+      while (result == QUOTA_WAIT)
+        {
+          g_usleep (2000);
+          g_mutex_lock (&p->shared.quota_mutex);
+          result
+              = quota_poll (&p->shared.quotas, name, arrived, clock_now_us ());
+          g_mutex_unlock (&p->shared.quota_mutex);
+        }
+      if (result == QUOTA_TAKEN)
+        return true;
+    }
+  return false;
+}
+
+/* Guards against daemons that do not find the holder, and a shard that nobody
+   takes over when its holder falls silent with its links open.  */
+START_TEST (tokens_come_from_the_holder_and_its_successor)
+{
+  static struct peer peers[PEERS];
+  static const char *const names[] = { "a", "b", "c", "d" };
+  char *dir = process_make_dir ();
+  apr_pool_t *pool;
+  int held = 0;
+
+  apr_initialize ();
+  apr_pool_create (&pool, NULL);
+  process_write_file (dir, "inventory.json",
+                      "{\"workspaces\":[{\"name\":\"a\",\"rate_per_s\":100,"
+                      "\"burst\":100},{\"name\":\"b\",\"rate_per_s\":100,"
+                      "\"burst\":100},{\"name\":\"c\",\"rate_per_s\":100,"
+                      "\"burst\":100},{\"name\":\"d\",\"rate_per_s\":100,"
+                      "\"burst\":100}]}");
+  for (int i = 0; i < PEERS; i++)
+    load_peer (&peers[i], i, dir);
+  for (int i = 0; i < PEERS; i++)
+    {
+      struct member_entry self = make_entry (peers, i);
+
+      member_init_table (&peers[i].members, &self, 1, clock_now_us ());
+      for (int k = 0; k < PEERS; k++)
+        {
+          struct member_entry other = make_entry (peers, k);
+
+          if (k != i)
+            member_merge_entry (&peers[i].members, &other, clock_now_us ());
+        }
+      node_shard_connect (&peers[i].control, &peers[i].members,
+                          &peers[i].store.store);
+    }
+  for (int i = 0; i < PEERS; i++)
+    loop_start (&peers[i].control.loop, pool);
+  for (int i = 0; i < PEERS; i++)
+    for (size_t k = 0; k < G_N_ELEMENTS (names); k++)
+      ck_assert_msg (take_token (&peers[i], names[k], 8000000), "%d %s", i,
+                     names[k]);
+  loop_stop (&peers[0].control.loop);
+  loop_join (&peers[0].control.loop);
+  for (size_t k = 0; k < G_N_ELEMENTS (names); k++)
+    {
+      const struct node_shard *n = peers[0].control.node_shard;
+      struct str name = str_from_cstr (names[k]);
+
+      held += n->buckets.shards[bucket_get_shard (name, n->shards)].held;
+    }
+  ck_assert_int_gt (held, 0);
+  for (size_t k = 0; k < G_N_ELEMENTS (names); k++)
+    ck_assert_msg (take_token (&peers[1], names[k], 15000000), "after %s",
+                   names[k]);
+  for (int i = 1; i < PEERS; i++)
+    {
+      loop_stop (&peers[i].control.loop);
+      loop_join (&peers[i].control.loop);
+    }
+  g_free (dir);
+}
+END_TEST
+
 int
 main (void)
 {
-  const TTest *const cases[] = { rate_is_enforced, key_runs_once };
+  const TTest *const cases[]
+      = { rate_is_enforced, key_runs_once,
+          tokens_come_from_the_holder_and_its_successor };
 
   return suite_run ("node_shard", cases, G_N_ELEMENTS (cases));
 }
