Add almondvalectl

Cause: operators edit the inventory and rules under live traffic, two of them at the same moment, and have to know whether a change took effect. A path prefix must not end with a slash, since route_add takes /a and /a/ for one. Conclusion: a lost answer followed by an outage is reported with code 75 and settled by a later question.

--- /dev/null
+++ b/src/almondvalectl.c
@@ -0,0 +1,124 @@
+/* almondvalectl: the operators' command-line tool.  */
+
+#include "ctl.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Constants */
+
+#define PLATFORM_DEFAULT "127.0.0.1:7700"
+#define TIMEOUT_MS_DEFAULT 10000
+
+/* clang-format off */
+static const struct ctl_command commands[] = {
+  { "import", "FILE", "add and update what an asset register lists", ctl_import },
+  { "show", "[KIND [NAME]]", "show the inventory or a part of it", ctl_show },
+  { "diff", "FILE", "show what `apply FILE` would change", ctl_diff },
+  { "validate", "FILE", "check a file without the platform", ctl_validate },
+  { "apply", "FILE", "make an edited inventory or a change take effect", ctl_apply },
+  { "key", "issue WORKSPACE | list | revoke ID", "issue, list and revoke keys", ctl_key },
+  { "rule", "list | set NAME | delete NAME", "rank work by importance", ctl_rule },
+  { "status", "", "show the platform's revision and a daemon's state", ctl_status },
+  { "explain", "METHOD PATH", "tell what a request would get, and why", ctl_explain },
+};
+/* clang-format on */
+
+/* Internal functions */
+
+static void
+print_help (FILE *to)
+{
+  fprintf (to, "Usage: almondvalectl COMMAND [OPTION...] [ARGUMENT...]\n\n"
+               "Edits and shows the inventory and the ranking rules.\n\n"
+               "Commands:\n");
+  for (size_t i = 0; i < G_N_ELEMENTS (commands); i++)
+    {
+      char *usage
+          = g_strdup_printf ("%s %s", commands[i].name, commands[i].arguments);
+
+      fprintf (to, "  %-38s %s\n", usage, commands[i].summary);
+      g_free (usage);
+    }
+  fprintf (to,
+           "\n`almondvalectl COMMAND --help` shows the options of a command."
+           "\n\nExit codes: 0 done; 1 diff found differences; 2 conflict "
+           "with another operator;\n64 usage; 65 invalid input; 66 file "
+           "cannot be read; 69 platform or daemon not\nreachable, nothing "
+           "was changed; 70 stored data cannot be read; 75 not known\n"
+           "whether the change takes effect.\n");
+}
+
+static const struct ctl_command *
+find_command (const char *name)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (commands); i++)
+    if (strcmp (commands[i].name, name) == 0)
+      return &commands[i];
+  return NULL;
+}
+
+static void
+init_ctl (struct ctl *ctl)
+{
+  const char *platform = g_getenv ("ALMONDVALE_PLATFORM");
+
+  *ctl = (struct ctl){ .timeout_ms = TIMEOUT_MS_DEFAULT };
+  ctl->platform = g_strdup (platform != NULL ? platform : PLATFORM_DEFAULT);
+  ctl->author = g_strdup (g_get_user_name ());
+  ctl->base = event_base_new ();
+  journal_init (&ctl->journal);
+}
+
+static void
+close_ctl (struct ctl *ctl)
+{
+  if (ctl->store != NULL)
+    ctl->store->ops->unload (ctl->store);
+  journal_close (&ctl->journal);
+  event_base_free (ctl->base);
+  str_reset (&ctl->out);
+  g_free (ctl->platform);
+  g_free (ctl->author);
+}
+
+/* Writes the output; a full disk or closed pipe must not look like success. */
+static int
+write_output (const struct ctl *ctl, int code)
+{
+  fwrite (str_view (&ctl->out).data, 1, ctl->out.len, stdout);
+  if (fflush (stdout) == 0)
+    return code;
+  ctl_print_error ("the output cannot be written");
+  return code == CTL_OK ? CTL_SOFTWARE : code;
+}
+
+int
+main (int argc, char **argv)
+{
+  const struct ctl_command *command;
+  struct ctl ctl;
+  int code;
+
+  signal (SIGPIPE, SIG_IGN);
+  if (argc >= 2 && strcmp (argv[1], "--help") == 0)
+    {
+      print_help (stdout);
+      return CTL_OK;
+    }
+  command = argc >= 2 ? find_command (argv[1]) : NULL;
+  if (command == NULL)
+    {
+      if (argc >= 2)
+        ctl_print_error ("there is no command \"%s\"", argv[1]);
+      print_help (stderr);
+      return CTL_USAGE;
+    }
+  init_ctl (&ctl);
+  code = command->run (&ctl, command, argc - 1, argv + 1);
+  code = write_output (&ctl, code);
+  close_ctl (&ctl);
+  return code;
+}
--- /dev/null
+++ b/src/ctl_explain.c
@@ -0,0 +1,272 @@
+/* ctl_explain: what a given request would get, and why.  */
+
+#include "ctl.h"
+#include "inventory_json.h"
+#include "route.h"
+#include "snapshot.h"
+
+#include <string.h>
+
+/* Types */
+
+struct question
+{
+  struct str method;
+  struct str path;
+  struct str workspace; /* empty if unknown */
+  struct str key_id;    /* empty if none is given */
+};
+
+/* What the request would get.  */
+struct verdict
+{
+  enum err_kind error; /* ERR_NONE: it is served within the limits */
+  const struct inventory_route *route;
+  const struct inventory_workspace *workspace;
+  const struct inventory_rule *rule;
+  uint32_t importance;
+  struct str_buf why; /* one line each */
+};
+
+/* Internal functions: deciding */
+
+/* Workspace on whose behalf the request runs.  */
+static void
+find_workspace (const struct inventory *inv, const struct question *q,
+                struct verdict *v)
+{
+  const struct inventory_key *key;
+  struct str name = q->workspace;
+
+  if (q->key_id.len > 0)
+    {
+      key = inventory_find (inv, INVENTORY_KEY, q->key_id);
+      if (key == NULL)
+        {
+          v->error = ERR_KEY_UNKNOWN;
+          return;
+        }
+      name = key->workspace;
+      str_append_format (&v->why, "key %.*s belongs to workspace %.*s\n",
+                         STR_ARG (key->id), STR_ARG (name));
+    }
+  if (name.len == 0)
+    {
+      v->error = ERR_KEY_MISSING;
+      return;
+    }
+  v->workspace = inventory_find (inv, INVENTORY_WORKSPACE, name);
+  if (v->workspace == NULL)
+    {
+      str_append_format (&v->why, "there is no workspace %.*s\n",
+                         STR_ARG (name));
+      v->error = ERR_KEY_UNKNOWN;
+    }
+  else if (!inventory_allows (v->workspace, v->route->name))
+    {
+      str_append_format (&v->why,
+                         "workspace %.*s lists its routes, and %.*s is not "
+                         "among them\n",
+                         STR_ARG (name), STR_ARG (v->route->name));
+      v->error = ERR_WORKSPACE_FORBIDDEN;
+    }
+}
+
+static void
+find_importance (const struct inventory *inv, const struct question *q,
+                 struct verdict *v)
+{
+  struct str workspace = v->workspace != NULL ? v->workspace->name : STR_EMPTY;
+
+  v->rule = inventory_match_rule (inv, workspace, v->route->name,
+                                  route_parse_method (q->method));
+  v->importance = v->rule != NULL ? v->rule->importance : v->route->importance;
+  if (v->rule != NULL)
+    str_append_format (&v->why,
+                       "importance %u by rule %.*s (order %u), instead of the "
+                       "route's %u\n",
+                       v->importance, STR_ARG (v->rule->name), v->rule->order,
+                       v->route->importance);
+  else
+    str_append_format (&v->why,
+                       "importance %u of the route, no rule matches\n",
+                       v->importance);
+}
+
+/* Decides in the order of the daemon's intake, with its look-ups.  */
+static void
+decide (const struct snapshot_config *config, const struct question *q,
+        struct verdict *v)
+{
+  const struct inventory *inv = &config->inventory;
+
+  v->error = snapshot_find_route (config, q->method, q->path, &v->route);
+  if (v->error != ERR_NONE)
+    {
+      v->route = NULL;
+      return;
+    }
+  str_append_format (&v->why, "route %.*s: path prefix %.*s\n",
+                     STR_ARG (v->route->name),
+                     STR_ARG (v->route->path_prefix));
+  if (v->route->internal)
+    {
+      str_append (&v->why,
+                  STR_LIT ("the route is internal: only nested calls are "
+                           "served, with the workspace and importance of the "
+                           "request that makes them\n"));
+      v->error = ERR_ROUTE_UNKNOWN;
+      return;
+    }
+  if (v->route->open)
+    str_append (&v->why, STR_LIT ("the route is open: no key is needed and "
+                                  "no workspace's rate is spent\n"));
+  else
+    find_workspace (inv, q, v);
+  if (v->error == ERR_NONE)
+    find_importance (inv, q, v);
+}
+
+/* Internal functions: reporting */
+
+static void
+report_text (struct ctl *ctl, const struct verdict *v)
+{
+  const struct inventory_route *r = v->route;
+  const struct inventory_workspace *w = v->workspace;
+
+  if (v->error != ERR_NONE)
+    str_append_format (&ctl->out, "Rejected with %s (%d): %s\n",
+                       err_get_answer (v->error)->name,
+                       err_get_answer (v->error)->status,
+                       err_get_answer (v->error)->text);
+  else
+    str_append_format (
+        &ctl->out,
+        "Served by %.*s through route %.*s with importance %u.\n"
+        "Time for the call tree: %u ms; extra attempts: %u; idempotent: %s; "
+        "idempotency key: %s.\n",
+        STR_ARG (r->service), STR_ARG (r->name), v->importance, r->timeout_ms,
+        r->retry_budget, r->idempotent ? "yes" : "no",
+        inventory_get_idempotency_name (r->idempotency_key));
+  if (v->error == ERR_NONE && w != NULL)
+    str_append_format (&ctl->out,
+                       "Workspace %.*s: %u requests/s, burst %u, weight %u.\n",
+                       STR_ARG (w->name), w->rate_per_s, w->burst, w->weight);
+  if (v->why.len > 0)
+    str_append_format (&ctl->out, "Because:\n%.*s",
+                       STR_ARG (str_view (&v->why)));
+}
+
+static void
+add_row (JsonBuilder *b, const char *name, enum inventory_kind kind,
+         const void *row)
+{
+  JsonNode *node;
+
+  json_builder_set_member_name (b, name);
+  if (row == NULL)
+    {
+      json_builder_add_null_value (b);
+      return;
+    }
+  node = json_node_new (JSON_NODE_OBJECT);
+  json_node_take_object (node, inventory_json_make_row (kind, row));
+  json_builder_add_value (b, node);
+}
+
+static void
+report_json (struct ctl *ctl, const struct verdict *v)
+{
+  JsonBuilder *b = json_builder_new ();
+  char *text = str_dup_cstr (str_view (&v->why));
+  char **lines = g_strsplit (text, "\n", -1);
+
+  json_builder_begin_object (b);
+  ctl_add_string (b, "error", str_from_cstr (err_get_answer (v->error)->name));
+  json_builder_set_member_name (b, "importance");
+  json_builder_add_int_value (b, v->importance);
+  add_row (b, "route", INVENTORY_ROUTE, v->route);
+  add_row (b, "workspace", INVENTORY_WORKSPACE, v->workspace);
+  add_row (b, "rule", INVENTORY_RULE, v->rule);
+  json_builder_set_member_name (b, "why");
+  json_builder_begin_array (b);
+  for (char **line = lines; *line != NULL; line++)
+    if (**line != '\0')
+      json_builder_add_string_value (b, *line);
+  json_builder_end_array (b);
+  json_builder_end_object (b);
+  ctl_append_json (ctl, b);
+  g_strfreev (lines);
+  g_free (text);
+}
+
+/* Inventory from a file instead of the platform.  */
+static int
+load_file (struct ctl *ctl, const char *path)
+{
+  struct inventory inv;
+  GError *error = NULL;
+  struct str text;
+
+  if (!ctl_read_file (path, &text))
+    return CTL_NO_INPUT;
+  if (!inventory_json_load (&inv, text, &error))
+    {
+      ctl_print_error ("%s: %s", path, error->message);
+      g_error_free (error);
+      str_free (&text);
+      return CTL_DATA;
+    }
+  str_free (&text);
+  inventory_close (&ctl->journal.inv);
+  ctl->journal.inv = inv;
+  return CTL_OK;
+}
+
+/* Public functions */
+
+int
+ctl_explain (struct ctl *ctl, const struct ctl_command *self, int argc,
+             char **argv)
+{
+  char *workspace = NULL;
+  char *key_id = NULL;
+  char *file = NULL;
+  GOptionEntry entries[]
+      = { { "workspace", 0, 0, G_OPTION_ARG_STRING, &workspace,
+            "Workspace of the caller", "NAME" },
+          { "key-id", 0, 0, G_OPTION_ARG_STRING, &key_id,
+            "Id of the caller's key (the part between the underscores)",
+            "ID" },
+          { "file", 0, 0, G_OPTION_ARG_STRING, &file,
+            "Ask an inventory in a file instead of the platform", "FILE" },
+          { 0 } };
+  struct snapshot_config *config;
+  struct verdict v = { 0 };
+  struct question q;
+  int code = CTL_USAGE;
+
+  if (ctl_parse (ctl, self, entries, 2, 2, &argc, &argv))
+    code = file != NULL ? load_file (ctl, file)
+                        : ctl_load (ctl, JOURNAL_NEWEST);
+  if (code == CTL_OK)
+    {
+      q = (struct question){ .method = str_from_cstr (argv[1]),
+                             .path = str_from_cstr (argv[2]),
+                             .workspace = str_from_cstr (workspace),
+                             .key_id = str_from_cstr (key_id) };
+      config = snapshot_load_config (&ctl->journal.inv);
+      decide (config, &q, &v);
+      if (ctl->json)
+        report_json (ctl, &v);
+      else
+        report_text (ctl, &v);
+      ref_put (&config->ref);
+    }
+  str_reset (&v.why);
+  g_free (workspace);
+  g_free (key_id);
+  g_free (file);
+  return code;
+}
--- /dev/null
+++ b/src/ctl_io.c
@@ -0,0 +1,324 @@
+/* ctl_io: options, files, and the event loop that runs a journal.  */
+
+#include "clock.h"
+#include "ctl.h"
+#include "httpc.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Constants */
+
+#define CALL_TIMEOUT_US INT64_C (2000000)
+#define TIMEOUT_MS_MAX 600000
+#define CONNECTIONS_MAX 2
+#define FILE_MAX_BYTES ((size_t)64 * 1024 * 1024)
+#define ANSWER_MAX_BYTES ((size_t)8 * 1024 * 1024)
+
+/* Types */
+
+struct fetch
+{
+  struct event_base *base;
+  enum httpc_result result;
+  int status;
+  struct str_buf *body;
+};
+
+/* Internal functions */
+
+static void
+on_answer (void *data, const struct store_answer *answer)
+{
+  struct ctl *ctl = data;
+
+  journal_answer (&ctl->journal, answer, clock_now_us ());
+  event_base_loopbreak (ctl->base);
+}
+
+static void
+perform (struct ctl *ctl, const struct journal_action *a, int64_t now_us)
+{
+  struct store_call call
+      = { .timeout_us
+          = MIN (CALL_TIMEOUT_US, ctl->journal.deadline_us - now_us),
+          .done = on_answer,
+          .data = ctl };
+
+  switch (a->verb)
+    {
+    case JOURNAL_ACTION_GET:
+      ctl->store->ops->get (ctl->store, a->key, &call);
+      return;
+    case JOURNAL_ACTION_PUT:
+      ctl->store->ops->put (ctl->store, a->key, a->value, a->condition,
+                            a->version, &call);
+      return;
+    case JOURNAL_ACTION_LIST:
+      ctl->store->ops->list (ctl->store, a->key, a->after, true, &call);
+      return;
+    }
+}
+
+/* Sleeps in the loop until the journal may act again.  */
+static void
+wait_until (struct ctl *ctl, int64_t due_us)
+{
+  int64_t wait_us = MAX (due_us - clock_now_us (), 0);
+  struct timeval wait = { wait_us / CLOCK_US_PER_S, wait_us % CLOCK_US_PER_S };
+
+  event_base_loopexit (ctl->base, &wait);
+  event_base_loop (ctl->base, EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+static bool
+open_store (struct ctl *ctl)
+{
+  struct str address;
+  uint16_t port;
+
+  if (ctl->store != NULL)
+    return true;
+  if (!ctl_split_address ("--platform", ctl->platform, &address, &port))
+    return false;
+  ctl->store = store_load_http (ctl->base, address, port, CONNECTIONS_MAX);
+  str_free (&address);
+  return true;
+}
+
+/* Replaces a default by the option's value, if it was given.  */
+static void
+replace_option (char **value, char *given)
+{
+  if (given == NULL)
+    return;
+  g_free (*value);
+  *value = given;
+}
+
+static void
+on_fetched (void *data, const struct httpc_answer *answer)
+{
+  struct fetch *f = data;
+
+  f->result = answer->result;
+  f->status = answer->status;
+  str_append (f->body, answer->body);
+  event_base_loopbreak (f->base);
+}
+
+/* Public functions */
+
+bool
+ctl_parse (struct ctl *ctl, const struct ctl_command *command,
+           const GOptionEntry *entries, int least, int most, int *argc,
+           char ***argv)
+{
+  char *platform = NULL;
+  char *author = NULL;
+  GOptionEntry common[]
+      = { { "platform", 0, 0, G_OPTION_ARG_STRING, &platform,
+            "Platform's object API (ALMONDVALE_PLATFORM, else 127.0.0.1:7700)",
+            "ADDRESS:PORT" },
+          { "author", 0, 0, G_OPTION_ARG_STRING, &author,
+            "Name stored with a change (the user's)", "NAME" },
+          { "json", 0, 0, G_OPTION_ARG_NONE, &ctl->json, "Write JSON", NULL },
+          { "dry-run", 0, 0, G_OPTION_ARG_NONE, &ctl->dry_run,
+            "Show a change without making it", NULL },
+          { "timeout-ms", 0, 0, G_OPTION_ARG_INT, &ctl->timeout_ms,
+            "Time for the whole command (10000)", "MS" },
+          { 0 } };
+  char *usage
+      = g_strdup_printf ("%s - %s", command->arguments, command->summary);
+  GOptionContext *context = g_option_context_new (usage);
+  char *program = g_strdup_printf ("almondvalectl %s", command->name);
+  GError *error = NULL;
+  bool valid;
+
+  g_set_prgname (program);
+  g_option_context_add_main_entries (context, common, NULL);
+  if (entries != NULL)
+    g_option_context_add_main_entries (context, entries, NULL);
+  valid = g_option_context_parse (context, argc, argv, &error);
+  replace_option (&ctl->platform, platform);
+  replace_option (&ctl->author, author);
+  if (!valid)
+    {
+      ctl_print_error ("%s", error->message);
+      g_error_free (error);
+    }
+  else if (*argc - 1 < least || *argc - 1 > most)
+    {
+      ctl_print_error ("usage: %s %s", program, command->arguments);
+      valid = false;
+    }
+  else if (ctl->timeout_ms < 1 || ctl->timeout_ms > TIMEOUT_MS_MAX)
+    {
+      ctl_print_error ("--timeout-ms: found %d, allowed: 1..%d",
+                       ctl->timeout_ms, TIMEOUT_MS_MAX);
+      valid = false;
+    }
+  else if (strlen (ctl->author) > CHANGE_AUTHOR_MAX_BYTES
+           || !g_utf8_validate (ctl->author, -1, NULL))
+    {
+      ctl_print_error ("--author: allowed: at most %u bytes of UTF-8",
+                       CHANGE_AUTHOR_MAX_BYTES);
+      valid = false;
+    }
+  g_option_context_free (context);
+  g_free (program);
+  g_free (usage);
+  return valid;
+}
+
+void
+ctl_print_error (const char *format, ...)
+{
+  va_list args;
+
+  va_start (args, format);
+  fputs ("almondvalectl: ", stderr);
+  vfprintf (stderr, format, args);
+  fputc ('\n', stderr);
+  va_end (args);
+}
+
+bool
+ctl_read_file (const char *path, struct str *text)
+{
+  bool is_stdin = strcmp (path, "-") == 0;
+  FILE *file = is_stdin ? stdin : fopen (path, "rb");
+  struct str_buf content = { 0 };
+  char chunk[65536];
+  size_t n;
+  bool valid;
+
+  if (file == NULL)
+    {
+      ctl_print_error ("%s: cannot be opened", path);
+      return false;
+    }
+  while ((n = fread (chunk, 1, sizeof chunk, file)) > 0
+         && content.len <= FILE_MAX_BYTES)
+    str_append (&content, (struct str){ n, chunk });
+  valid = ferror (file) == 0 && content.len <= FILE_MAX_BYTES;
+  if (!valid)
+    ctl_print_error ("%s: cannot be read, or is larger than %zu bytes", path,
+                     FILE_MAX_BYTES);
+  if (!is_stdin)
+    fclose (file);
+  *text = str_take (&content);
+  if (!valid)
+    str_free (text);
+  return valid;
+}
+
+bool
+ctl_split_address (const char *option, const char *text, struct str *address,
+                   uint16_t *port)
+{
+  const char *colon = strrchr (text, ':');
+  uint64_t number = 0;
+
+  if (colon == NULL || colon == text
+      || !str_parse_u64 (str_from_cstr (colon + 1), &number) || number == 0
+      || number > UINT16_MAX)
+    {
+      ctl_print_error ("%s: found \"%s\", allowed: ADDRESS:PORT", option,
+                       text);
+      return false;
+    }
+  *address
+      = str_copy (str_slice (str_from_cstr (text), 0, (size_t)(colon - text)));
+  *port = (uint16_t)number;
+  return true;
+}
+
+int64_t
+ctl_get_deadline (const struct ctl *ctl)
+{
+  return clock_now_us () + (int64_t)ctl->timeout_ms * CLOCK_US_PER_MS;
+}
+
+void
+ctl_run_journal (struct ctl *ctl)
+{
+  struct journal *j = &ctl->journal;
+
+  while (j->result == JOURNAL_RUNNING)
+    {
+      int64_t now_us = clock_now_us ();
+      struct journal_action action;
+
+      if (journal_next (j, now_us, &action))
+        perform (ctl, &action, now_us);
+      if (j->pending)
+        event_base_loop (ctl->base, EVLOOP_NO_EXIT_ON_EMPTY);
+      else if (j->result == JOURNAL_RUNNING && j->retry_us > now_us)
+        wait_until (ctl, MIN (j->retry_us, j->deadline_us));
+    }
+}
+
+int
+ctl_load (struct ctl *ctl, uint64_t base_revision)
+{
+  struct journal *j = &ctl->journal;
+
+  if (!open_store (ctl))
+    return CTL_USAGE;
+  journal_load (j, base_revision, ctl_get_deadline (ctl));
+  ctl_run_journal (ctl);
+  switch (j->result)
+    {
+    case JOURNAL_LOADED:
+      return CTL_OK;
+    case JOURNAL_TOO_OLD:
+      ctl_print_error ("revision %" G_GUINT64_FORMAT " is not kept any more "
+                       "or never existed; the newest is %" G_GUINT64_FORMAT,
+                       base_revision, j->inv.revision);
+      return CTL_DATA;
+    case JOURNAL_CORRUPT:
+      ctl_print_error ("stored data cannot be read: %.*s",
+                       STR_ARG (str_view (&j->problems)));
+      return CTL_SOFTWARE;
+    default:
+      ctl_print_error ("the platform at %s cannot be reached; nothing was "
+                       "changed",
+                       ctl->platform);
+      return CTL_UNAVAILABLE;
+    }
+}
+
+bool
+ctl_fetch (struct ctl *ctl, const char *address, const char *target,
+           struct str_buf *body)
+{
+  struct fetch f = { .base = ctl->base, .body = body };
+  struct httpc_request request
+      = { .method = "GET",
+          .target = str_from_cstr (target),
+          .body = STR_EMPTY,
+          .timeout_us = (int64_t)ctl->timeout_ms * CLOCK_US_PER_MS,
+          .done = on_fetched,
+          .data = &f };
+  struct httpc_pool *pool;
+  struct str ip;
+  uint16_t port;
+
+  if (!ctl_split_address ("--daemon", address, &ip, &port))
+    return false;
+  pool = httpc_load_pool (ctl->base, ip, port, 1, ANSWER_MAX_BYTES);
+  httpc_send (pool, &request);
+  event_base_loop (ctl->base, EVLOOP_NO_EXIT_ON_EMPTY);
+  httpc_unload_pool (pool);
+  str_free (&ip);
+  if (f.result == HTTPC_ANSWERED && f.status == 200)
+    return true;
+  if (f.result == HTTPC_ANSWERED)
+    ctl_print_error ("the daemon at %s answered with status %d", address,
+                     f.status);
+  else
+    ctl_print_error ("the daemon at %s cannot be reached", address);
+  return false;
+}
--- a/src/inventory.c
+++ b/src/inventory.c
@@ -267,8 +267,8 @@
          && memchr (s.data, '.', s.len) == NULL;
 }
 
-/* A dot segment or an escape would let two spellings of one path match
-   different routes.  */
+/* A dot segment, an escape or a slash at the end would give one path two
+   spellings.  */
 static bool
 is_path (struct str s)
 {
@@ -277,6 +277,8 @@
   for (size_t i = 0; i < s.len; i++)
     if (!g_ascii_isgraph (s.data[i]) || strchr ("?#%\\", s.data[i]) != NULL)
       return false;
+  if (s.len > 1 && s.data[s.len - 1] == '/')
+    return false;
   return !str_contains (s, STR_LIT ("//"))
          && !str_contains (s, STR_LIT ("/."));
 }
@@ -496,16 +498,6 @@
 
 /* Internal functions: matching */
 
-/* A prefix covers whole path segments: /a covers /a and /a/b, not /ab.  */
-static bool
-covers_path (struct str prefix, struct str path)
-{
-  if (!str_has_prefix (path, prefix))
-    return false;
-  return path.len == prefix.len || prefix.data[prefix.len - 1] == '/'
-         || path.data[prefix.len] == '/';
-}
-
 static bool
 matches_rule (const struct inventory_rule *rule, struct str workspace,
               struct str route, uint32_t method)
@@ -740,47 +732,6 @@
   return count + check_paths (inv, problems) + check_hashes (inv, problems);
 }
 
-/**
- * inventory_match_route - finds the route of a request
- * @inv: inventory
- * @path: request path; a query is ignored
- * @method: one enum inventory_method
- * @path_known: receives whether some route covers the path
- *
- * The longest prefix that covers the path decides; a shorter one is not tried
- * if the method is not among those of the longest.
- *
- * Return: the route or NULL.
- */
-const struct inventory_route *
-inventory_match_route (const struct inventory *inv, struct str path,
-                       uint32_t method, bool *path_known)
-{
-  const struct table *t = &inv->tables[INVENTORY_ROUTE];
-  const char *query = memchr (path.data, '?', path.len);
-  const struct inventory_route *found = NULL;
-  size_t longest = 0;
-  void *row;
-
-  if (query != NULL)
-    path.len = (size_t)(query - path.data);
-  for (uint64_t id = table_next (t, 0, &row); id != 0;
-       id = table_next (t, id, &row))
-    {
-      const struct inventory_route *r = row;
-
-      if (r->path_prefix.len < longest || !covers_path (r->path_prefix, path))
-        continue;
-      if (r->path_prefix.len > longest)
-        found = NULL;
-      longest = r->path_prefix.len;
-      if ((r->methods & method) != 0)
-        found = r;
-    }
-  *path_known = longest > 0;
-  return found;
-}
-
 /**
  * inventory_match_rule - finds the rule that decides the importance
  * @inv: inventory
@@ -1055,7 +1006,8 @@
     [INVENTORY_TEXT_KEY_ID]
     = "a key id of at most 64 of a-z 0-9 -, beginning with a-z or 0-9",
     [INVENTORY_TEXT_PATH] = "a path of at most 256 characters that begins "
-                            "with / and has no // /. ? # % or blank",
+                            "with /, does not end with / and has no // /. ? # "
+                            "% or blank",
     [INVENTORY_TEXT_SHA256] = "64 of 0-9 a-f",
   };
 
--- a/src/inventory.h
+++ b/src/inventory.h
@@ -193,11 +193,6 @@
 uint32_t inventory_validate (const struct inventory *inv,
                              struct str_buf *problems);
 
-/* route of a path (the query is ignored) and method; NULL if none, and then
-   *path_known tells whether another method would match */
-const struct inventory_route *
-inventory_match_route (const struct inventory *inv, struct str path,
-                       uint32_t method, bool *path_known);
 /* rule that decides the importance, or NULL if the route's own holds */
 const struct inventory_rule *inventory_match_rule (const struct inventory *inv,
                                                    struct str workspace,
--- a/tests/test_inventory.c
+++ b/tests/test_inventory.c
@@ -155,6 +155,8 @@
                   "and method");
   expect_problem ("\"/bookings/notes\"", "\"/bookings/../x\"",
                   "routes/notes/path_prefix");
+  expect_problem ("\"/bookings/notes\"", "\"/bookings/\"",
+                  "routes/notes/path_prefix");
   expect_problem ("\"idempotent\": true",
                   "\"idempotent\": true, \"idempotency_key\": \"optional\"",
                   "routes/list/idempotency_key");
@@ -167,30 +169,14 @@
 }
 END_TEST
 
-/* Guards against a request that gets the route of a sibling path, a shorter
-   prefix, or the importance of a later rule.  */
+/* Guards against a request that gets the importance of a later rule or a route
+   that its workspace may not use.  */
 START_TEST (requests_match)
 {
   struct inventory inv;
   const struct inventory_workspace *ws;
-  bool known;
 
   load (&inv, text);
-  ck_assert (str_equal (inventory_match_route (&inv, STR_LIT ("/bookings?a=/"),
-                                               INVENTORY_POST, &known)
-                            ->name,
-                        STR_LIT ("book")));
-  ck_assert (
-      str_equal (inventory_match_route (&inv, STR_LIT ("/bookings/notes/1"),
-                                        INVENTORY_GET, &known)
-                     ->name,
-                 STR_LIT ("notes")));
-  ck_assert_ptr_null (inventory_match_route (&inv, STR_LIT ("/bookings/notes"),
-                                             INVENTORY_POST, &known));
-  ck_assert (known);
-  ck_assert_ptr_null (inventory_match_route (&inv, STR_LIT ("/bookingsx"),
-                                             INVENTORY_GET, &known));
-  ck_assert (!known);
   ck_assert (str_equal (inventory_match_rule (&inv, STR_LIT ("north"),
                                               STR_LIT ("book"), INVENTORY_POST)
                             ->name,
