--- a/src/quota.c
+++ b/src/quota.c
@@ -7,8 +7,12 @@
 /* Constants */
 
 #define WINDOW_US 100000
-/* Weight of the last window in the demand, as a shift.  */
-#define DEMAND_SHIFT 2
+/* Weight of the last window in the two estimates of demand, as shifts.  */
+#define FAST_SHIFT 3
+#define SLOW_SHIFT 5
+/* Below this number of requests in a window the lower estimate counts: single
+   requests would else ask for tokens that expire unspent.  */
+#define FEW_REQUESTS 2
 #define WINDOWS_MAX 64
 /* Time before a lot runs out at which the next one is asked for, beyond the
    round trip: two ticks.  */
@@ -99,26 +103,40 @@
   return true;
 }
 
-/* Place for a new lot: an empty one, or the one that expires first.  */
-static struct quota_lot *
-choose_place (struct quota *q, int64_t now_us)
+/* Adds a lot in an empty place.  If there is none, the tokens join the lot that
+   expires last and expire with it; those of two epochs are never returned.  */
+static void
+add_lot (struct quota *q, struct quota_lot added, int64_t now_us)
 {
-  struct quota_lot *place = &q->lots[0];
+  struct quota_lot *last = &q->lots[0];
 
   for (uint32_t i = 0; i < QUOTA_LOTS; i++)
     {
       struct quota_lot *lot = &q->lots[i];
 
       if (lot->count == 0 || lot->expires_us <= now_us)
-        return lot;
-      if (lot->expires_us < place->expires_us)
-        place = lot;
+        {
+          *lot = added;
+          return;
+        }
+      if (lot->expires_us > last->expires_us)
+        last = lot;
     }
-  return place;
+  last->count += added.count;
+  last->expires_us = MIN (last->expires_us, added.expires_us);
+  if (last->epoch != added.epoch)
+    last->epoch = 0;
 }
 
 /* Internal functions: demand */
 
+static void
+add_window (uint64_t *demand_q16, uint32_t arrivals, unsigned int shift)
+{
+  *demand_q16 -= *demand_q16 >> shift;
+  *demand_q16 += ((uint64_t)arrivals << 16) >> shift;
+}
+
 static void
 update_demand (struct quota *q, int64_t now_us)
 {
@@ -129,8 +147,8 @@
   q->window_us += windows * WINDOW_US;
   for (int64_t i = 0; i < MIN (windows, WINDOWS_MAX); i++)
     {
-      q->demand_q8 -= q->demand_q8 >> DEMAND_SHIFT;
-      q->demand_q8 += ((uint64_t)q->arrivals << 8) >> DEMAND_SHIFT;
+      add_window (&q->fast_q16, q->arrivals, FAST_SHIFT);
+      add_window (&q->slow_q16, q->arrivals, SLOW_SHIFT);
       q->arrivals = 0;
     }
 }
@@ -139,8 +157,12 @@
 static uint32_t
 forecast (const struct quota *q, int64_t span_us)
 {
-  uint64_t n = q->demand_q8 * (uint64_t)MAX (span_us, 0) / WINDOW_US >> 8;
+  uint64_t demand = q->fast_q16;
+  uint64_t n;
 
+  if (demand < (uint64_t)FEW_REQUESTS << 16)
+    demand = MIN (demand, q->slow_q16);
+  n = demand * (uint64_t)MAX (span_us, 0) / WINDOW_US >> 16;
   return (uint32_t)MIN (n, UINT32_MAX);
 }
 
@@ -337,8 +359,11 @@
       q->next_ask_us = now_us + BACKOFF_US;
     }
   if (count > 0)
-    *choose_place (q, now_us)
-        = (struct quota_lot){ count, from + q->validity_us, epoch };
+    add_lot (q,
+             (struct quota_lot){ .count = count,
+                                 .expires_us = from + q->validity_us,
+                                 .epoch = epoch },
+             now_us);
   return true;
 }
 
