Measure a last service that announces too many slots

Cause: the adaptive limit made no difference in the other scenarios, whose backend servers announce their true slots. Change: scenario "overstated".

--- a/bench/bench_overload.c
+++ b/bench/bench_overload.c
@@ -70,11 +70,12 @@
 struct scenario
 {
   const char *name;
-  double surge;       /* factor of all arrivals during the trouble */
-  double noisy;       /* factor of workspace 0 during the trouble */
-  double slow;        /* factor of the last service's time */
-  double lame;        /* the same for one of its backend servers alone */
-  int64_t trouble_us; /* duration */
+  double surge;        /* factor of all arrivals during the trouble */
+  double noisy;        /* factor of workspace 0 during the trouble */
+  double slow;         /* factor of the last service's time */
+  double lame;         /* the same for one of its backend servers alone */
+  int64_t trouble_us;  /* duration */
+  uint32_t deep_slots; /* that the last service announces */
 };
 
 /* A request on its way from one daemon to the next service.  */
@@ -216,12 +217,13 @@
         STR_LIT ("w4"), STR_LIT ("w5"), STR_LIT ("w6"), STR_LIT ("w7") };
 
 static const struct scenario scenarios[] = {
-  { "steady", 1, 1, 1, 1, TROUBLE_US },
-  { "burst", 3, 1, 1, 1, 400000 },
-  { "surge", 3 / STEADY_SHARE, 1, 1, 1, TROUBLE_US },
-  { "slow", 1, 1, 5, 1, TROUBLE_US },
-  { "lame", 1, 1, 1, 5, TROUBLE_US },
-  { "noisy", 1, 6, 1, 1, TROUBLE_US },
+  { "steady", 1, 1, 1, 1, TROUBLE_US, DEEP_SLOTS },
+  { "burst", 3, 1, 1, 1, 400000, DEEP_SLOTS },
+  { "surge", 3 / STEADY_SHARE, 1, 1, 1, TROUBLE_US, DEEP_SLOTS },
+  { "slow", 1, 1, 5, 1, TROUBLE_US, DEEP_SLOTS },
+  { "lame", 1, 1, 1, 5, TROUBLE_US, DEEP_SLOTS },
+  { "noisy", 1, 6, 1, 1, TROUBLE_US, DEEP_SLOTS },
+  { "overstated", 3 / STEADY_SHARE, 1, 1, 1, TROUBLE_US, SLOTS },
 };
 
 /* Share of the steady rate; two workspaces are large.  */
@@ -482,6 +484,10 @@
       c->state = CALL_FIRST_HALF;
       c->started_us = s->now_us;
       c->in_flight = ++v->running;
+      /* A backend server that announces too many slots shares its capacity
+         among the requests above the true number.  */
+      if (c->level == LEVELS - 1 && v->running > DEEP_SLOTS)
+        mean_us *= (double)v->running / DEEP_SLOTS;
       c->own_us = draw_exponential (s, mean_us);
       schedule (s, s->now_us + (int64_t)(c->own_us / 2), EVENT_PHASE,
                 item.job);
@@ -827,7 +833,8 @@
         v->admit = s->policy->admit->init (&admit);
         s->policy->limit->init (&v->limit, &limit);
         s->policy->limit->announce (
-            &v->limit, l == LEVELS - 1 ? DEEP_SLOTS : SLOTS, -WARM_US);
+            &v->limit, l == LEVELS - 1 ? s->scenario->deep_slots : SLOTS,
+            -WARM_US);
       }
   for (uint32_t f = 0; f < FRONTS; f++)
     init_sender (s, &s->fronts[f], 200 + f, 0);
