Use the usual terms in the overload modules and their bench

Cause: some names were figurative (calm, hopeless, lame, trouble, fade). Ruled out: keeping them as private words of the bench. Change: names only; normal_intervals, cannot_wait, one_slow, disturbance, decay. Conclusion: no behaviour changed.

--- a/bench/bench_overload.c
+++ b/bench/bench_overload.c
@@ -43,7 +43,7 @@
 #define TICK_US 10000
 #define WINDOW_US 500000
 #define WARM_US 10000000
-#define TROUBLE_US 10000000
+#define DISTURBANCE_US 10000000
 #define RUN_US 50000000
 #define WINDOWS (RUN_US / WINDOW_US)
 /* Policies that run by default.  */
@@ -70,12 +70,12 @@
 struct scenario
 {
   const char *name;
-  double surge;        /* factor of all arrivals during the trouble */
-  double noisy;        /* factor of workspace 0 during the trouble */
-  double slow;         /* factor of the last service's time */
-  double lame;         /* the same for one of its backend servers alone */
-  int64_t trouble_us;  /* duration */
-  uint32_t deep_slots; /* that the last service announces */
+  double surge;           /* factor of all arrivals during the disturbance */
+  double noisy;           /* factor of workspace 0 during the disturbance */
+  double slow;            /* factor of the last service's time */
+  double one_slow;        /* the same for one of its backend servers alone */
+  int64_t disturbance_us; /* duration */
+  uint32_t deep_slots;    /* that the last service announces */
 };
 
 /* A request on its way from one daemon to the next service.  */
@@ -110,7 +110,7 @@
   uint32_t importance;
   uint32_t levels;
   uint32_t window; /* of the arrival */
-  bool trouble;    /* arrived during the trouble */
+  bool disturbed;  /* arrived during the disturbance */
   int64_t born_us;
   uint32_t attempts;
   uint32_t front;
@@ -184,9 +184,9 @@
 {
   struct cell cells[WORKSPACES][WINDOWS];
   double window_good[WINDOWS]; /* by the time of the answer */
-  double offered_trouble;
-  double good_trouble; /* of requests that arrived in it */
-  double top_offered;  /* of them importance 7 and 9 */
+  double offered_disturbed;
+  double good_disturbed; /* of requests that arrived in it */
+  double top_offered;    /* of them importance 7 and 9 */
   double top_good;
   double latency[LATENCIES]; /* good requests by ms */
 };
@@ -217,13 +217,13 @@
         STR_LIT ("w4"), STR_LIT ("w5"), STR_LIT ("w6"), STR_LIT ("w7") };
 
 static const struct scenario scenarios[] = {
-  { "steady", 1, 1, 1, 1, TROUBLE_US, DEEP_SLOTS },
+  { "steady", 1, 1, 1, 1, DISTURBANCE_US, DEEP_SLOTS },
   { "burst", 3, 1, 1, 1, 400000, DEEP_SLOTS },
-  { "surge", 3 / STEADY_SHARE, 1, 1, 1, TROUBLE_US, DEEP_SLOTS },
-  { "slow", 1, 1, 5, 1, TROUBLE_US, DEEP_SLOTS },
-  { "lame", 1, 1, 1, 5, TROUBLE_US, DEEP_SLOTS },
-  { "noisy", 1, 6, 1, 1, TROUBLE_US, DEEP_SLOTS },
-  { "overstated", 3 / STEADY_SHARE, 1, 1, 1, TROUBLE_US, SLOTS },
+  { "surge", 3 / STEADY_SHARE, 1, 1, 1, DISTURBANCE_US, DEEP_SLOTS },
+  { "slow", 1, 1, 5, 1, DISTURBANCE_US, DEEP_SLOTS },
+  { "one_slow", 1, 1, 1, 5, DISTURBANCE_US, DEEP_SLOTS },
+  { "noisy", 1, 6, 1, 1, DISTURBANCE_US, DEEP_SLOTS },
+  { "overstated", 3 / STEADY_SHARE, 1, 1, 1, DISTURBANCE_US, SLOTS },
 };
 
 /* Share of the steady rate; two workspaces are large.  */
@@ -289,9 +289,10 @@
 }
 
 static bool
-is_trouble (const struct sim *s)
+is_disturbed (const struct sim *s)
 {
-  return s->now_us >= WARM_US && s->now_us < WARM_US + s->scenario->trouble_us;
+  return s->now_us >= WARM_US
+         && s->now_us < WARM_US + s->scenario->disturbance_us;
 }
 
 static double
@@ -299,7 +300,7 @@
 {
   double rate = CAPACITY * STEADY_SHARE * shares[workspace];
 
-  if (!is_trouble (s))
+  if (!is_disturbed (s))
     return rate;
   return rate * s->scenario->surge * (workspace == 0 ? s->scenario->noisy : 1);
 }
@@ -478,9 +479,9 @@
       struct call *c = get_call (s, item.job);
       double mean_us = c->level == LEVELS - 1 ? DEEP_US : OWN_US;
 
-      if (c->level == LEVELS - 1 && is_trouble (s))
-        mean_us
-            *= s->scenario->slow * (c->server == 0 ? s->scenario->lame : 1);
+      if (c->level == LEVELS - 1 && is_disturbed (s))
+        mean_us *= s->scenario->slow
+                   * (c->server == 0 ? s->scenario->one_slow : 1);
       c->state = CALL_FIRST_HALF;
       c->started_us = s->now_us;
       c->in_flight = ++v->running;
@@ -736,11 +737,11 @@
   r->importance = draw_importance (s);
   r->levels = g_rand_double (s->rand) < DEEP_SHARE ? LEVELS : SHALLOW_LEVELS;
   r->window = (uint32_t)MIN (s->now_us / WINDOW_US, WINDOWS - 1);
-  r->trouble = is_trouble (s);
+  r->disturbed = is_disturbed (s);
   r->born_us = s->now_us;
   s->result.cells[w][r->window].offered++;
-  s->result.offered_trouble += r->trouble;
-  s->result.top_offered += r->trouble && r->importance >= 7;
+  s->result.offered_disturbed += r->disturbed;
+  s->result.top_offered += r->disturbed && r->importance >= 7;
   schedule (s, s->now_us, EVENT_ATTEMPT, id);
   schedule (s,
             s->now_us + (int64_t)draw_exponential (s, 1e6 / get_rate (s, w)),
@@ -773,8 +774,8 @@
       return;
     }
   cell->good++;
-  m->good_trouble += r->trouble;
-  m->top_good += r->trouble && r->importance >= 7;
+  m->good_disturbed += r->disturbed;
+  m->top_good += r->disturbed && r->importance >= 7;
   m->window_good[MIN (s->now_us / WINDOW_US, WINDOWS - 1)]++;
   m->latency[MIN (ms, LATENCIES - 1)]++;
 }
@@ -924,16 +925,17 @@
   RECOVERY, /* s until 95% of the earlier goodput, 50 if never */
   WORST,    /* worst-served workspace: good share of what it is entitled to */
   WRONGFUL, /* share of the entitled requests that were rejected */
-  SHARE,    /* good share of the requests that arrived during the trouble */
-  TOP,      /* the same for importance 7 and 9 */
-  P50,      /* latency of good requests, ms */
+  SHARE, /* good share of the requests that arrived during the disturbance */
+  TOP,   /* the same for importance 7 and 9 */
+  P50,   /* latency of good requests, ms */
   P99,
   MEASURES
 };
 
-static const char *const measure_names[MEASURES]
-    = { "goodput/s",       "recovery s",      "worst workspace", "wrongful",
-        "good in trouble", "importance 7, 9", "p50 ms",          "p99 ms" };
+static const char *const measure_names[MEASURES] = {
+  "goodput/s",           "recovery s",      "worst workspace", "wrongful",
+  "good in disturbance", "importance 7, 9", "p50 ms",          "p99 ms"
+};
 
 static const int measure_digits[MEASURES] = { 0, 1, 3, 4, 3, 3, 0, 0 };
 
@@ -948,9 +950,9 @@
 }
 
 static double
-get_recovery_s (const struct result *r, int64_t trouble_us)
+get_recovery_s (const struct result *r, int64_t disturbance_us)
 {
-  const size_t end = (WARM_US + trouble_us + WINDOW_US - 1) / WINDOW_US;
+  const size_t end = (WARM_US + disturbance_us + WINDOW_US - 1) / WINDOW_US;
   const size_t warm = WARM_US / WINDOW_US;
   double steady = sum (r->window_good, FILL_WINDOWS, warm)
                   / (double)(warm - FILL_WINDOWS);
@@ -986,13 +988,13 @@
   return MIN (c->offered, rate * WINDOW_US / 1e6);
 }
 
-/* Worst service of a workspace during the trouble, and wrongful rejections in
+/* Worst service of a workspace during the disturbance, and wrongful rejections in
    the whole run.  */
 static void
-measure_workspaces (const struct result *r, int64_t trouble_us, double *m)
+measure_workspaces (const struct result *r, int64_t disturbance_us, double *m)
 {
   const size_t from = WARM_US / WINDOW_US;
-  const size_t to = (WARM_US + trouble_us + WINDOW_US - 1) / WINDOW_US;
+  const size_t to = (WARM_US + disturbance_us + WINDOW_US - 1) / WINDOW_US;
   double entitled_all = 0, wrongful = 0;
 
   m[WORST] = 1;
@@ -1018,12 +1020,12 @@
 }
 
 static void
-measure (const struct result *r, int64_t trouble_us, double *m)
+measure (const struct result *r, int64_t disturbance_us, double *m)
 {
-  measure_workspaces (r, trouble_us, m);
+  measure_workspaces (r, disturbance_us, m);
   m[GOODPUT] = sum (r->window_good, 0, WINDOWS) * 1e6 / RUN_US;
-  m[RECOVERY] = get_recovery_s (r, trouble_us);
-  m[SHARE] = r->good_trouble / r->offered_trouble;
+  m[RECOVERY] = get_recovery_s (r, disturbance_us);
+  m[SHARE] = r->good_disturbed / r->offered_disturbed;
   m[TOP] = r->top_good / r->top_offered;
   m[P50] = get_latency (r, 0.5);
   m[P99] = get_latency (r, 0.99);
@@ -1041,7 +1043,7 @@
       struct result r = run (policy, scenario, seed + i);
       double m[MEASURES];
 
-      measure (&r, scenario->trouble_us, m);
+      measure (&r, scenario->disturbance_us, m);
       for (int k = 0; k < MEASURES; k++)
         {
           all[k] += m[k] / seeds;
--- a/src/admit.c
+++ b/src/admit.c
@@ -19,8 +19,8 @@
    with it none did (test_admit).  */
 #define ADMIT_WAIT_MARGIN 1.2
 /* Intervals without overload before the threshold falls by one.  */
-#define ADMIT_CALM_INTERVALS 3u
-/* What a workspace has received fades to a third in this time.  A share that
+#define ADMIT_NORMAL_INTERVALS 3u
+/* What a workspace has received decays to a third in this time.  A share that
    it did not use is not claimed back later than that.  */
 #define ADMIT_SHARE_MEMORY_US 1000000.0
 /* A flow without entries is kept so long.  */
@@ -57,7 +57,7 @@
 {
   uint64_t workspace;
   uint32_t weight;
-  double used; /* starts divided by the weight, fading */
+  double used; /* starts divided by the weight, decaying */
   uint32_t flows;
 };
 
@@ -94,10 +94,10 @@
   uint32_t limit;
   double service_us; /* mean service time, 0 if unknown */
   uint32_t threshold;
-  uint32_t starts; /* in this interval */
-  double capacity; /* average starts of an interval */
-  bool emptied;    /* the queue was empty in this interval */
-  uint32_t calm;   /* intervals in a row without overload */
+  uint32_t starts;           /* in this interval */
+  double capacity;           /* average starts of an interval */
+  bool emptied;              /* the queue was empty in this interval */
+  uint32_t normal_intervals; /* intervals in a row without overload */
   int64_t interval_end_us;
 };
 
@@ -366,7 +366,7 @@
 
 /* True if the entries ahead alone take longer than the item can wait.  */
 static bool
-is_hopeless (const struct admit *a, const struct admit_item *item,
+cannot_wait (const struct admit *a, const struct admit_item *item,
              int64_t now_us)
 {
   double wait_us;
@@ -523,18 +523,18 @@
   a->emptied = a->len == 0;
   if (overloaded)
     {
-      a->calm = 0;
+      a->normal_intervals = 0;
       a->threshold = find_level (a);
       return;
     }
-  if (++a->calm < ADMIT_CALM_INTERVALS || a->threshold == 0)
+  if (++a->normal_intervals < ADMIT_NORMAL_INTERVALS || a->threshold == 0)
     return;
-  a->calm = 0;
+  a->normal_intervals = 0;
   a->threshold--;
 }
 
 static void
-fade_shares (struct admit *a)
+decay_shares (struct admit *a)
 {
   double factor
       = exp (-(double)a->settings.interval_us / ADMIT_SHARE_MEMORY_US);
@@ -679,7 +679,7 @@
     return ERR_OVERLOADED;
   if (is_late (a, &clipped, now_us))
     return ERR_DEADLINE_NOT_RUN;
-  if (is_hopeless (a, &clipped, now_us))
+  if (cannot_wait (a, &clipped, now_us))
     return ERR_OVERLOADED;
   if (a->len >= a->settings.queue_max && !is_off (a, ADMIT_RULE_BOUND)
       && !make_room (a, &clipped))
@@ -748,7 +748,7 @@
     return;
   a->interval_end_us = now_us + a->settings.interval_us;
   decide_threshold (a, now_us);
-  fade_shares (a);
+  decay_shares (a);
   remove_idle_flows (a, now_us);
 }
 
--- a/src/feedback.c
+++ b/src/feedback.c
@@ -18,12 +18,12 @@
    accepted; with 2 more work was rejected after it had run elsewhere.  */
 #define FEEDBACK_SURPLUS 1.5
 /* Below this level no service on the path is overloaded.  */
-#define FEEDBACK_LEVEL_CALM 0.5
+#define FEEDBACK_LEVEL_MIN 0.5
 /* Rejected requests that a flow may have before any is held back, so that a few
    rejections of a quiet workspace have no effect.  */
 #define FEEDBACK_SLACK 3.0
-/* The counts of a flow fade to a third in this time.  */
-#define FEEDBACK_FADE_US 2000000.0
+/* The counts of a flow decay to a third in this time.  */
+#define FEEDBACK_DECAY_US 2000000.0
 #define FEEDBACK_IDLE_US 60000000
 
 /* Internal functions */
@@ -186,17 +186,18 @@
   *id = table_add (&f->flows, &row);
   flow = row;
   flow->key = key;
-  flow->faded_us = now_us;
+  flow->decayed_us = now_us;
   g_hash_table_insert (f->flow_by_key, &flow->key, id);
   return flow;
 }
 
 static void
-fade_flow (struct feedback_flow *flow, int64_t now_us)
+decay_flow (struct feedback_flow *flow, int64_t now_us)
 {
-  double factor = exp (-(double)(now_us - flow->faded_us) / FEEDBACK_FADE_US);
+  double factor
+      = exp (-(double)(now_us - flow->decayed_us) / FEEDBACK_DECAY_US);
 
-  flow->faded_us = now_us;
+  flow->decayed_us = now_us;
   for (uint32_t i = 0; i < FEEDBACK_IMPORTANCES; i++)
     {
       flow->requests[i] *= factor;
@@ -214,7 +215,7 @@
     {
       const struct feedback_flow *flow = row;
 
-      if (now_us - flow->faded_us <= FEEDBACK_IDLE_US)
+      if (now_us - flow->decayed_us <= FEEDBACK_IDLE_US)
         continue;
       g_hash_table_remove (f->flow_by_key, &flow->key);
       table_remove (&f->flows, id);
@@ -341,13 +342,13 @@
 
   if (flow == NULL || is_off (f, FEEDBACK_RULE_THROTTLE))
     return false;
-  if (get_served_level (f, route, now_us) < FEEDBACK_LEVEL_CALM)
+  if (get_served_level (f, route, now_us) < FEEDBACK_LEVEL_MIN)
     {
       flow->requests[i] = 0;
       flow->accepts[i] = 0;
       return false;
     }
-  fade_flow (flow, now_us);
+  decay_flow (flow, now_us);
   excess = flow->requests[i] - FEEDBACK_SURPLUS * flow->accepts[i]
            - FEEDBACK_SLACK;
   if (g_rand_double (f->rand) >= excess / (flow->requests[i] + 1))
@@ -367,7 +368,7 @@
 
   if (flow == NULL)
     return;
-  fade_flow (flow, now_us);
+  decay_flow (flow, now_us);
   flow->requests[i]++;
   if (accepted)
     flow->accepts[i]++;
--- a/src/feedback.h
+++ b/src/feedback.h
@@ -62,13 +62,13 @@
   int64_t used_us;
 };
 
-/* Requests of one workspace on one route, by importance.  The counts fade.  */
+/* Requests of one workspace on one route, by importance.  The counts decay.  */
 struct feedback_flow
 {
   uint64_t key;                          /* hash of the names */
   double requests[FEEDBACK_IMPORTANCES]; /* answered or held back */
   double accepts[FEEDBACK_IMPORTANCES];  /* not rejected as overloaded */
-  int64_t faded_us;                      /* time the counts were faded to */
+  int64_t decayed_us;                    /* time the counts were decayed to */
 };
 
 struct feedback
--- a/tests/test_feedback.c
+++ b/tests/test_feedback.c
@@ -39,7 +39,7 @@
   struct feedback f = make_feedback (0);
 
   note_times (&f, route, "deep", 6, 30, 0);
-  note_times (&f, STR_LIT ("other"), "calm", 2, 30, 0);
+  note_times (&f, STR_LIT ("other"), "idle", 2, 30, 0);
   ck_assert_uint_eq (feedback_get_level (&f, route, 0), 6);
   ck_assert_uint_eq (feedback_get_level (&f, STR_LIT ("other"), 0), 2);
   ck_assert_uint_eq (feedback_get_level (&f, STR_LIT ("unseen"), 0), 0);
