serve: give the serving hop a span of its own

Cause: the serve span used the span id of the front's attempt span and had no parent, so a trace had two spans of one id and fell into several trees. Ruled out: marking the attempt span as the parent in the collector (span ids have to be unique in a trace). Change: a job begins a child of the attempt's span; the backend server and the hop token get that child's traceparent.

--- a/src/serve.c
+++ b/src/serve.c
@@ -140,13 +140,13 @@
                              .status = (uint32_t)status,
                              .importance = q->importance,
                              .depth = q->depth,
-                             .duration_us = now_us - job->arrived_us };
-  struct trace_context parent;
+                             .duration_us = now_us - job->arrived_us,
+                             .context = job->trace,
+                             .has_parent = true };
 
-  if (!trace_parse_parent (q->traceparent, &parent) || !parent.sampled)
+  if (!job->traced || !job->trace.sampled)
     return;
-  /* The hop's context is the span that nested calls name as their parent. */
-  span.context = parent;
+  memcpy (span.parent_id, job->trace_parent.span_id, sizeof span.parent_id);
   span.start_us = clock_wall_ms () * CLOCK_US_PER_MS - span.duration_us;
   if (job->started_us > 0)
     span.queue_us = job->started_us - job->arrived_us;
@@ -238,7 +238,7 @@
   struct hop_context context;
 
   if (!hop_init_context (&context, q->workspace, q->importance, q->depth,
-                         job->deadline_us, q->traceparent))
+                         job->deadline_us, str_view (&job->traceparent)))
     return false;
   job->hop = hop_issue (&s->shared->hops, &context, q->retry_budget, token);
   return job->hop != 0;
@@ -283,9 +283,10 @@
   headers[r.headers_len++]
       = (struct httpc_header){ STR_LIT ("X-Almondvale-Timeout-Ms"),
                                str_from_cstr (timeout) };
-  if (q->traceparent.len > 0)
+  if (job->traced)
     headers[r.headers_len++]
-        = (struct httpc_header){ STR_LIT ("traceparent"), q->traceparent };
+        = (struct httpc_header){ STR_LIT ("traceparent"),
+                                 str_view (&job->traceparent) };
   method = str_dup_cstr (q->method);
   r.method = method;
   job->started_us = now_us;
@@ -308,6 +309,19 @@
 
 /* Internal functions: messages of fronts */
 
+/* Begins the span that the backend server and nested calls name as their
+   parent.  */
+static void
+begin_span (struct serve_job *job)
+{
+  job->traced = trace_parse_parent (job->message.u.request.traceparent,
+                                    &job->trace_parent);
+  if (!job->traced)
+    return;
+  trace_begin_child (&job->trace, &job->trace_parent);
+  trace_append_parent (&job->traceparent, &job->trace);
+}
+
 static void
 receive_request (struct serve *s, uint64_t link, struct str frame)
 {
@@ -328,6 +342,7 @@
     }
   atomic_fetch_add (&s->shared->open_jobs, 1);
   job->deadline_us = now_us + job->message.u.request.timeout_us;
+  begin_span (job);
   switch (attempt_receive (&s->attempts, job->message.u.request.attempt, id,
                            job->deadline_us, now_us))
     {
@@ -677,6 +692,7 @@
   wire_unload_message (&job->message);
   str_free (&job->frame);
   str_reset (&job->body);
+  str_reset (&job->traceparent);
   table_remove (&s->jobs, job->id);
   atomic_fetch_sub (&s->shared->open_jobs, 1);
 }
--- a/src/serve.h
+++ b/src/serve.h
@@ -42,9 +42,13 @@
   int64_t started_us;
   int64_t deadline_us;
   uint32_t weight;
-  uint64_t entry;   /* in the admission queue */
-  uint64_t hop;     /* row of its hop token */
-  uint32_t running; /* jobs running when it started */
+  uint64_t entry;             /* in the admission queue */
+  uint64_t hop;               /* row of its hop token */
+  bool traced;                /* the request carries a valid traceparent */
+  struct trace_context trace; /* of this hop's span */
+  struct trace_context trace_parent; /* of the attempt's span */
+  struct str_buf traceparent;        /* of this hop's span, for the backend */
+  uint32_t running;                  /* jobs running when it started */
   struct httpc_exchange *exchange;
 };
 
