--- a/Makefile
+++ b/Makefile
@@ -85,6 +85,10 @@
 	printf '%s\n' $(wildcard src/*.c standins/*.c bench/*.c) \
 	  | xargs -P $$(nproc) -I{} clang-tidy --quiet {} -- -std=gnu11 $(CPPFLAGS_BASE)
 
+# Shows a small deployment at work.
+demo: all
+	tools/demo $(BUILD)
+
 # Writes the generated tables of docs/operations.md again.
 reference: $(BUILD)/reference
 	tools/write-reference $(BUILD)/reference docs/operations.md
--- a/standins/collector.c
+++ b/standins/collector.c
@@ -22,7 +22,7 @@
 #define DEPTH_MAX 64
 #define INDENT 2
 #define NS_PER_US 1000
-#define NAME_WIDTH 40
+#define NAME_WIDTH 60
 
 /* Types */
 
