Take part in leases with a platform; run rates and idempotency keys

Cause: node_shard was not connected to the platform and the members. Ruled out: one store for watches and leases (a waiting watch would hold a connection that a renewal needs). Change: node_config opens a second store for leases; node_shard connects.

--- a/src/node_config.c
+++ b/src/node_config.c
@@ -26,6 +26,7 @@
    for a watcher.  */
 #define JOIN_US (2 * CLOCK_US_PER_S)
 #define STORE_CONNECTIONS 2u
+#define LEASE_STORE_CONNECTIONS 8u
 #define SNAPSHOT_MAX_BYTES ((uint64_t)64 << 20)
 
 /* Internal functions: applying changes */
@@ -376,8 +377,14 @@
   c->node_config = n;
   n->started_us = clock_now_us ();
   if (s->platform.address.len > 0)
-    n->store = store_load_http (c->loop.base, s->platform.address,
-                                (uint16_t)s->platform.port, STORE_CONNECTIONS);
+    {
+      n->store
+          = store_load_http (c->loop.base, s->platform.address,
+                             (uint16_t)s->platform.port, STORE_CONNECTIONS);
+      n->lease_store = store_load_http (c->loop.base, s->platform.address,
+                                        (uint16_t)s->platform.port,
+                                        LEASE_STORE_CONNECTIONS);
+    }
   return true;
 }
 
@@ -390,6 +397,8 @@
     return;
   if (n->store != NULL)
     n->store->ops->unload (n->store);
+  if (n->lease_store != NULL)
+    n->lease_store->ops->unload (n->lease_store);
   stop_loading (n);
   str_reset (&n->snapshot);
   str_reset (&n->offered);
--- a/src/node_config.h
+++ b/src/node_config.h
@@ -21,7 +21,9 @@
 
 struct node_config
 {
-  struct store *store; /* NULL without a platform */
+  struct store *store;       /* NULL without a platform */
+  struct store *lease_store; /* of node_shard, so that a watch that waits
+                                does not delay a renewal */
   enum node_config_phase phase;
   struct journal journal; /* while loading */
   bool loading;           /* the journal has begun */
--- a/src/node_shard.c
+++ b/src/node_shard.c
@@ -5,9 +5,10 @@
 
 #include "clock.h"
 #include "logger.h"
+#include "node_config.h"
+#include "node_gossip.h"
 #include "wire_shard.h"
 
-#include <arpa/inet.h>
 #include <string.h>
 
 /* Constants */
@@ -41,20 +42,6 @@
 
 /* Internal functions: messages */
 
-static struct str
-format_address (const struct member_address *a)
-{
-  static const unsigned char mapped[12]
-      = { 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xff };
-  char text[INET6_ADDRSTRLEN] = "";
-
-  if (memcmp (a->ip, mapped, sizeof mapped) == 0)
-    inet_ntop (AF_INET, a->ip + sizeof mapped, text, sizeof text);
-  else
-    inet_ntop (AF_INET6, a->ip, text, sizeof text);
-  return str_copy (str_from_cstr (text));
-}
-
 static bool
 send_to_member (struct control *c, uint64_t id,
                 const struct wire_shard_message *m)
@@ -68,7 +55,7 @@
 
   if (row == NULL)
     return false;
-  address = format_address (&row->entry.address);
+  address = node_gossip_format_address (&row->entry.address);
   wire_shard_append_message (&out, m);
   sent = control_send (c, id, address,
                        row->entry.address.ports[MEMBER_PORT_CONTROL],
@@ -905,6 +892,9 @@
       atomic_store (&c->shared->rate_limited, true);
       atomic_store (&c->shared->registry, true);
     }
+  if (c->node_config->lease_store != NULL)
+    node_shard_connect (c, &c->node_gossip->members,
+                        c->node_config->lease_store);
   return true;
 }
 
