--- a/bench/bench_control.c
+++ b/bench/bench_control.c
@@ -121,7 +121,8 @@
     return;
   if (g_rand_int_range (l->f.rand, 0, UPDATE_COPIES) == 0)
     ++*number;
-  d->entries[0] = fleet_get_entry (*number * 7919 % others + 1, 1, SERVICES, name);
+  d->entries[0]
+      = fleet_get_entry (*number * 7919 % others + 1, 1, SERVICES, name);
   d->entries[0].incarnation += *number;
   d->entries_len = 1;
 }
--- a/src/node_config.c
+++ b/src/node_config.c
@@ -17,14 +17,14 @@
 #define CHANGES_PREFIX STR_LIT ("changes/")
 /* A stamp is as old as the watch was pending, a statement as old as its
    time-out: both count against the freshness bound at every daemon.  */
-#define WATCH_WAIT_US (100 * CLOCK_US_PER_MS)
-#define WATCH_TIMEOUT_US (300 * CLOCK_US_PER_MS)
-#define CALL_TIMEOUT_US (2 * CLOCK_US_PER_S)
-#define LOAD_TIMEOUT_US (10 * CLOCK_US_PER_S)
-#define RETRY_US (100 * CLOCK_US_PER_MS)
+#define WATCH_WAIT_US (INT64_C (100) * CLOCK_US_PER_MS)
+#define WATCH_TIMEOUT_US (INT64_C (300) * CLOCK_US_PER_MS)
+#define CALL_TIMEOUT_US (INT64_C (2) * CLOCK_US_PER_S)
+#define LOAD_TIMEOUT_US (INT64_C (10) * CLOCK_US_PER_S)
+#define RETRY_US (INT64_C (100) * CLOCK_US_PER_MS)
 /* Time for the seeds to answer: a daemon that knows nobody would take itself
    for a watcher.  */
-#define JOIN_US (2 * CLOCK_US_PER_S)
+#define JOIN_US (INT64_C (2) * CLOCK_US_PER_S)
 #define STORE_CONNECTIONS 2u
 #define SNAPSHOT_MAX_BYTES ((uint64_t)64 << 20)
 
--- a/src/node_gossip.c
+++ b/src/node_gossip.c
@@ -58,19 +58,21 @@
 static void
 read_sockaddr (const struct sockaddr_storage *from, struct member_address *a)
 {
-  const struct sockaddr_in *v4 = (const struct sockaddr_in *)from;
-  const struct sockaddr_in6 *v6 = (const struct sockaddr_in6 *)from;
+  struct sockaddr_in v4;
+  struct sockaddr_in6 v6;
 
+  memcpy (&v4, from, sizeof v4);
+  memcpy (&v6, from, sizeof v6);
   memset (a, 0, sizeof *a);
   if (from->ss_family == AF_INET)
     {
       memcpy (a->ip, mapped_prefix, sizeof mapped_prefix);
-      memcpy (a->ip + sizeof mapped_prefix, &v4->sin_addr, 4);
-      a->ports[MEMBER_PORT_CONTROL] = ntohs (v4->sin_port);
+      memcpy (a->ip + sizeof mapped_prefix, &v4.sin_addr, 4);
+      a->ports[MEMBER_PORT_CONTROL] = ntohs (v4.sin_port);
       return;
     }
-  memcpy (a->ip, &v6->sin6_addr, MEMBER_IP_BYTES);
-  a->ports[MEMBER_PORT_CONTROL] = ntohs (v6->sin6_port);
+  memcpy (a->ip, &v6.sin6_addr, MEMBER_IP_BYTES);
+  a->ports[MEMBER_PORT_CONTROL] = ntohs (v6.sin6_port);
 }
 
 /* Internal functions: datagrams */
