--- a/bench/bench_overload.c
+++ b/bench/bench_overload.c
@@ -43,9 +43,11 @@
 #define TICK_US 10000
 #define WINDOW_US 500000
 #define WARM_US 10000000
-#define TROUBLE_US 10000000
+#define DISTURBANCE_US 10000000
 #define RUN_US 50000000
 #define WINDOWS (RUN_US / WINDOW_US)
+/* Policies that run by default.  */
+#define COMPARED 2u
 #define LATENCIES 4000u
 /* Windows at the beginning, in which the chain fills.  */
 #define FILL_WINDOWS 4u
@@ -60,17 +62,20 @@
   const struct admit_ops *admit;
   const struct limit_ops *limit;
   const struct route_ops *route;
-  bool protects; /* deadlines, cancellation, budgets and feedback */
+  uint32_t admit_off; /* enum admit_rule bits */
+  bool protects;      /* deadlines, cancellation, budgets and feedback */
+  bool feedback_off;
 };
 
 struct scenario
 {
   const char *name;
-  double surge;       /* factor of all arrivals during the trouble */
-  double noisy;       /* factor of workspace 0 during the trouble */
-  double slow;        /* factor of the last service's time */
-  int64_t trouble_us; /* duration */
-  const char *text;
+  double surge;           /* factor of all arrivals during the disturbance */
+  double noisy;           /* factor of workspace 0 during the disturbance */
+  double slow;            /* factor of the last service's time */
+  double one_slow;        /* the same for one of its backend servers alone */
+  int64_t disturbance_us; /* duration */
+  uint32_t deep_slots;    /* that the last service announces */
 };
 
 /* A request on its way from one daemon to the next service.  */
@@ -105,7 +110,7 @@
   uint32_t importance;
   uint32_t levels;
   uint32_t window; /* of the arrival */
-  bool trouble;    /* arrived during the trouble */
+  bool disturbed;  /* arrived during the disturbance */
   int64_t born_us;
   uint32_t attempts;
   uint32_t front;
@@ -179,9 +184,9 @@
 {
   struct cell cells[WORKSPACES][WINDOWS];
   double window_good[WINDOWS]; /* by the time of the answer */
-  double offered_trouble;
-  double good_trouble; /* of requests that arrived in it */
-  double top_offered;  /* of them importance 7 and 9 */
+  double offered_disturbed;
+  double good_disturbed; /* of requests that arrived in it */
+  double top_offered;    /* of them importance 7 and 9 */
   double top_good;
   double latency[LATENCIES]; /* good requests by ms */
 };
@@ -212,13 +217,13 @@
         STR_LIT ("w4"), STR_LIT ("w5"), STR_LIT ("w6"), STR_LIT ("w7") };
 
 static const struct scenario scenarios[] = {
-  { "steady", 1, 1, 1, TROUBLE_US, "60% of the capacity" },
-  { "burst", 3, 1, 1, 400000, "3 times the steady rate for 0.4 s" },
-  { "surge", 3 / STEADY_SHARE, 1, 1, TROUBLE_US,
-    "3 times the capacity for 10 s" },
-  { "slow", 1, 1, 5, TROUBLE_US, "the last service 5 times as slow for 10 s" },
-  { "noisy", 1, 6, 1, TROUBLE_US,
-    "one workspace at 6 times its rate for 10 s" },
+  { "steady", 1, 1, 1, 1, DISTURBANCE_US, DEEP_SLOTS },
+  { "burst", 3, 1, 1, 1, 400000, DEEP_SLOTS },
+  { "surge", 3 / STEADY_SHARE, 1, 1, 1, DISTURBANCE_US, DEEP_SLOTS },
+  { "slow", 1, 1, 5, 1, DISTURBANCE_US, DEEP_SLOTS },
+  { "one_slow", 1, 1, 1, 5, DISTURBANCE_US, DEEP_SLOTS },
+  { "noisy", 1, 6, 1, 1, DISTURBANCE_US, DEEP_SLOTS },
+  { "overstated", 3 / STEADY_SHARE, 1, 1, 1, DISTURBANCE_US, SLOTS },
 };
 
 /* Share of the steady rate; two workspaces are large.  */
@@ -284,9 +289,10 @@
 }
 
 static bool
-is_trouble (const struct sim *s)
+is_disturbed (const struct sim *s)
 {
-  return s->now_us >= WARM_US && s->now_us < WARM_US + s->scenario->trouble_us;
+  return s->now_us >= WARM_US
+         && s->now_us < WARM_US + s->scenario->disturbance_us;
 }
 
 static double
@@ -294,7 +300,7 @@
 {
   double rate = CAPACITY * STEADY_SHARE * shares[workspace];
 
-  if (!is_trouble (s))
+  if (!is_disturbed (s))
     return rate;
   return rate * s->scenario->surge * (workspace == 0 ? s->scenario->noisy : 1);
 }
@@ -412,7 +418,7 @@
   uint64_t member;
   void *row;
 
-  if (s->policy->protects
+  if (s->policy->protects && !s->policy->feedback_off
       && is_held_back (s, sender, levels, workspace, importance))
     {
       fail_outgoing (s, parent, request, ERR_OVERLOADED);
@@ -473,11 +479,16 @@
       struct call *c = get_call (s, item.job);
       double mean_us = c->level == LEVELS - 1 ? DEEP_US : OWN_US;
 
-      if (c->level == LEVELS - 1 && is_trouble (s))
-        mean_us *= s->scenario->slow;
+      if (c->level == LEVELS - 1 && is_disturbed (s))
+        mean_us *= s->scenario->slow
+                   * (c->server == 0 ? s->scenario->one_slow : 1);
       c->state = CALL_FIRST_HALF;
       c->started_us = s->now_us;
       c->in_flight = ++v->running;
+      /* A backend server that announces too many slots shares its capacity
+         among the requests above the true number.  */
+      if (c->level == LEVELS - 1 && v->running > DEEP_SLOTS)
+        mean_us *= (double)v->running / DEEP_SLOTS;
       c->own_us = draw_exponential (s, mean_us);
       schedule (s, s->now_us + (int64_t)(c->own_us / 2), EVENT_PHASE,
                 item.job);
@@ -726,11 +737,11 @@
   r->importance = draw_importance (s);
   r->levels = g_rand_double (s->rand) < DEEP_SHARE ? LEVELS : SHALLOW_LEVELS;
   r->window = (uint32_t)MIN (s->now_us / WINDOW_US, WINDOWS - 1);
-  r->trouble = is_trouble (s);
+  r->disturbed = is_disturbed (s);
   r->born_us = s->now_us;
   s->result.cells[w][r->window].offered++;
-  s->result.offered_trouble += r->trouble;
-  s->result.top_offered += r->trouble && r->importance >= 7;
+  s->result.offered_disturbed += r->disturbed;
+  s->result.top_offered += r->disturbed && r->importance >= 7;
   schedule (s, s->now_us, EVENT_ATTEMPT, id);
   schedule (s,
             s->now_us + (int64_t)draw_exponential (s, 1e6 / get_rate (s, w)),
@@ -763,8 +774,8 @@
       return;
     }
   cell->good++;
-  m->good_trouble += r->trouble;
-  m->top_good += r->trouble && r->importance >= 7;
+  m->good_disturbed += r->disturbed;
+  m->top_good += r->disturbed && r->importance >= 7;
   m->window_good[MIN (s->now_us / WINDOW_US, WINDOWS - 1)]++;
   m->latency[MIN (ms, LATENCIES - 1)]++;
 }
@@ -810,9 +821,10 @@
 static void
 init_servers (struct sim *s)
 {
-  const struct admit_settings admit = admit_get_defaults ();
+  struct admit_settings admit = admit_get_defaults ();
   const struct limit_settings limit = limit_get_defaults ();
 
+  admit.rules_off = s->policy->admit_off;
   for (uint32_t l = 0; l < LEVELS; l++)
     for (uint32_t i = 0; i < SERVERS; i++)
       {
@@ -822,7 +834,8 @@
         v->admit = s->policy->admit->init (&admit);
         s->policy->limit->init (&v->limit, &limit);
         s->policy->limit->announce (
-            &v->limit, l == LEVELS - 1 ? DEEP_SLOTS : SLOTS, -WARM_US);
+            &v->limit, l == LEVELS - 1 ? s->scenario->deep_slots : SLOTS,
+            -WARM_US);
       }
   for (uint32_t f = 0; f < FRONTS; f++)
     init_sender (s, &s->fronts[f], 200 + f, 0);
@@ -912,16 +925,17 @@
   RECOVERY, /* s until 95% of the earlier goodput, 50 if never */
   WORST,    /* worst-served workspace: good share of what it is entitled to */
   WRONGFUL, /* share of the entitled requests that were rejected */
-  SHARE,    /* good share of the requests that arrived during the trouble */
-  TOP,      /* the same for importance 7 and 9 */
-  P50,      /* latency of good requests, ms */
+  SHARE, /* good share of the requests that arrived during the disturbance */
+  TOP,   /* the same for importance 7 and 9 */
+  P50,   /* latency of good requests, ms */
   P99,
   MEASURES
 };
 
-static const char *const measure_names[MEASURES]
-    = { "goodput/s",       "recovery s",      "worst workspace", "wrongful",
-        "good in trouble", "importance 7, 9", "p50 ms",          "p99 ms" };
+static const char *const measure_names[MEASURES] = {
+  "goodput/s",           "recovery s",      "worst workspace", "wrongful",
+  "good in disturbance", "importance 7, 9", "p50 ms",          "p99 ms"
+};
 
 static const int measure_digits[MEASURES] = { 0, 1, 3, 4, 3, 3, 0, 0 };
 
@@ -936,9 +950,9 @@
 }
 
 static double
-get_recovery_s (const struct result *r, int64_t trouble_us)
+get_recovery_s (const struct result *r, int64_t disturbance_us)
 {
-  const size_t end = (WARM_US + trouble_us + WINDOW_US - 1) / WINDOW_US;
+  const size_t end = (WARM_US + disturbance_us + WINDOW_US - 1) / WINDOW_US;
   const size_t warm = WARM_US / WINDOW_US;
   double steady = sum (r->window_good, FILL_WINDOWS, warm)
                   / (double)(warm - FILL_WINDOWS);
@@ -974,13 +988,13 @@
   return MIN (c->offered, rate * WINDOW_US / 1e6);
 }
 
-/* Worst service of a workspace during the trouble, and wrongful rejections in
+/* Worst service of a workspace during the disturbance, and wrongful rejections in
    the whole run.  */
 static void
-measure_workspaces (const struct result *r, int64_t trouble_us, double *m)
+measure_workspaces (const struct result *r, int64_t disturbance_us, double *m)
 {
   const size_t from = WARM_US / WINDOW_US;
-  const size_t to = (WARM_US + trouble_us + WINDOW_US - 1) / WINDOW_US;
+  const size_t to = (WARM_US + disturbance_us + WINDOW_US - 1) / WINDOW_US;
   double entitled_all = 0, wrongful = 0;
 
   m[WORST] = 1;
@@ -1006,12 +1020,12 @@
 }
 
 static void
-measure (const struct result *r, int64_t trouble_us, double *m)
+measure (const struct result *r, int64_t disturbance_us, double *m)
 {
-  measure_workspaces (r, trouble_us, m);
+  measure_workspaces (r, disturbance_us, m);
   m[GOODPUT] = sum (r->window_good, 0, WINDOWS) * 1e6 / RUN_US;
-  m[RECOVERY] = get_recovery_s (r, trouble_us);
-  m[SHARE] = r->good_trouble / r->offered_trouble;
+  m[RECOVERY] = get_recovery_s (r, disturbance_us);
+  m[SHARE] = r->good_disturbed / r->offered_disturbed;
   m[TOP] = r->top_good / r->top_offered;
   m[P50] = get_latency (r, 0.5);
   m[P99] = get_latency (r, 0.99);
@@ -1029,7 +1043,7 @@
       struct result r = run (policy, scenario, seed + i);
       double m[MEASURES];
 
-      measure (&r, scenario->trouble_us, m);
+      measure (&r, scenario->disturbance_us, m);
       for (int k = 0; k < MEASURES; k++)
         {
           all[k] += m[k] / seeds;
@@ -1064,13 +1078,28 @@
           { "policy", 0, 0, G_OPTION_ARG_STRING, &policy, "only this one",
             "NAME" },
           { NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL } };
-  const struct policy policies[]
-      = { { "priority", admit_find_ops (STR_LIT ("priority")),
-            limit_find_ops (STR_LIT ("adaptive")),
-            route_find_ops (STR_LIT ("least_loaded")), true },
-          { "naive", admit_find_ops (STR_LIT ("naive")),
-            limit_find_ops (STR_LIT ("fixed")),
-            route_find_ops (STR_LIT ("round_robin")), false } };
+  const struct admit_ops *const priority
+      = admit_find_ops (STR_LIT ("priority"));
+  const struct limit_ops *const adaptive
+      = limit_find_ops (STR_LIT ("adaptive"));
+  const struct limit_ops *const fixed = limit_find_ops (STR_LIT ("fixed"));
+  const struct route_ops *const loaded
+      = route_find_ops (STR_LIT ("least_loaded"));
+  const struct route_ops *const robin
+      = route_find_ops (STR_LIT ("round_robin"));
+  /* The first COMPARED run by default, the others switch off one part.  */
+  const struct policy policies[] = {
+    { "priority", priority, adaptive, loaded, 0, true, false },
+    { "naive", admit_find_ops (STR_LIT ("naive")), fixed, robin, 0, false,
+      false },
+    { "no-feedback", priority, adaptive, loaded, 0, true, true },
+    { "no-deadline", priority, adaptive, loaded, ADMIT_RULE_DEADLINE, true,
+      false },
+    { "no-fairness", priority, adaptive, loaded, ADMIT_RULE_FAIR, true,
+      false },
+    { "fixed-limit", priority, fixed, loaded, 0, true, false },
+    { "round-robin", priority, adaptive, robin, 0, true, false },
+  };
   GOptionContext *context = g_option_context_new (NULL);
   GError *error = NULL;
 
@@ -1089,7 +1118,8 @@
   for (size_t i = 0; i < G_N_ELEMENTS (scenarios); i++)
     for (size_t k = 0; k < G_N_ELEMENTS (policies); k++)
       if (is_chosen (scenario, scenarios[i].name)
-          && is_chosen (policy, policies[k].name))
+          && (policy == NULL ? k < COMPARED
+                             : is_chosen (policy, policies[k].name)))
         print_runs (&policies[k], &scenarios[i], (uint32_t)seed,
                     (uint32_t)seeds);
   g_free (scenario);
