--- a/bench/load.c
+++ b/bench/load.c
@@ -28,6 +28,10 @@
 #define PATH_NUMBERS 1000
 #define COLLECT_TIMEOUT_US INT64_C (5000000)
 #define COLLECT_CONNECTIONS 4
+/* Callers open a connection each; a queue of the driver would hide the
+   server's.  */
+#define CONNECTIONS 4000
+#define EXIT_REQUIREMENT 2
 #define CHECK_IDLE_US INT64_C (100000)
 
 /* Outcomes of a request other than almondvale's error kinds.  */
@@ -39,7 +43,7 @@
   OUTCOME_NOT_CONNECTED,
   OUTCOME_FAILED,
   OUTCOME_TIMEOUT,
-  OUTCOME_UNSENT, /* no free connection before the time-out */
+  OUTCOME_UNSENT, /* no free connection within connect_wait_ms */
   OUTCOMES
 };
 
@@ -143,6 +147,7 @@
   int64_t start_us;
   int64_t end_us;
   int64_t timeout_us;
+  int64_t connect_wait_us; /* longest wait for a free connection */
   int64_t interval_us;
   struct retries retries;
   char *key_header;
@@ -322,7 +327,7 @@
       t->pool = httpc_load_pool (
           l->base, str_from_cstr (get_string (item, "address", "127.0.0.1")),
           (uint16_t)get_int (item, "port", 0),
-          (uint32_t)get_int (o, "connections", 256), ANSWER_MAX_BYTES);
+          (uint32_t)get_int (o, "connections", CONNECTIONS), ANSWER_MAX_BYTES);
     }
   if (l->targets.count == 0)
     fail ("the scenario has no targets");
@@ -334,6 +339,7 @@
   l->seed = (uint32_t)get_int (o, "seed", 1);
   l->rand = g_rand_new_with_seed (l->seed);
   l->timeout_us = get_int (o, "timeout_ms", 5000) * CLOCK_US_PER_MS;
+  l->connect_wait_us = get_int (o, "connect_wait_ms", 100) * CLOCK_US_PER_MS;
   l->interval_us = get_int (o, "interval_ms", 500) * CLOCK_US_PER_MS;
   l->key_header = g_strdup (get_string (o, "key_header", "Authorization"));
   l->key_prefix = g_strdup (get_string (o, "key_prefix", "Bearer "));
@@ -716,7 +722,7 @@
 
       if (r == NULL)
         continue;
-      if (now_us - r->arrived_us > l->timeout_us && r->attempts == 0)
+      if (now_us - r->send_us > l->connect_wait_us)
         finish_request (r, OUTCOME_UNSENT, now_us);
       else if (busy || r->send_us > now_us || !send_request (r))
         {
@@ -907,6 +913,23 @@
   printf ("\n");
 }
 
+/* True if the scenario's "require" holds: the share of requests completed
+   whole, and no non-idempotent request run twice or lost.  */
+static bool
+check_requirement (struct load *l, JsonObject *o)
+{
+  JsonObject *require;
+  double completed;
+
+  if (!json_object_has_member (o, "require"))
+    return true;
+  require = json_object_get_object_member (o, "require");
+  completed = (double)l->total->outcomes[OUTCOME_COMPLETED]
+              / MAX ((double)l->total->requests, 1);
+  return completed >= get_double (require, "completed", 0)
+         && l->duplicated == 0 && l->lost == 0 && l->collect_failed == 0;
+}
+
 static void
 print_text (struct load *l)
 {
@@ -1053,12 +1076,14 @@
   GError *error = NULL;
   JsonNode *root;
   JsonObject *scenario;
+  int status = EXIT_SUCCESS;
 
   if (argc < 2 || argc > 3)
     {
       fprintf (stderr, "Usage: load SCENARIO [RESULT]\n"
                        "Runs the load of a scenario file, prints the results "
-                       "and writes them to RESULT as JSON.\n");
+                       "and writes them to RESULT as JSON.  Ends with 2 if "
+                       "the scenario's requirement does not hold.\n");
       return EXIT_FAILURE;
     }
   signal (SIGPIPE, SIG_IGN);
@@ -1075,6 +1100,8 @@
   print_text (&l);
   if (argc == 3)
     write_json (&l, argv[2]);
+  if (!check_requirement (&l, scenario))
+    status = EXIT_REQUIREMENT;
   g_object_unref (parser);
-  return EXIT_SUCCESS;
+  return status;
 }
--- a/src/fresh.c
+++ b/src/fresh.c
@@ -67,18 +67,28 @@
   return oldest;
 }
 
-static bool
-is_stated_unreachable (const struct fresh *f, int64_t now_us)
+static int64_t
+get_stated_limit (const struct fresh *f)
 {
   int64_t oldest = get_stated_time (f);
 
-  if (oldest == INT64_MIN || now_us - oldest >= f->bound_us
-      || f->seen > f->applied)
-    return false;
+  if (oldest == INT64_MIN || f->seen > f->applied)
+    return INT64_MIN;
   for (uint32_t i = 0; i < f->domains_len; i++)
     if (f->domains[i].revision > f->applied)
-      return false;
-  return true;
+      return INT64_MIN;
+  return oldest + f->bound_us;
+}
+
+static const struct fresh_stamp *
+find_youngest (const struct fresh *f)
+{
+  const struct fresh_stamp *best = NULL;
+
+  for (uint32_t i = 0; i < f->stamps_len; i++)
+    if (best == NULL || f->stamps[i].read_us > best->read_us)
+      best = &f->stamps[i];
+  return best;
 }
 
 /* Public functions */
@@ -156,12 +166,9 @@
 fresh_get_evidence (const struct fresh *f, struct fresh_evidence *e,
                     int64_t now_us)
 {
-  const struct fresh_stamp *best = NULL;
+  const struct fresh_stamp *best = find_youngest (f);
 
   *e = (struct fresh_evidence){ 0 };
-  for (uint32_t i = 0; i < f->stamps_len; i++)
-    if (best == NULL || f->stamps[i].read_us > best->read_us)
-      best = &f->stamps[i];
   if (best != NULL && now_us - best->read_us < f->bound_us)
     {
       e->stamped = true;
@@ -181,6 +188,42 @@
     }
 }
 
+/**
+ * fresh_get_gain - compares the evidence here with that of a peer
+ * @f: evidence
+ * @e: the peer's evidence
+ * @time_us: local time for which the ages in @e hold; may be inexact, since
+ *   the gain only decides when to answer
+ *
+ * Statements count by their mean over the failure domains: waiting until the
+ * oldest is younger would hold back the others.
+ *
+ * Return: gain in microseconds; the bound if the peer has no evidence.
+ */
+int64_t
+fresh_get_gain (const struct fresh *f, const struct fresh_evidence *e,
+                int64_t time_us)
+{
+  const struct fresh_stamp *best = find_youngest (f);
+  int64_t theirs = e->stamped ? time_us - e->age_us : time_us - f->bound_us;
+  int64_t stamp_gain = best != NULL ? best->read_us - theirs : 0;
+  int64_t statement_gain = 0;
+
+  for (uint32_t i = 0; i < f->domains_len; i++)
+    {
+      int64_t stated = time_us - f->bound_us;
+
+      for (uint32_t k = 0; k < e->statements_len; k++)
+        if (e->statements[k].domain == f->domains[i].domain)
+          stated = time_us - e->statements[k].age_us;
+      if (f->domains[i].stated_us > stated)
+        statement_gain += f->domains[i].stated_us - stated;
+    }
+  if (f->domains_len > 0)
+    statement_gain /= f->domains_len;
+  return MAX (stamp_gain, statement_gain);
+}
+
 int64_t
 fresh_get_time (const struct fresh *f)
 {
@@ -192,19 +235,29 @@
 }
 
 /**
- * fresh_is_current - decides whether keyed routes may be served
+ * fresh_get_limit - tells how long keyed routes may be served
  * @f: evidence
- * @now_us: current time
  *
- * Return: true with a stamp younger than the bound whose revision is in force,
- * or with statements younger than the bound from all failure domains.
+ * Threads that serve keyed routes compare this time with their clock, so that
+ * a control thread that is late fails closed.  A stamp whose revision is not
+ * in force here does not count.
+ *
+ * Return: when the youngest stamp whose revision is in force, or the oldest of
+ * the statements from all failure domains, reaches the bound.
  */
+int64_t
+fresh_get_limit (const struct fresh *f)
+{
+  int64_t limit = get_stated_limit (f);
+
+  for (uint32_t i = 0; i < f->stamps_len; i++)
+    if (f->stamps[i].revision <= f->applied)
+      limit = MAX (limit, f->stamps[i].read_us + f->bound_us);
+  return limit;
+}
+
 bool
 fresh_is_current (const struct fresh *f, int64_t now_us)
 {
-  for (uint32_t i = 0; i < f->stamps_len; i++)
-    if (f->stamps[i].revision <= f->applied
-        && now_us - f->stamps[i].read_us < f->bound_us)
-      return true;
-  return is_stated_unreachable (f, now_us);
+  return now_us < fresh_get_limit (f);
 }
