Take part in leases when there is a platform; release shards at the end

Ruled out: waiting for the release without a limit; the platform may be down.

Change: node_shard connects itself to the members and the store. A daemon that leaves waits up to 2 s until its shards are released. Shards are planned one in 50 ms, since the systems also run after each batch of events.

--- a/src/control.c
+++ b/src/control.c
@@ -245,7 +245,8 @@
       notify_shutdown (c);
       return;
     }
-  idle = c->listeners_stopped && atomic_load (&c->shared->open_calls) == 0
+  idle = c->listeners_stopped && !c->leases_open
+         && atomic_load (&c->shared->open_calls) == 0
          && atomic_load (&c->shared->open_jobs) == 0;
   if (idle || now_us >= c->shutdown_at_us)
     loop_stop (&c->loop);
--- a/src/control.h
+++ b/src/control.h
@@ -81,6 +81,7 @@
   int64_t shutdown_at_us;  /* open requests are given up then */
   int64_t stop_serving_us; /* the others have heard of the leaving */
   bool listeners_stopped;
+  bool leases_open; /* shards have to be released before the end */
   struct event *signals[2];
 };
 
--- a/src/lease.c
+++ b/src/lease.c
@@ -703,6 +703,16 @@
   t->leaving = true;
 }
 
+uint32_t
+lease_count_held (const struct lease_table *t)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < t->settings.shards; i++)
+    count += is_holder (t, &t->shards[i]);
+  return count;
+}
+
 bool
 lease_is_granting (const struct lease_table *t, uint32_t shard, int64_t now_us)
 {
--- a/src/lease.h
+++ b/src/lease.h
@@ -204,6 +204,8 @@
 void lease_run (struct lease_table *t, int64_t now_us);
 /* stops holding and hands the shards to their candidates */
 void lease_release_all (struct lease_table *t);
+/* shards whose object names this daemon as holder */
+uint32_t lease_count_held (const struct lease_table *t);
 /* true if the shard's holder may grant and register at this time */
 bool lease_is_granting (const struct lease_table *t, uint32_t shard,
                         int64_t now_us);
--- a/src/node_shard.c
+++ b/src/node_shard.c
@@ -5,6 +5,8 @@
 
 #include "clock.h"
 #include "logger.h"
+#include "node_config.h"
+#include "node_gossip.h"
 #include "wire_shard.h"
 
 #include <arpa/inet.h>
@@ -23,6 +25,10 @@
 #define REGISTER_WAIT_US INT64_C (2000000)
 /* Longest time that a registered request runs.  */
 #define RUN_MAX_US INT64_C (60000000)
+/* A daemon that leaves waits this long for the platform to release its
+   shards; after that the candidates wait for the term.  */
+#define RELEASE_WAIT_US INT64_C (2000000)
+#define PLAN_INTERVAL_US INT64_C (50000)
 /* Members that candidates are chosen from.  */
 #define PLAN_MEMBERS 16u
 #define LOCAL_ASKER 0
@@ -329,10 +335,10 @@
     }
 }
 
-/* Plans one shard: ranking 22,000 members for 256 shards in one run would
-   take longer than a tick.  */
+/* Plans one shard in an interval: a ranking looks at all members, and the
+   systems also run after each batch of events.  */
 static void
-plan_shard (struct node_shard *n)
+plan_shard (struct node_shard *n, int64_t now_us)
 {
   const struct member_entry *self = &n->members->self->entry;
   struct member_query q = { .key = n->next_plan };
@@ -341,6 +347,9 @@
   uint64_t ids[PLAN_MEMBERS], first = 0;
   uint32_t len;
 
+  if (now_us < n->next_plan_us)
+    return;
+  n->next_plan_us = now_us + PLAN_INTERVAL_US;
   member_rank (n->members, q, &first, 1);
   q.except = self->domain;
   len = member_rank (n->members, q, ids, PLAN_MEMBERS);
@@ -378,10 +387,16 @@
       table_remove (&n->events, id);
     }
   if (c->listeners_stopped && !n->leases.leaving)
-    lease_release_all (&n->leases);
-  plan_shard (n);
+    {
+      lease_release_all (&n->leases);
+      n->release_until_us = now_us + RELEASE_WAIT_US;
+    }
+  plan_shard (n, now_us);
   lease_run (&n->leases, now_us);
   run_actions (c, now_us);
+  c->leases_open
+      = !n->leases.leaving
+        || (now_us < n->release_until_us && lease_count_held (&n->leases) > 0);
 }
 
 /* Internal functions: limits of the configuration */
@@ -877,7 +892,7 @@
 
   if (c->config_changed)
     apply_limits (c, now_us);
-  if (!n->configured)
+  if (!n->configured && n->members == NULL)
     return;
   run_leases (c, now_us);
   run_asks (c, now_us);
@@ -905,6 +920,9 @@
       atomic_store (&c->shared->rate_limited, true);
       atomic_store (&c->shared->registry, true);
     }
+  if (c->node_gossip != NULL && c->node_config != NULL
+      && c->node_config->store != NULL)
+    node_shard_connect (c, &c->node_gossip->members, c->node_config->store);
   return true;
 }
 
--- a/src/node_shard.h
+++ b/src/node_shard.h
@@ -2,8 +2,7 @@
    thread: objects of the platform, control links, notes of the fronts.
 
    Without a platform (an inventory file) the daemon holds all shards itself.
-   With one, it serves shards once it was connected to the members and the
-   platform.  */
+   With one, it takes part in the leases.  */
 
 #ifndef ALMONDVALE_NODE_SHARD_H
 #define ALMONDVALE_NODE_SHARD_H
@@ -54,7 +53,9 @@
   struct table events;             /* struct lease_event, not applied yet */
   GHashTable *store_calls;         /* calls of the store that run */
   uint64_t attempts;               /* count, for attempt ids */
-  uint32_t next_plan;              /* shard planned in the next run */
+  uint32_t next_plan;              /* shard planned next */
+  int64_t next_plan_us;
+  int64_t release_until_us; /* the end of the daemon waits until then */
   bool configured;
 };
 
@@ -64,7 +65,8 @@
 
 /* Public functions */
 
-/* begins to take part in the leases; called once, before the loop runs */
+/* begins to take part in the leases; called by the node itself if there is a
+   platform */
 void node_shard_connect (struct control *c, struct member_table *members,
                          struct store *store);
 
