--- a/src/serve.c
+++ b/src/serve.c
@@ -213,6 +213,16 @@
   metrics_observe (s->shared->stats.service_time, sample.service_us);
 }
 
+/* A request that ran into its deadline says how long it waited in the queue,
+   not how the backend server does.  */
+static bool
+is_backend_fault (const struct httpc_answer *answer)
+{
+  return answer->result == HTTPC_NOT_CONNECTED
+         || answer->result == HTTPC_FAILED
+         || (answer->result == HTTPC_ANSWERED && answer->status == 503);
+}
+
 static void
 on_backend_done (void *data, const struct httpc_answer *answer)
 {
@@ -223,7 +233,7 @@
   struct hop_usage usage = { 0 };
 
   job->exchange = NULL;
-  release_slot (s, job, error != ERR_NONE, &usage, now_us);
+  release_slot (s, job, is_backend_fault (answer), &usage, now_us);
   record_span (s, job, error, answer->status, now_us);
   if (error == ERR_NONE)
     answer_job (s, job, answer, &usage);
