--- a/src/bucket.h
+++ b/src/bucket.h
@@ -104,7 +104,7 @@
   struct table grants;
   uint64_t run;             /* count of runs */
   int64_t blocked_until_us; /* new buckets fill from then on */
-  uint32_t test_rules_off; /* enum bucket_rule, 0 outside tests */
+  uint32_t test_rules_off;  /* enum bucket_rule, 0 outside tests */
 };
 
 /* Public functions */
