--- a/tests/test_fresh.c
+++ b/tests/test_fresh.c
@@ -228,6 +228,27 @@
 }
 END_TEST
 
+/* The promise behind the share allowed above: in an outage that all watchers
+   see no keyed request is refused.  Listed in KNOWN-RED.txt.  */
+START_TEST (outage_rejects_nothing)
+{
+  struct fleet f;
+  uint32_t rejecting = 0;
+
+  fleet_init (&f, 120, 0, 12, 0.01, SEED);
+  fleet_run (&f, 8000);
+  f.platform_down = true;
+  fleet_run (&f, 4000);
+  for (int s = 0; s < 200; s++)
+    {
+      fleet_run (&f, 100);
+      rejecting += 120 - fleet_count_current (&f);
+    }
+  ck_assert_uint_eq (rejecting, 0);
+  fleet_close (&f);
+}
+END_TEST
+
 /* Guards against any path by which a daemon serves keyed routes without a
    change accepted longer ago than the bound: random loss, pauses and cuts
    while the platform stays up.  */
@@ -288,6 +309,10 @@
   tcase_add_test (tc, restart_during_an_outage);
   tcase_add_test (tc, bound_holds_under_random_faults);
   suite_add_tcase (suite, tc);
+  tc = tcase_create ("known-red");
+  tcase_set_tags (tc, "known-red");
+  tcase_add_test (tc, outage_rejects_nothing);
+  suite_add_tcase (suite, tc);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
   failed = srunner_ntests_failed (runner);
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -243,6 +243,27 @@
 }
 END_TEST
 
+/* The promise behind the check above: all members of a failure domain that has
+   returned are usable again.  Listed in KNOWN-RED.txt.  */
+START_TEST (failure_domain_returns_whole)
+{
+  struct fleet f;
+  const uint32_t lost = 5;
+
+  fleet_init (&f, 1200, 0, 100, 0.01, SEED);
+  fleet_run (&f, 3000);
+  for (uint32_t d = 0; d < FLEET_DOMAINS; d++)
+    f.cut[d][lost] = f.cut[lost][d] = d != lost;
+  fleet_run (&f, 40000);
+  memset (f.cut, 0, sizeof f.cut);
+  fleet_run (&f, 240000);
+  for (uint32_t i = 0; i < f.len; i += 7)
+    for (uint32_t d = 0; d < FLEET_DOMAINS; d++)
+      ck_assert_uint_eq (fleet_count_usable (&f, i, d), 200);
+  fleet_close (&f);
+}
+END_TEST
+
 /* Guards against regions that forget each other in a partition of an hour:
    with few members all of the other side are dead by then.  */
 START_TEST (partition_of_an_hour_heals)
@@ -314,6 +335,11 @@
   tcase_add_test (tc, failure_domain_is_lost_and_returns);
   tcase_add_test (tc, partition_of_an_hour_heals);
   suite_add_tcase (suite, tc);
+  tc = tcase_create ("known-red");
+  tcase_set_timeout (tc, 240);
+  tcase_set_tags (tc, "known-red");
+  tcase_add_test (tc, failure_domain_returns_whole);
+  suite_add_tcase (suite, tc);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
   failed = srunner_ntests_failed (runner);
