Free the pools that read execution logs in load

Ruled out: a fault of the daemons (the report names 16,756 bytes of connection pools in collect_executions). Change: the pools are unloaded when all logs are read. Conclusion: the daemons were not at fault.

--- a/bench/load.c
+++ b/bench/load.c
@@ -857,6 +857,12 @@
   g_hash_table_unref (ran);
 }
 
+static void
+unload_pool (void *pool)
+{
+  httpc_unload_pool (pool);
+}
+
 static void
 collect_executions (struct load *l, JsonObject *o)
 {
@@ -866,6 +872,7 @@
                                    .timeout_us = COLLECT_TIMEOUT_US,
                                    .done = on_executions,
                                    .data = l };
+  GPtrArray *pools = g_ptr_array_new_with_free_func (unload_pool);
 
   for (guint i = 0; i < get_len (o, "executions"); i++)
     {
@@ -875,11 +882,13 @@
           (uint16_t)get_int (item, "port", 0), COLLECT_CONNECTIONS,
           ANSWER_MAX_BYTES * 16);
 
+      g_ptr_array_add (pools, pool);
       if (httpc_send (pool, &request) != NULL)
         l->collecting++;
     }
   while (l->collecting > 0)
     event_base_loop (l->base, EVLOOP_ONCE);
+  g_ptr_array_unref (pools);
   count_executions (l);
 }
 
