--- a/src/node_shard.c
+++ b/src/node_shard.c
@@ -13,7 +13,9 @@
 
 /* Constants */
 
-#define STORE_TIMEOUT_US INT64_C (1000000)
+/* The platform answers in milliseconds.  With 1 s the attempts of a holder and
+   its candidates in a row could outlast the lease when answers stopped.  */
+#define STORE_TIMEOUT_US INT64_C (300000)
 #define QUERY_INTERVAL_US INT64_C (250000)
 /* Queries go to the members ranked first, in turn: their views differ.  */
 #define QUERY_MEMBERS 3u
