Read all msgpack arrays through reader; share the hash functions

Cause: wire and wire_shard had their own copies of the array reader, and seven modules the same two functions for tables keyed by strings (duplicates). Change: reader_take_i64; wire.c and wire_shard.c use reader; str_hash_key and str_equal_keys replace the copies; the function typedef in auth.c is gone. Conclusion: one reader, one place for its checks.

--- a/src/auth.c
+++ b/src/auth.c
@@ -13,10 +13,6 @@
    for a second one ("%255Cu0041" has ten).  */
 #define ENCODED_BYTES_MAX 12u
 
-/* Types */
-
-typedef struct str decode_fn (struct str text, struct str_buf *out);
-
 /* State */
 
 /* Headers that backend servers get; all others, known or not, are removed.
@@ -147,7 +143,8 @@
 
 /* Decodes until nothing changes and searches each result.  */
 static bool
-search_decoded (struct str key, struct str text, decode_fn *decode)
+search_decoded (struct str key, struct str text,
+                struct str (*decode) (struct str text, struct str_buf *out))
 {
   struct str_buf bufs[2] = { { 0 } };
   bool found = false;
--- a/src/bucket.c
+++ b/src/bucket.c
@@ -14,20 +14,6 @@
 /* Clock rates of two VMs differ by less than one part in this.  */
 #define DRIFT_DIVISOR 100
 
-/* Internal functions: names */
-
-static guint
-hash_name (gconstpointer key)
-{
-  return (guint)str_hash (*(const struct str *)key);
-}
-
-static gboolean
-equal_names (gconstpointer a, gconstpointer b)
-{
-  return str_equal (*(const struct str *)a, *(const struct str *)b);
-}
-
 static struct bucket *
 find_bucket (const struct bucket_set *set, struct str workspace, uint64_t *id)
 {
@@ -260,7 +246,8 @@
   table_init (&set->buckets, sizeof (struct bucket));
   table_init (&set->asks, sizeof (struct bucket_ask));
   table_init (&set->grants, sizeof (struct bucket_grant));
-  set->by_name = g_hash_table_new_full (hash_name, equal_names, NULL, g_free);
+  set->by_name
+      = g_hash_table_new_full (str_hash_key, str_equal_keys, NULL, g_free);
 }
 
 void
--- a/src/budget.c
+++ b/src/budget.c
@@ -13,23 +13,6 @@
 
 /* Internal functions */
 
-static guint
-hash_str (gconstpointer p)
-{
-  const struct str *s = p;
-
-  return (guint)str_hash (*s);
-}
-
-static gboolean
-equal_str (gconstpointer p, gconstpointer q)
-{
-  const struct str *a = p;
-  const struct str *b = q;
-
-  return str_equal (*a, *b);
-}
-
 static uint32_t
 hand_out (struct budget_pool *p, uint32_t part)
 {
@@ -127,7 +110,7 @@
                               .credit_max = BUDGET_CREDIT_MAX };
   table_init (&r->rows, sizeof (struct budget_ratio_row));
   r->by_destination
-      = g_hash_table_new_full (hash_str, equal_str, NULL, g_free);
+      = g_hash_table_new_full (str_hash_key, str_equal_keys, NULL, g_free);
 }
 
 void
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -31,18 +31,6 @@
   return id != NULL ? table_get (&f->services, *id) : NULL;
 }
 
-static guint
-hash_str (gconstpointer s)
-{
-  return (guint)str_hash (*(const struct str *)s);
-}
-
-static gboolean
-equal_str (gconstpointer a, gconstpointer b)
-{
-  return str_equal (*(const struct str *)a, *(const struct str *)b);
-}
-
 static struct front_peer *
 add_peer (struct front *f, const struct snapshot_endpoint *e)
 {
@@ -517,7 +505,7 @@
   f->peer_by_member
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   f->service_by_name
-      = g_hash_table_new_full (hash_str, equal_str, NULL, g_free);
+      = g_hash_table_new_full (str_hash_key, str_equal_keys, NULL, g_free);
   f->attempt_origin = ((uint64_t)g_rand_int (rand) << 32) | g_rand_int (rand);
   budget_init_ratio (&f->ratio);
   link_init_set (&f->links, f->loop.base, &link_ops, f);
--- a/src/feedback.c
+++ b/src/feedback.c
@@ -34,23 +34,6 @@
   return (f->settings.rules_off & rule) != 0;
 }
 
-static guint
-hash_str (gconstpointer p)
-{
-  const struct str *s = p;
-
-  return (guint)str_hash (*s);
-}
-
-static gboolean
-equal_str (gconstpointer p, gconstpointer q)
-{
-  const struct str *a = p;
-  const struct str *b = q;
-
-  return str_equal (*a, *b);
-}
-
 /* Row id of a name, or 0.  */
 static uint64_t
 find_id (GHashTable *by_name, struct str name)
@@ -242,8 +225,9 @@
   f->flow_by_key
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   f->service_by_name
-      = g_hash_table_new_full (hash_str, equal_str, NULL, g_free);
-  f->route_by_name = g_hash_table_new_full (hash_str, equal_str, NULL, g_free);
+      = g_hash_table_new_full (str_hash_key, str_equal_keys, NULL, g_free);
+  f->route_by_name
+      = g_hash_table_new_full (str_hash_key, str_equal_keys, NULL, g_free);
   f->rand = g_rand_new_with_seed (s->seed);
 }
 
--- a/src/inventory.c
+++ b/src/inventory.c
@@ -446,24 +446,12 @@
   return count;
 }
 
-static guint
-hash_str (gconstpointer key)
-{
-  return (guint)str_hash (*(const struct str *)key);
-}
-
-static gboolean
-equal_str (gconstpointer a, gconstpointer b)
-{
-  return str_equal (*(const struct str *)a, *(const struct str *)b);
-}
-
 /* Two keys of one hash would make the workspace of a request ambiguous.  */
 static uint32_t
 check_hashes (const struct inventory *inv, struct str_buf *problems)
 {
   GPtrArray *keys = inventory_list (inv, INVENTORY_KEY);
-  GHashTable *seen = g_hash_table_new (hash_str, equal_str);
+  GHashTable *seen = g_hash_table_new (str_hash_key, str_equal_keys);
   uint32_t count = 0;
 
   for (guint i = 0; i < keys->len; i++)
--- a/src/quota.c
+++ b/src/quota.c
@@ -23,18 +23,6 @@
 
 /* Internal functions: rows */
 
-static guint
-hash_name (gconstpointer key)
-{
-  return (guint)str_hash (*(const struct str *)key);
-}
-
-static gboolean
-equal_names (gconstpointer a, gconstpointer b)
-{
-  return str_equal (*(const struct str *)a, *(const struct str *)b);
-}
-
 static struct quota *
 find_quota (const struct quota_set *set, struct str workspace)
 {
@@ -248,7 +236,8 @@
   *set = (struct quota_set){ .last_sequence = first_sequence };
   table_init (&set->quotas, sizeof (struct quota));
   table_init (&set->asks, sizeof (struct quota_ask));
-  set->by_name = g_hash_table_new_full (hash_name, equal_names, NULL, g_free);
+  set->by_name
+      = g_hash_table_new_full (str_hash_key, str_equal_keys, NULL, g_free);
 }
 
 void
--- a/src/reader.c
+++ b/src/reader.c
@@ -83,6 +83,25 @@
   return r->failed ? 0 : (uint32_t)v;
 }
 
+int64_t
+reader_take_i64 (struct reader *r)
+{
+  const msgpack_object *o;
+
+  if (r->failed || r->next >= r->len)
+    {
+      r->failed = true;
+      return 0;
+    }
+  o = &r->items[r->next++];
+  if (o->type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
+    return o->via.i64;
+  if (o->type == MSGPACK_OBJECT_POSITIVE_INTEGER && o->via.u64 <= INT64_MAX)
+    return (int64_t)o->via.u64;
+  r->failed = true;
+  return 0;
+}
+
 bool
 reader_take_bool (struct reader *r)
 {
--- a/src/reader.h
+++ b/src/reader.h
@@ -35,6 +35,8 @@
 uint64_t reader_take_u64 (struct reader *r);
 /* unsigned number up to max */
 uint32_t reader_take_u32 (struct reader *r, uint32_t max);
+/* number that may be negative */
+int64_t reader_take_i64 (struct reader *r);
 /* true or false */
 bool reader_take_bool (struct reader *r);
 /* view of text */
--- a/src/route.c
+++ b/src/route.c
@@ -47,23 +47,6 @@
 
 /* Internal functions: matching */
 
-static guint
-hash_str (gconstpointer p)
-{
-  const struct str *s = p;
-
-  return (guint)str_hash (*s);
-}
-
-static gboolean
-equal_str (gconstpointer p, gconstpointer q)
-{
-  const struct str *a = p;
-  const struct str *b = q;
-
-  return str_equal (*a, *b);
-}
-
 static struct str
 cut_query (struct str path)
 {
@@ -370,7 +353,8 @@
 {
   *m = (struct route_map){ .prefix_max = 0 };
   table_init (&m->entries, sizeof (struct route_entry));
-  m->by_prefix = g_hash_table_new_full (hash_str, equal_str, NULL, g_free);
+  m->by_prefix
+      = g_hash_table_new_full (str_hash_key, str_equal_keys, NULL, g_free);
 }
 
 void
--- a/src/str.c
+++ b/src/str.c
@@ -107,6 +107,18 @@
   return XXH64 (s.data, s.len, 0);
 }
 
+unsigned int
+str_hash_key (const void *s)
+{
+  return (unsigned int)str_hash (*(const struct str *)s);
+}
+
+int
+str_equal_keys (const void *a, const void *b)
+{
+  return str_equal (*(const struct str *)a, *(const struct str *)b);
+}
+
 bool
 str_parse_u64 (struct str s, uint64_t *value)
 {
--- a/src/str.h
+++ b/src/str.h
@@ -61,6 +61,9 @@
 struct str str_slice (struct str s, size_t from, size_t to);
 /* xxhash64 with seed 0 */
 uint64_t str_hash (struct str s);
+/* str_hash and str_equal of pointers to strings, for hash tables */
+unsigned int str_hash_key (const void *s);
+int str_equal_keys (const void *a, const void *b);
 /* decimal digits only; false on overflow */
 bool str_parse_u64 (struct str s, uint64_t *value);
 
--- a/src/wire.c
+++ b/src/wire.c
@@ -3,24 +3,12 @@
 #include "wire.h"
 
 #include "frame.h"
-#include "scan.h"
+#include "reader.h"
 
 #include <glib.h>
 #include <msgpack.h>
 #include <string.h>
 
-/* Types */
-
-/* Reads the members of a msgpack array in order; `failed` is set on the first
-   member that is missing or of another type.  */
-struct reader
-{
-  const msgpack_object *items;
-  uint32_t len;
-  uint32_t next;
-  bool failed;
-};
-
 /* Internal functions: encoding */
 
 static void
@@ -152,98 +140,13 @@
 
 /* Internal functions: decoding */
 
-static const msgpack_object *
-next_item (struct reader *r, msgpack_object_type type)
-{
-  const msgpack_object *o;
-
-  if (r->failed || r->next >= r->len)
-    {
-      r->failed = true;
-      return NULL;
-    }
-  o = &r->items[r->next++];
-  if (o->type != type)
-    {
-      r->failed = true;
-      return NULL;
-    }
-  return o;
-}
-
-static uint64_t
-read_u64 (struct reader *r)
-{
-  const msgpack_object *o = next_item (r, MSGPACK_OBJECT_POSITIVE_INTEGER);
-
-  return o != NULL ? o->via.u64 : 0;
-}
-
-static uint32_t
-read_u32 (struct reader *r, uint32_t max)
-{
-  uint64_t v = read_u64 (r);
-
-  if (v > max)
-    r->failed = true;
-  return r->failed ? 0 : (uint32_t)v;
-}
-
-/* Times left may be negative when the deadline has passed.  */
-static int64_t
-read_i64 (struct reader *r)
-{
-  const msgpack_object *o;
-
-  if (r->failed || r->next >= r->len)
-    {
-      r->failed = true;
-      return 0;
-    }
-  o = &r->items[r->next++];
-  if (o->type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
-    return o->via.i64;
-  if (o->type == MSGPACK_OBJECT_POSITIVE_INTEGER && o->via.u64 <= INT64_MAX)
-    return (int64_t)o->via.u64;
-  r->failed = true;
-  return 0;
-}
-
-static bool
-read_bool (struct reader *r)
-{
-  const msgpack_object *o = next_item (r, MSGPACK_OBJECT_BOOLEAN);
-
-  return o != NULL && o->via.boolean;
-}
-
-static struct str
-read_str (struct reader *r)
-{
-  const msgpack_object *o = next_item (r, MSGPACK_OBJECT_STR);
-
-  if (o == NULL || o->via.str.size == 0)
-    return STR_EMPTY;
-  return (struct str){ o->via.str.size, o->via.str.ptr };
-}
-
-static struct str
-read_bin (struct reader *r)
-{
-  const msgpack_object *o = next_item (r, MSGPACK_OBJECT_BIN);
-
-  if (o == NULL || o->via.bin.size == 0)
-    return STR_EMPTY;
-  return (struct str){ o->via.bin.size, o->via.bin.ptr };
-}
-
 static struct wire_attempt_id
 read_attempt (struct reader *r)
 {
   struct wire_attempt_id a;
 
-  a.origin = read_u64 (r);
-  a.number = read_u64 (r);
+  a.origin = reader_take_u64 (r);
+  a.number = reader_take_u64 (r);
   return a;
 }
 
@@ -251,15 +154,11 @@
 static struct reader
 read_pairs (struct reader *r, uint32_t max)
 {
-  const msgpack_object *o = next_item (r, MSGPACK_OBJECT_ARRAY);
+  struct reader pairs = reader_take_array (r, max * 2);
 
-  if (o == NULL || o->via.array.size % 2 != 0 || o->via.array.size / 2 > max)
-    {
-      r->failed = true;
-      return (struct reader){ .failed = true };
-    }
-  return (struct reader){ .items = o->via.array.ptr,
-                          .len = o->via.array.size };
+  if (pairs.len % 2 != 0)
+    r->failed = pairs.failed = true;
+  return pairs;
 }
 
 static struct wire_header *
@@ -274,8 +173,8 @@
   headers = g_new (struct wire_header, pairs.len / 2);
   while (pairs.next < pairs.len && !pairs.failed)
     {
-      headers[*len].name = read_str (&pairs);
-      headers[*len].value = read_str (&pairs);
+      headers[*len].name = reader_take_str (&pairs);
+      headers[*len].value = reader_take_str (&pairs);
       ++*len;
     }
   r->failed = r->failed || pairs.failed;
@@ -294,8 +193,8 @@
   thresholds = g_new (struct wire_threshold, pairs.len / 2);
   while (pairs.next < pairs.len && !pairs.failed)
     {
-      thresholds[*len].service = read_str (&pairs);
-      thresholds[*len].level = read_u32 (&pairs, UINT32_MAX);
+      thresholds[*len].service = reader_take_str (&pairs);
+      thresholds[*len].level = reader_take_u32 (&pairs, UINT32_MAX);
       ++*len;
     }
   r->failed = r->failed || pairs.failed;
@@ -305,40 +204,40 @@
 static void
 read_request (struct reader *r, struct wire_request *q)
 {
-  q->request_id = read_u64 (r);
+  q->request_id = reader_take_u64 (r);
   q->attempt = read_attempt (r);
-  q->service = read_str (r);
-  q->route = read_str (r);
-  q->method = read_str (r);
-  q->path = read_str (r);
+  q->service = reader_take_str (r);
+  q->route = reader_take_str (r);
+  q->method = reader_take_str (r);
+  q->path = reader_take_str (r);
   q->headers = read_headers (r, &q->headers_len);
-  q->workspace = read_str (r);
-  q->importance = read_u32 (r, 9);
-  q->timeout_us = read_i64 (r);
-  q->retry_budget = read_u32 (r, 1000);
-  q->depth = read_u32 (r, 1000);
-  q->idempotent = read_bool (r);
-  q->traceparent = read_str (r);
-  q->last = read_bool (r);
-  q->body = read_bin (r);
+  q->workspace = reader_take_str (r);
+  q->importance = reader_take_u32 (r, 9);
+  q->timeout_us = reader_take_i64 (r);
+  q->retry_budget = reader_take_u32 (r, 1000);
+  q->depth = reader_take_u32 (r, 1000);
+  q->idempotent = reader_take_bool (r);
+  q->traceparent = reader_take_str (r);
+  q->last = reader_take_bool (r);
+  q->body = reader_take_bin (r);
 }
 
 static void
 read_response (struct reader *r, struct wire_response *q)
 {
-  q->request_id = read_u64 (r);
+  q->request_id = reader_take_u64 (r);
   q->attempt = read_attempt (r);
-  q->error = (enum err_kind)read_u32 (r, UINT16_MAX);
+  q->error = (enum err_kind)reader_take_u32 (r, UINT16_MAX);
   if (q->error >= ERR_KINDS)
     q->error = ERR_INTERNAL;
-  q->status = read_u32 (r, 599);
+  q->status = reader_take_u32 (r, 599);
   q->headers = read_headers (r, &q->headers_len);
-  q->unused_budget = read_u32 (r, 1000);
+  q->unused_budget = reader_take_u32 (r, 1000);
   q->thresholds = read_thresholds (r, &q->thresholds_len);
-  q->in_flight = read_u32 (r, UINT32_MAX);
-  q->limit = read_u32 (r, UINT32_MAX);
-  q->last = read_bool (r);
-  q->body = read_bin (r);
+  q->in_flight = reader_take_u32 (r, UINT32_MAX);
+  q->limit = reader_take_u32 (r, UINT32_MAX);
+  q->last = reader_take_bool (r);
+  q->body = reader_take_bin (r);
 }
 
 static void
@@ -353,24 +252,24 @@
       read_response (r, &m->u.response);
       break;
     case WIRE_CANCEL:
-      m->u.cancel.request_id = read_u64 (r);
+      m->u.cancel.request_id = reader_take_u64 (r);
       m->u.cancel.attempt = read_attempt (r);
       break;
     case WIRE_QUERY:
       m->u.query.attempt = read_attempt (r);
-      m->u.query.timeout_us = read_i64 (r);
-      m->u.query.age_us = read_i64 (r);
+      m->u.query.timeout_us = reader_take_i64 (r);
+      m->u.query.age_us = reader_take_i64 (r);
       break;
     case WIRE_OUTCOME:
       m->u.outcome.attempt = read_attempt (r);
       m->u.outcome.state
-          = (enum wire_outcome_state)read_u32 (r, WIRE_OUTCOME_DONE);
+          = (enum wire_outcome_state)reader_take_u32 (r, WIRE_OUTCOME_DONE);
       break;
     case WIRE_BODY:
-      m->u.body.request_id = read_u64 (r);
+      m->u.body.request_id = reader_take_u64 (r);
       m->u.body.attempt = read_attempt (r);
-      m->u.body.last = read_bool (r);
-      m->u.body.bytes = read_bin (r);
+      m->u.body.last = reader_take_bool (r);
+      m->u.body.bytes = reader_take_bin (r);
       break;
     default:
       r->failed = true;
@@ -409,34 +308,19 @@
 bool
 wire_load_message (struct wire_message *m, struct str frame)
 {
-  msgpack_unpacked unpacked;
-  struct reader r = { 0 };
-  size_t offset = 0;
+  struct reader r;
 
   memset (m, 0, sizeof *m);
-  if (!scan_check_msgpack (frame))
+  if (!reader_init (&r, frame))
     return false;
-  msgpack_unpacked_init (&unpacked);
-  if (msgpack_unpack_next (&unpacked, frame.data, frame.len, &offset)
-          != MSGPACK_UNPACK_SUCCESS
-      || offset != frame.len || unpacked.data.type != MSGPACK_OBJECT_ARRAY)
-    {
-      msgpack_unpacked_destroy (&unpacked);
-      return false;
-    }
-  r.items = unpacked.data.via.array.ptr;
-  r.len = unpacked.data.via.array.size;
-  m->type = (enum wire_type)read_u32 (&r, UINT16_MAX);
+  m->zone = r.zone;
+  m->type = (enum wire_type)reader_take_u32 (&r, UINT16_MAX);
   if (!r.failed)
     read_message (&r, m);
-  m->zone = msgpack_unpacked_release_zone (&unpacked);
-  msgpack_unpacked_destroy (&unpacked);
-  if (r.failed || r.next != r.len)
-    {
-      wire_unload_message (m);
-      return false;
-    }
-  return true;
+  if (reader_is_done (&r))
+    return true;
+  wire_unload_message (m);
+  return false;
 }
 
 void
--- a/src/wire_shard.c
+++ b/src/wire_shard.c
@@ -3,7 +3,7 @@
 #include "wire_shard.h"
 
 #include "frame.h"
-#include "scan.h"
+#include "reader.h"
 
 #include <msgpack.h>
 #include <string.h>
@@ -17,15 +17,6 @@
 
 /* Types */
 
-/* Members of the message's array that were not read yet.  */
-struct reader
-{
-  const msgpack_object *items;
-  uint32_t len;
-  uint32_t next;
-  bool failed;
-};
-
 /* Encoding and decoding of one message type.  */
 struct codec
 {
@@ -80,65 +71,24 @@
   msgpack_pack_uint64 (p, o.incarnation);
 }
 
-static const msgpack_object *
-next_item (struct reader *r, msgpack_object_type type)
-{
-  if (!r->failed && r->next < r->len && r->items[r->next].type == type)
-    return &r->items[r->next++];
-  r->failed = true;
-  return NULL;
-}
-
-static uint64_t
-read_u64 (struct reader *r)
-{
-  const msgpack_object *o = next_item (r, MSGPACK_OBJECT_POSITIVE_INTEGER);
-
-  return o != NULL ? o->via.u64 : 0;
-}
-
-static uint32_t
-read_u32 (struct reader *r, uint32_t max)
-{
-  uint64_t v = read_u64 (r);
-
-  if (v > max)
-    r->failed = true;
-  return r->failed ? 0 : (uint32_t)v;
-}
-
-static bool
-read_bool (struct reader *r)
-{
-  const msgpack_object *o = next_item (r, MSGPACK_OBJECT_BOOLEAN);
-
-  return o != NULL && o->via.boolean;
-}
-
 static struct str
 read_name (struct reader *r)
 {
-  const msgpack_object *o = next_item (r, MSGPACK_OBJECT_STR);
+  struct str name = reader_take_str (r);
 
-  if (o == NULL || o->via.str.size == 0
-      || o->via.str.size > WIRE_SHARD_NAME_MAX_BYTES)
-    {
-      r->failed = true;
-      return STR_EMPTY;
-    }
-  return (struct str){ o->via.str.size, o->via.str.ptr };
+  if (name.len == 0 || name.len > WIRE_SHARD_NAME_MAX_BYTES)
+    r->failed = true;
+  return r->failed ? STR_EMPTY : name;
 }
 
 static struct str
 read_bin (struct reader *r, uint32_t max)
 {
-  const msgpack_object *o = next_item (r, MSGPACK_OBJECT_BIN);
+  struct str bytes = reader_take_bin (r);
 
-  if (o == NULL || o->via.bin.size > max)
+  if (bytes.len > max)
     r->failed = true;
-  if (r->failed || o->via.bin.size == 0)
-    return STR_EMPTY;
-  return (struct str){ o->via.bin.size, o->via.bin.ptr };
+  return r->failed ? STR_EMPTY : bytes;
 }
 
 static struct once_key
@@ -159,8 +109,8 @@
 {
   struct once_attempt a;
 
-  a.origin = read_u64 (r);
-  a.number = read_u64 (r);
+  a.origin = reader_take_u64 (r);
+  a.number = reader_take_u64 (r);
   return a;
 }
 
@@ -169,8 +119,8 @@
 {
   struct lease_owner o;
 
-  o.id = read_u64 (r);
-  o.incarnation = read_u64 (r);
+  o.id = reader_take_u64 (r);
+  o.incarnation = reader_take_u64 (r);
   return o;
 }
 
@@ -195,11 +145,11 @@
   struct wire_tokens_wanted *q = &m->u.tokens_wanted;
 
   q->workspace = read_name (r);
-  q->waiting = read_u32 (r, UINT32_MAX);
-  q->demand = read_u32 (r, UINT32_MAX);
-  q->returned = read_u32 (r, UINT32_MAX);
-  q->returned_epoch = read_u64 (r);
-  q->sequence = read_u64 (r);
+  q->waiting = reader_take_u32 (r, UINT32_MAX);
+  q->demand = reader_take_u32 (r, UINT32_MAX);
+  q->returned = reader_take_u32 (r, UINT32_MAX);
+  q->returned_epoch = reader_take_u64 (r);
+  q->sequence = reader_take_u64 (r);
 }
 
 static void
@@ -221,11 +171,11 @@
   struct wire_tokens *q = &m->u.tokens;
 
   q->workspace = read_name (r);
-  q->count = read_u32 (r, UINT32_MAX);
-  q->validity_ms = read_u32 (r, INT32_MAX);
-  q->epoch = read_u64 (r);
-  q->sequence = read_u64 (r);
-  q->held = read_bool (r);
+  q->count = reader_take_u32 (r, UINT32_MAX);
+  q->validity_ms = reader_take_u32 (r, INT32_MAX);
+  q->epoch = reader_take_u64 (r);
+  q->sequence = reader_take_u64 (r);
+  q->held = reader_take_bool (r);
 }
 
 static void
@@ -245,11 +195,11 @@
 {
   struct wire_register *q = &m->u.reg;
 
-  q->request_id = read_u64 (r);
+  q->request_id = reader_take_u64 (r);
   q->key = read_key (r);
-  q->fingerprint = read_u64 (r);
+  q->fingerprint = reader_take_u64 (r);
   q->attempt = read_attempt (r);
-  q->timeout_us = read_u32 (r, UINT32_MAX);
+  q->timeout_us = reader_take_u32 (r, UINT32_MAX);
 }
 
 static void
@@ -267,8 +217,8 @@
 {
   struct wire_registered *q = &m->u.registered;
 
-  q->request_id = read_u64 (r);
-  q->answer = (enum once_answer)read_u32 (r, ONCE_ANSWERS - 1);
+  q->request_id = reader_take_u64 (r);
+  q->answer = (enum once_answer)reader_take_u32 (r, ONCE_ANSWERS - 1);
   q->outcome = read_bin (r, ONCE_OUTCOME_MAX_BYTES);
 }
 
@@ -290,7 +240,7 @@
 
   q->key = read_key (r);
   q->attempt = read_attempt (r);
-  q->not_run = read_bool (r);
+  q->not_run = reader_take_bool (r);
   q->outcome = read_bin (r, ONCE_OUTCOME_MAX_BYTES);
 }
 
@@ -310,9 +260,9 @@
 {
   struct wire_promise_wanted *q = &m->u.promise_wanted;
 
-  q->shard = read_u32 (r, SHARD_MAX);
-  q->epoch = read_u64 (r);
-  q->number = read_u64 (r);
+  q->shard = reader_take_u32 (r, SHARD_MAX);
+  q->epoch = reader_take_u64 (r);
+  q->number = reader_take_u64 (r);
   q->asker = read_owner (r);
 }
 
@@ -333,11 +283,11 @@
 {
   struct wire_promise *q = &m->u.promise;
 
-  q->shard = read_u32 (r, SHARD_MAX);
-  q->epoch = read_u64 (r);
-  q->number = read_u64 (r);
+  q->shard = reader_take_u32 (r, SHARD_MAX);
+  q->epoch = reader_take_u64 (r);
+  q->number = reader_take_u64 (r);
   q->candidate = read_owner (r);
-  q->promise_ms = read_u32 (r, INT32_MAX);
+  q->promise_ms = reader_take_u32 (r, INT32_MAX);
 }
 
 static void
@@ -349,7 +299,7 @@
 static void
 read_holder_wanted (struct reader *r, struct wire_shard_message *m)
 {
-  m->u.holder_wanted.shard = read_u32 (r, SHARD_MAX);
+  m->u.holder_wanted.shard = reader_take_u32 (r, SHARD_MAX);
 }
 
 static void
@@ -367,8 +317,8 @@
 {
   struct wire_holder *q = &m->u.holder;
 
-  q->shard = read_u32 (r, SHARD_MAX);
-  q->epoch = read_u64 (r);
+  q->shard = reader_take_u32 (r, SHARD_MAX);
+  q->epoch = reader_take_u64 (r);
   q->holder = read_owner (r);
 }
 
@@ -393,23 +343,18 @@
   return NULL;
 }
 
-/* Reads the members of an unpacked object; false if they do not fit.  */
+/* Reads the members of a message; false if they do not fit.  */
 static bool
-read_message (const msgpack_object *object, struct wire_shard_message *m)
+read_message (struct reader *r, struct wire_shard_message *m)
 {
-  struct reader r = { 0 };
-  const struct codec *codec;
+  uint32_t len = r->len;
+  const struct codec *codec = find_codec (reader_take_u32 (r, UINT16_MAX));
 
-  if (object->type != MSGPACK_OBJECT_ARRAY)
-    return false;
-  r.items = object->via.array.ptr;
-  r.len = object->via.array.size;
-  codec = find_codec (read_u32 (&r, UINT16_MAX));
-  if (r.failed || codec == NULL || r.len != codec->members)
+  if (r->failed || codec == NULL || len != codec->members)
     return false;
   m->type = codec->type;
-  codec->read (&r, m);
-  return !r.failed && r.next == r.len;
+  codec->read (r, m);
+  return reader_is_done (r);
 }
 
 /* Public functions */
@@ -449,21 +394,18 @@
 bool
 wire_shard_load_message (struct wire_shard_message *m, struct str frame)
 {
-  msgpack_unpacked unpacked;
-  size_t offset = 0;
-  bool ok;
+  struct reader r;
 
   memset (m, 0, sizeof *m);
-  if (!scan_check_msgpack (frame))
+  if (!reader_init (&r, frame))
     return false;
-  msgpack_unpacked_init (&unpacked);
-  ok = msgpack_unpack_next (&unpacked, frame.data, frame.len, &offset)
-           == MSGPACK_UNPACK_SUCCESS
-       && offset == frame.len && read_message (&unpacked.data, m);
-  if (ok)
-    m->zone = msgpack_unpacked_release_zone (&unpacked);
-  msgpack_unpacked_destroy (&unpacked);
-  return ok;
+  if (!read_message (&r, m))
+    {
+      reader_close (&r);
+      return false;
+    }
+  m->zone = r.zone;
+  return true;
 }
 
 void
@@ -474,31 +416,6 @@
   memset (m, 0, sizeof *m);
 }
 
-/* Internal functions: values */
-
-/* Unpacks one array; the caller destroys unpacked if this is true.  */
-static bool
-unpack_array (msgpack_unpacked *unpacked, struct reader *r, struct str bytes,
-              uint32_t members)
-{
-  size_t offset = 0;
-
-  if (!scan_check_msgpack (bytes))
-    return false;
-  msgpack_unpacked_init (unpacked);
-  if (msgpack_unpack_next (unpacked, bytes.data, bytes.len, &offset)
-          != MSGPACK_UNPACK_SUCCESS
-      || unpacked->data.type != MSGPACK_OBJECT_ARRAY
-      || unpacked->data.via.array.size != members)
-    {
-      msgpack_unpacked_destroy (unpacked);
-      return false;
-    }
-  r->items = unpacked->data.via.array.ptr;
-  r->len = members;
-  return true;
-}
-
 /* Public functions: values */
 
 void
@@ -523,20 +440,21 @@
 bool
 wire_shard_load_object (struct lease_object *o, struct str value)
 {
-  msgpack_unpacked unpacked;
-  struct reader r = { 0 };
+  struct reader r;
+  bool ok;
 
   memset (o, 0, sizeof *o);
-  if (!unpack_array (&unpacked, &r, value, OBJECT_MEMBERS))
+  if (!reader_init (&r, value))
     return false;
   o->holder = read_owner (&r);
-  o->epoch = read_u64 (&r);
+  o->epoch = reader_take_u64 (&r);
   for (uint32_t i = 0; i < LEASE_CANDIDATES; i++)
     o->candidates[i] = read_owner (&r);
-  o->term_ms = read_u32 (&r, INT32_MAX);
-  o->released = read_bool (&r);
-  msgpack_unpacked_destroy (&unpacked);
-  return !r.failed;
+  o->term_ms = reader_take_u32 (&r, INT32_MAX);
+  o->released = reader_take_bool (&r);
+  ok = reader_is_done (&r);
+  reader_close (&r);
+  return ok;
 }
 
 void
@@ -559,17 +477,18 @@
 bool
 wire_shard_load_outcome (struct wire_shard_outcome *o, struct str bytes)
 {
-  msgpack_unpacked unpacked;
-  struct reader r = { 0 };
+  struct reader r;
+  bool ok;
 
   memset (o, 0, sizeof *o);
-  if (!unpack_array (&unpacked, &r, bytes, OUTCOME_MEMBERS))
+  if (!reader_init (&r, bytes))
     return false;
-  o->status = read_u32 (&r, STATUS_MAX);
+  o->status = reader_take_u32 (&r, STATUS_MAX);
   o->content_type = str_copy (read_bin (&r, ONCE_OUTCOME_MAX_BYTES));
   o->body = str_copy (read_bin (&r, ONCE_OUTCOME_MAX_BYTES));
-  msgpack_unpacked_destroy (&unpacked);
-  if (!r.failed)
+  ok = reader_is_done (&r);
+  reader_close (&r);
+  if (ok)
     return true;
   str_free (&o->content_type);
   str_free (&o->body);
