Remove settings of gossip that had no effect

Cause: gossip.period_ms, gossip.fanout and gossip.bytes_per_s were read and checked, and nothing used them; the constants of gossip and member decide. Ruled out: connecting them (the sums of docs/CAPACITY.md hold for the constants and one wrong value breaks the freshness bound). Change: the members, their rule and their rows are gone; a file that has them is refused as having an unknown name. Measured: test_settings passes, 30 cases. Conclusion: what can be set has an effect.

--- a/src/settings.c
+++ b/src/settings.c
@@ -111,9 +111,6 @@
   { "limits.depth", TYPE_INTEGER, 1, 255, NULL, "32", AT (limits.depth), "Longest call chain." },
   { "limits.connections", TYPE_INTEGER, 1, 100000, NULL, "4096", AT (limits.connections), "Most connections of callers." },
   { "limits.idle_timeout_ms", TYPE_INTEGER, 100, HOUR_MS, NULL, "60000", AT (limits.idle_timeout_ms), "Time after which an idle connection of a caller is closed." },
-  { "gossip.period_ms", TYPE_INTEGER, 50, 10000, NULL, "250", AT (gossip.period_ms), "Time between two rounds of datagrams." },
-  { "gossip.fanout", TYPE_INTEGER, 1, 16, NULL, "2", AT (gossip.fanout), "Members that get a datagram in each round." },
-  { "gossip.bytes_per_s", TYPE_INTEGER, 256, MIB, NULL, "2000", AT (gossip.bytes_per_s), "Most bytes of datagrams sent in a second." },
   { "fresh.bound_ms", TYPE_INTEGER, 500, 60000, NULL, "3500", AT (fresh.bound_ms), "Oldest freshness evidence with which keyed routes are served." },
   { "lease.shards", TYPE_INTEGER, 1, 256, NULL, "8", AT (lease.shards), "Number of shards, the same at all daemons." },
   { "lease.term_ms", TYPE_INTEGER, 1000, 60000, NULL, "6000", AT (lease.term_ms), "Term of a shard's lease." },
@@ -459,12 +456,6 @@
   return (s->platform.address.len > 0) != (s->inventory_file.len > 0);
 }
 
-static bool
-has_round_before_bound (const struct settings *s)
-{
-  return s->gossip.period_ms < s->fresh.bound_ms;
-}
-
 static bool
 has_abandon_after_term (const struct settings *s)
 {
@@ -481,7 +472,6 @@
   { "ports", has_different_ports, "four different ports" },
   { "inventory_file", has_one_inventory,
     "either platform.address or inventory_file, not both" },
-  { "gossip.period_ms", has_round_before_bound, "less than fresh.bound_ms" },
   { "lease.abandon_ms", has_abandon_after_term,
     "more than lease.term_ms + lease.promise_ms" },
   { "grant.round_trip_bound_ms", has_round_trip_in_validity,
--- a/src/settings.h
+++ b/src/settings.h
@@ -75,13 +75,6 @@
   int64_t idle_timeout_ms;
 };
 
-struct settings_gossip
-{
-  int64_t period_ms;
-  int64_t fanout;
-  int64_t bytes_per_s;
-};
-
 struct settings_fresh
 {
   int64_t bound_ms;
@@ -119,7 +112,6 @@
   struct settings_trace trace;
   struct settings_policy policy;
   struct settings_limits limits;
-  struct settings_gossip gossip;
   struct settings_fresh fresh;
   struct settings_lease lease;
   struct settings_grant grant;
