Serve what can still be in time first; log the load of a backend server

With one of three backend servers of the deepest service left, the queue by due time held each call until just before its deadline, so that requests with five or ten calls in turn never ended. Ruled out: that the pressure is not raised (the new log line shows 999 of 1000 from 30 s on). Change: entries that can be answered by their due time go first; past it, the one due last goes first, and what cannot be answered by its deadline is dropped. One log line a second names what the pressure was computed from. Conclusion: the queue was one cause; the pressure that stays at its upper end is the other.

--- a/src/admit_urgency.c
+++ b/src/admit_urgency.c
@@ -1,10 +1,13 @@
 /* admit_urgency: the admission policy "urgency".
 
-   Entries are served by the time at which their answer is due for its full
-   value.  Importance was applied where it costs nothing, at the first daemon, by
-   the pressure of the services; what arrives here was admitted, and what is
-   due first goes first.  Late entries are dropped, and a full queue gives up its
-   least important entry.  */
+   Entries that can still be answered by their due time, which earns the full
+   value, go first, the one due first before the others.  Entries past that point
+   follow, the one due last first: under lasting overload the others would be
+   served just before their deadline, and a request that makes several calls in
+   turn would never end.  Importance was applied where it costs nothing, at the
+   first daemon, by the pressure of the services.  Entries that cannot be answered
+   by their deadline are dropped, and a full queue gives up its least important
+   entry.  */
 
 #include "admit.h"
 
@@ -21,7 +24,8 @@
 {
   uint64_t id;
   struct admit_item item;
-  GSequenceIter *place; /* in the order of service */
+  GSequence *order;     /* the one of the queue's two that it is in */
+  GSequenceIter *place; /* in that order */
 };
 
 /* The public type's name stands for this one here.  */
@@ -29,8 +33,9 @@
 {
   struct admit_settings settings;
   struct table entries;
-  GSequence *order; /* struct entry, by due time */
-  GQueue dropped;   /* struct admit_drop */
+  GSequence *timely; /* struct entry that can be in time, by due time */
+  GSequence *late;   /* struct entry that cannot, by due time */
+  GQueue dropped;    /* struct admit_drop */
   uint32_t limit;
   double service_us; /* mean, 0 if unknown */
 };
@@ -55,14 +60,34 @@
   return a->id < b->id ? -1 : a->id > b->id;
 }
 
+static int64_t
+get_end_us (const struct urgency *u, const struct admit_item *item,
+            int64_t now_us)
+{
+  return now_us
+         + (item->expected_us > 0 ? item->expected_us
+                                  : (int64_t)u->service_us);
+}
+
+static bool
+is_hopeless (const struct urgency *u, const struct admit_item *item,
+             int64_t now_us)
+{
+  return get_end_us (u, item, now_us) > item->deadline_us;
+}
+
 static bool
 is_late (const struct urgency *u, const struct admit_item *item,
          int64_t now_us)
 {
-  int64_t service_us
-      = item->expected_us > 0 ? item->expected_us : (int64_t)u->service_us;
+  return get_end_us (u, item, now_us) > item->due_us;
+}
 
-  return now_us + service_us > item->deadline_us;
+static void
+place_entry (struct entry *e, GSequence *order)
+{
+  e->order = order;
+  e->place = g_sequence_insert_sorted (order, e, compare, NULL);
 }
 
 static void
@@ -82,13 +107,12 @@
   remove_entry (u, e);
 }
 
-/* Makes room for a more important item; false if there is none less important.
-   Of the least important the one due last goes.  */
-static bool
-make_room (struct urgency *u, const struct admit_item *item)
+/* Least important entry of an order, the last of those, or `least` if it is
+   less important.  */
+static struct entry *
+find_least (GSequence *order, struct entry *least)
 {
-  GSequenceIter *i = g_sequence_get_end_iter (u->order);
-  struct entry *least = NULL;
+  GSequenceIter *i = g_sequence_get_end_iter (order);
 
   while (!g_sequence_iter_is_begin (i))
     {
@@ -99,12 +123,60 @@
       if (least == NULL || e->item.importance < least->item.importance)
         least = e;
     }
+  return least;
+}
+
+/* Makes room for a more important item; false if there is none less important.
+   Of the least important a late one goes first.  */
+static bool
+make_room (struct urgency *u, const struct admit_item *item)
+{
+  struct entry *least = find_least (u->timely, find_least (u->late, NULL));
+
   if (least == NULL || least->item.importance >= item->importance)
     return false;
   drop (u, least, ERR_OVERLOADED);
   return true;
 }
 
+/* Moves the entries that can no longer be in time to the late ones, and drops
+   late ones that cannot be answered at all.  Since routes differ in expected
+   time, one behind the first entry may be late already; it is found when it
+   comes first, or by the tick.  */
+static void
+sort_out_late (struct urgency *u, int64_t now_us)
+{
+  while (!g_sequence_is_empty (u->timely))
+    {
+      struct entry *e = g_sequence_get (g_sequence_get_begin_iter (u->timely));
+
+      if (!is_late (u, &e->item, now_us))
+        break;
+      g_sequence_remove (e->place);
+      place_entry (e, u->late);
+    }
+  while (!g_sequence_is_empty (u->late))
+    {
+      struct entry *e = g_sequence_get (g_sequence_get_begin_iter (u->late));
+
+      if (!is_hopeless (u, &e->item, now_us))
+        break;
+      drop (u, e, ERR_DEADLINE_NOT_RUN);
+    }
+}
+
+/* Entry to serve next, or NULL.  */
+static struct entry *
+get_first (const struct urgency *u)
+{
+  if (!g_sequence_is_empty (u->timely))
+    return g_sequence_get (g_sequence_get_begin_iter (u->timely));
+  if (!g_sequence_is_empty (u->late))
+    return g_sequence_get (
+        g_sequence_iter_prev (g_sequence_get_end_iter (u->late)));
+  return NULL;
+}
+
 /* Internal functions: the policy's table */
 
 static struct admit *
@@ -114,7 +186,8 @@
 
   u->settings = *settings;
   table_init (&u->entries, sizeof (struct entry));
-  u->order = g_sequence_new (NULL);
+  u->timely = g_sequence_new (NULL);
+  u->late = g_sequence_new (NULL);
   g_queue_init (&u->dropped);
   return (struct admit *)u;
 }
@@ -126,7 +199,8 @@
 
   if (u == NULL)
     return;
-  g_sequence_free (u->order);
+  g_sequence_free (u->timely);
+  g_sequence_free (u->late);
   g_queue_clear_full (&u->dropped, g_free);
   table_close (&u->entries);
   g_free (u);
@@ -139,14 +213,14 @@
   struct urgency *u = get_own (a);
   struct entry *e;
 
-  if (is_late (u, item, now_us))
+  if (is_hopeless (u, item, now_us))
     return ERR_DEADLINE_NOT_RUN;
   if (u->entries.count >= u->settings.queue_max && !make_room (u, item))
     return ERR_OVERLOADED;
   *entry = table_add (&u->entries, (void **)&e);
   e->id = *entry;
   e->item = *item;
-  e->place = g_sequence_insert_sorted (u->order, e, compare, NULL);
+  place_entry (e, is_late (u, item, now_us) ? u->late : u->timely);
   return ERR_NONE;
 }
 
@@ -154,12 +228,12 @@
 next (struct admit *a, int64_t now_us, struct admit_item *item)
 {
   struct urgency *u = get_own (a);
+  struct entry *e;
 
-  while (u->entries.count > 0)
+  sort_out_late (u, now_us);
+  while ((e = get_first (u)) != NULL)
     {
-      struct entry *e = g_sequence_get (g_sequence_get_begin_iter (u->order));
-
-      if (is_late (u, &e->item, now_us))
+      if (is_hopeless (u, &e->item, now_us))
         {
           drop (u, e, ERR_DEADLINE_NOT_RUN);
           continue;
@@ -208,7 +282,7 @@
 
   for (uint64_t id = table_next (&u->entries, 0, (void **)&e); id != 0;
        id = table_next (&u->entries, id, (void **)&e))
-    if (is_late (u, &e->item, now_us))
+    if (is_hopeless (u, &e->item, now_us))
       drop (u, e, ERR_DEADLINE_NOT_RUN);
 }
 
--- a/src/serve.c
+++ b/src/serve.c
@@ -13,6 +13,9 @@
 
 #define SERVE_ATTEMPTS_MAX 65536u
 #define SERVE_TICK_US 10000
+/* Interval of the log line about the load: the least that shows how an overload
+   of some seconds develops.  */
+#define SERVE_LOG_US 1000000
 #define SERVE_ATTEMPTS_SWEPT_PER_TICK 1024u
 #define SERVE_HEADERS_MAX (WIRE_HEADERS_MAX + DIALECT_REQUEST_HEADERS_MAX)
 /* A kept connection that has been idle for longer is not used for a request
@@ -775,6 +778,28 @@
   fail_dropped (s);
 }
 
+/* One line a second while requests wait or the pressure has others refused at
+   the first daemons: what that decision was made from.  */
+static void
+log_load (struct serve *s, const struct pressure_load *load, int64_t now_us)
+{
+  s->logged_arrivals += load->arrived;
+  if (now_us < s->next_log_us)
+    return;
+  if (load->queued > 0 || pressure_get (&s->pressure) > 0)
+    LOGGER_WRITE (
+        LOGGER_INFO, "backend_loaded",
+        LOGGER_TEXT ("service", s->backend.service),
+        LOGGER_NUMBER ("pressure_permille", pressure_get (&s->pressure)),
+        LOGGER_NUMBER ("arrived", s->logged_arrivals),
+        LOGGER_NUMBER ("running", s->running),
+        LOGGER_NUMBER ("limit", load->limit),
+        LOGGER_NUMBER ("queued", load->queued),
+        LOGGER_NUMBER ("service_us", load->service_us));
+  s->logged_arrivals = 0;
+  s->next_log_us = now_us + SERVE_LOG_US;
+}
+
 static void
 run_tick (void *owner, int64_t now_us)
 {
@@ -792,6 +817,7 @@
                                 .service_us = (int64_t)s->service_us };
   s->arrivals = 0;
   pressure_run (&s->pressure, &load, now_us);
+  log_load (s, &load, now_us);
   s->admit_ops->tick (s->admit, now_us);
   s->limit_ops->tick (&s->limit, s->admit_ops->get_length (s->admit), now_us);
   attempt_expire (&s->attempts, SERVE_ATTEMPTS_SWEPT_PER_TICK, now_us);
--- a/src/serve.h
+++ b/src/serve.h
@@ -77,7 +77,9 @@
   struct limit limit;
   struct work work;
   struct pressure_controller pressure;
-  uint32_t arrivals; /* since the last tick */
+  uint32_t arrivals;        /* since the last tick */
+  uint32_t logged_arrivals; /* since the last log line */
+  int64_t next_log_us;
   double service_us; /* mean time at the backend server */
   struct httpc_pool *pool;
   struct note_backend backend;
--- a/tests/test_admit_urgency.c
+++ b/tests/test_admit_urgency.c
@@ -80,6 +80,27 @@
 }
 END_TEST
 
+/* Guards against slots spent on entries past their due time while others can
+   still be in time, and against late entries that wait until just before their
+   deadline: of the late ones the one due last goes first.  */
+START_TEST (late_entries_wait_for_timely_ones)
+{
+  struct admit_settings s = admit_get_defaults ();
+  struct admit *a = get_ops ()->init (&s);
+
+  offer (a, make_item (1, 9, 100, 900), 0);
+  offer (a, make_item (2, 9, 120, 900), 0);
+  offer (a, make_item (3, 9, 300, 900), 0);
+  ck_assert_uint_eq (take (a, 150), 3);
+  ck_assert_uint_eq (take (a, 150), 2);
+  ck_assert_int_eq (offer (a, make_item (4, 9, 110, 900), 150), ERR_NONE);
+  ck_assert_uint_eq (take (a, 150), 4);
+  ck_assert_uint_eq (take (a, 150), 1);
+  ck_assert_uint_eq (take (a, 150), 0);
+  get_ops ()->close (a);
+}
+END_TEST
+
 /* Guards against a queue without bound, and against an important entry that
    goes for a less important one.  */
 START_TEST (full_queue_gives_up_the_least_important)
@@ -120,9 +141,9 @@
 
 /* Guards against a queue that serves everything too late for its caller: calls
    with an objective of 300 ms and 700 ms to live arrive at 1.6 times what 42 slots
-   of 15 ms can run.  Half of what runs is to be in time.  Known red: by due
-   time each call waits until just before its end, so that a request with ten calls
-   in turn never ends (amrc-mesh scale-1 --seed 837902874435).  */
+   of 15 ms can run.  Half of what runs is to be in time.  By due time alone
+   each call waits until just before its end, so that a request with ten calls in
+   turn never ends.  */
 START_TEST (overload_keeps_answers_in_time)
 {
   const struct admit_ops *ops = get_ops ();
@@ -156,13 +177,12 @@
 int
 main (void)
 {
-  const TTest *const cases[]
-      = { what_is_due_first_goes_first, late_entries_are_dropped,
-          full_queue_gives_up_the_least_important, removed_entry_is_gone };
-
-  const TTest *const red[] = { overload_keeps_answers_in_time };
-
-  return suite_run_tagged ("admit_urgency", cases,
-                           sizeof cases / sizeof *cases, red,
-                           sizeof red / sizeof *red);
+  const TTest *const cases[] = { what_is_due_first_goes_first,
+                                 late_entries_are_dropped,
+                                 late_entries_wait_for_timely_ones,
+                                 full_queue_gives_up_the_least_important,
+                                 removed_entry_is_gone,
+                                 overload_keeps_answers_in_time };
+
+  return suite_run ("admit_urgency", cases, sizeof cases / sizeof *cases);
 }
