Bound the pressure, step it in its logarithm; log what a front refuses by

Cause: in a deep overload at most 85% of each importance was refused, so more was admitted than runs, the value ran up to 1.0 and stayed there after the cause had ended. Ruled out: that the serving daemon sees too little (its log line shows the value at its end). Change: of each importance 0.4 of the mean admitted share is admitted; the value ends at 0.97; steps are relative to the admitted share.

--- a/src/front.c
+++ b/src/front.c
@@ -13,6 +13,8 @@
 /* Constants */
 
 #define FRONT_TICK_US 10000
+/* Interval of the log lines about refused requests, as the serve thread's.  */
+#define FRONT_LOG_US 1000000
 /* The serving daemon answers at the deadline whether the request ran; this is
    the time for that answer to arrive.  */
 #define FRONT_DEADLINE_GRACE_US 20000
@@ -287,6 +289,35 @@
               STR_EMPTY);
 }
 
+/* One line a second for each service whose pressure has requests refused here:
+   what those refusals were decided from.  */
+static void
+log_pressures (struct front *f, int64_t now_us)
+{
+  struct pressure_service *service;
+
+  if (now_us < f->next_log_us)
+    return;
+  f->next_log_us = now_us + FRONT_LOG_US;
+  for (uint64_t id = pressure_next_service (&f->shedder, 0, &service); id != 0;
+       id = pressure_next_service (&f->shedder, id, &service))
+    {
+      if (service->refused > 0)
+        LOGGER_WRITE (
+            LOGGER_INFO, "requests_shed",
+            LOGGER_TEXT ("service", service->name),
+            LOGGER_NUMBER ("pressure_permille",
+                           (int64_t)(pressure_get_value (service, now_us)
+                                     * PRESSURE_WHOLE)),
+            LOGGER_NUMBER ("age_ms",
+                           (now_us - service->noted_us) / CLOCK_US_PER_MS),
+            LOGGER_NUMBER ("checked", service->checked),
+            LOGGER_NUMBER ("refused", service->refused));
+      service->checked = 0;
+      service->refused = 0;
+    }
+}
+
 static void
 run_expiry (void *owner, int64_t now_us)
 {
@@ -301,6 +332,7 @@
     expire_call (f, call, now_us);
   feedback_expire (&f->feedback, now_us);
   budget_expire_ratio (&f->ratio, now_us);
+  log_pressures (f, now_us);
   metrics_set (f->shared->stats.calls_open, f->calls.count);
 }
 
--- a/src/front.h
+++ b/src/front.h
@@ -145,6 +145,7 @@
   uint64_t attempt_origin; /* random for each process and front */
   uint64_t attempt_number;
   int64_t next_tick_us;
+  int64_t next_log_us;
   bool stopped_listening;
   struct logger_limit failures[ERR_KINDS]; /* lines about failed requests */
 };
--- a/src/pressure.c
+++ b/src/pressure.c
@@ -13,14 +13,16 @@
    of DRAIN_WAIT_US, which is within the objective of most routes.  */
 #define DRAIN_WAIT_US 500000.0
 #define DRAIN_MAX 0.3
-/* Part of the way to the wanted value that is gone in an interval.  A change
-   shows at the service only after the requests admitted before it have passed,
-   some 100 ms later; the value settles in about half a second, which is slower
-   than that and so does not overshoot.  */
+/* Part of the way to the wanted admitted share, in its logarithm, that is gone in
+   an interval.  A change shows at the service only after the requests admitted
+   before it have passed, some 100 ms later; the value settles in about half a
+   second, which is slower than that and so does not overshoot.  Steps are relative
+   since at an admitted share of a tenth a change by a hundredth of all requests
+   is a tenth of the load.  */
 #define STEP 0.1
-/* Largest distance that is aimed at in one step, since the arrivals of a short
-   time say little.  */
-#define AIM_MAX 0.3
+/* Largest factor that is aimed at in one step, since the arrivals of a short
+   time say little.  The share comes back from its least in 1.3 s.  */
+#define FACTOR_MAX 4.0
 /* Weight of one interval in the average of the arrivals.  */
 #define ARRIVALS_GAIN 0.2
 /* Use of the slots that the pressure aims at while nothing waits.  */
@@ -32,9 +34,13 @@
 #define REPORT_US 1000000
 /* Arrivals are counted over about this time.  */
 #define ARRIVALS_US 2000000.0
-/* At most this part of the requests of one importance is refused, so that no
-   route starves and the path below stays known.  */
-#define REFUSED_MAX 0.85
+/* Of each importance this part of the mean admitted share is admitted, so that no
+   route starves: one that is served less than a quarter as often as all others
+   counts as starved, and some of what is admitted fails later.  */
+#define ADMITTED_MIN 0.4
+/* Largest pressure.  The rest keeps the path below known, and bounds the time
+   until the value has come back after an overload.  */
+#define VALUE_MAX 0.97
 #define SERVICES_MAX 4096u
 
 /* Internal functions */
@@ -63,25 +69,22 @@
   return *id;
 }
 
-/* Fraction to refuse so that what arrives is what can run.  What arrives is
-   what the present value has left over of all requests.  */
+/* By what the admitted share has to be multiplied so that what arrives is what can
+   run.  */
 static double
-get_wanted (const struct pressure_controller *p,
-            const struct pressure_load *load)
+get_wanted_factor (const struct pressure_controller *p,
+                   const struct pressure_load *load)
 {
   double capacity = (double)load->limit * PRESSURE_INTERVAL_US
                     / (double)MAX (load->service_us, 1);
   double wait_us
       = (double)load->queued * (double)load->service_us / load->limit;
   double drain = MIN (wait_us / DRAIN_WAIT_US, 1.0) * DRAIN_MAX;
-  double wanted;
 
   if (p->arrivals <= 0)
-    return 0;
-  wanted
-      = 1
-        - (1 - p->value) * capacity * BUSY_WANTED * (1 - drain) / p->arrivals;
-  return CLAMP (wanted, 0.0, 1.0);
+    return FACTOR_MAX;
+  return CLAMP (capacity * BUSY_WANTED * (1 - drain) / p->arrivals,
+                1 / FACTOR_MAX, FACTOR_MAX);
 }
 
 static void
@@ -94,33 +97,25 @@
     s->arrivals[i] *= factor;
 }
 
-static double
-get_value (const struct pressure_service *s, int64_t now_us)
-{
-  int64_t age_us = now_us - s->noted_us;
-
-  if (age_us <= REPORT_US)
-    return s->value;
-  return s->value * exp (-(double)(age_us - REPORT_US) / REPORT_US);
-}
-
 /* Part of the requests of one importance to refuse, so that the whole of the
    refusals is the pressure's part of all, the least important first.  */
 static double
 get_refused_part (const struct pressure_service *s, uint32_t importance,
                   int64_t now_us)
 {
+  double value = pressure_get_value (s, now_us);
+  double refused_max = 1 - ADMITTED_MIN * (1 - value);
   double total = 0;
   double left;
 
   for (uint32_t i = 0; i < PRESSURE_IMPORTANCES; i++)
     total += s->arrivals[i];
-  left = get_value (s, now_us) * total;
+  left = value * total;
   for (uint32_t i = 0; i < importance; i++)
-    left -= MIN (left, s->arrivals[i] * REFUSED_MAX);
+    left -= MIN (left, s->arrivals[i] * refused_max);
   if (s->arrivals[importance] <= 0)
     return 0;
-  return MIN (left / s->arrivals[importance], REFUSED_MAX);
+  return MIN (left / s->arrivals[importance], refused_max);
 }
 
 static void
@@ -182,7 +177,7 @@
 pressure_run (struct pressure_controller *p, const struct pressure_load *load,
               int64_t now_us)
 {
-  double distance;
+  double admitted;
 
   p->arrived += load->arrived;
   if (now_us < p->next_us)
@@ -192,9 +187,8 @@
   p->arrived = 0;
   if (load->limit == 0 || load->service_us == 0)
     return;
-  distance = get_wanted (p, load) - p->value;
-  p->value = CLAMP (p->value + STEP * CLAMP (distance, -AIM_MAX, AIM_MAX), 0.0,
-                    1.0);
+  admitted = (1 - p->value) * pow (get_wanted_factor (p, load), STEP);
+  p->value = CLAMP (1 - admitted, 0.0, VALUE_MAX);
 }
 
 uint32_t
@@ -279,7 +273,8 @@
 {
   struct pressure_route *r
       = table_get (&s->routes, find_id (s->route_by_name, route));
-  double refused = 0;
+  double part = 0;
+  bool refused;
 
   if (r == NULL)
     return false;
@@ -291,9 +286,35 @@
 
       decay_service (service, now_us);
       service->arrivals[importance]++;
-      refused = MAX (refused, get_refused_part (service, importance, now_us));
+      part = MAX (part, get_refused_part (service, importance, now_us));
     }
-  return refused > 0 && g_rand_double (s->rand) < refused;
+  refused = part > 0 && g_rand_double (s->rand) < part;
+  for (uint32_t i = 0; i < r->len; i++)
+    {
+      struct pressure_service *service
+          = table_get (&s->services, r->services[i]);
+
+      service->checked++;
+      service->refused += refused;
+    }
+  return refused;
+}
+
+uint64_t
+pressure_next_service (const struct pressure_shedder *s, uint64_t id,
+                       struct pressure_service **service)
+{
+  return table_next (&s->services, id, (void **)service);
+}
+
+double
+pressure_get_value (const struct pressure_service *s, int64_t now_us)
+{
+  int64_t age_us = now_us - s->noted_us;
+
+  if (age_us <= REPORT_US)
+    return s->value;
+  return s->value * exp (-(double)(age_us - REPORT_US) / REPORT_US);
 }
 
 /* Public functions: board */
--- a/src/pressure.h
+++ b/src/pressure.h
@@ -63,6 +63,8 @@
   /* requests that use the service, by importance, decaying */
   double arrivals[PRESSURE_IMPORTANCES];
   int64_t decayed_us;
+  uint32_t checked; /* requests since the owner last cleared both */
+  uint32_t refused; /* of those, for this service or another of their route */
 };
 
 /* Services that a route was seen to use.  */
@@ -118,6 +120,12 @@
 bool pressure_shed (struct pressure_shedder *s, struct str route,
                     uint32_t importance, int64_t now_us);
 
+/* row id of the next service after a row id, or 0; begins at 0 */
+uint64_t pressure_next_service (const struct pressure_shedder *s, uint64_t id,
+                                struct pressure_service **service);
+/* pressure of a service as it counts now, 0..1 */
+double pressure_get_value (const struct pressure_service *s, int64_t now_us);
+
 /* Public functions: board; any thread */
 
 void pressure_init_board (struct pressure_board *b);
--- a/tests/test_pressure.c
+++ b/tests/test_pressure.c
@@ -10,6 +10,9 @@
 #define SLOTS 100u
 #define SERVICE_US 20000
 #define STEP_US 10000
+/* A call with an objective of 300 ms that waits longer is late.  */
+#define QUEUE_WAIT_MAX_US 280000
+#define DEADLINE_US 700000
 #define DELAY_STEPS 30 /* from the front to the deep service: 300 ms */
 
 /* A front in front of one deep service whose requests arrive some time after
@@ -20,6 +23,7 @@
   struct pressure_controller controller;
   double on_the_way[DELAY_STEPS];
   double queue;
+  double queue_max; /* more is dropped as hopeless; 0: no bound */
   double admitted[PRESSURE_IMPORTANCES];
   double offered[PRESSURE_IMPORTANCES];
 };
@@ -55,6 +59,8 @@
 
   l->on_the_way[at] = 0;
   l->queue = arrived - ran;
+  if (l->queue_max > 0)
+    l->queue = MIN (l->queue, l->queue_max);
   pressure_run (&l->controller, &now, now_us);
   report.permille = pressure_get (&l->controller);
   pressure_note (&l->shedder, STR_LIT ("low"), &report, 1, now_us);
@@ -145,6 +151,48 @@
 }
 END_TEST
 
+/* Guards against a queue that stays full because more is admitted than the least
+   part of each importance: at ten times the capacity what is admitted still
+   fits, and the important route gets most of it.  */
+START_TEST (deep_overload_is_refused_to_the_capacity)
+{
+  struct load *l = start ();
+  int64_t settled_us = 10 * CLOCK_US_PER_S;
+  double capacity = (double)SLOTS * STEP_US / SERVICE_US;
+  double steps = (double)settled_us / STEP_US;
+
+  l->queue_max = (double)DEADLINE_US * SLOTS / SERVICE_US;
+  play (l, 300, 200, 0, settled_us);
+  forget_counts (l);
+  play (l, 300, 200, settled_us, 2 * settled_us);
+  ck_assert_double_le (l->admitted[2] + l->admitted[7],
+                       capacity * steps * 1.03);
+  ck_assert_double_ge (l->admitted[2] + l->admitted[7],
+                       capacity * steps * 0.9);
+  ck_assert_double_ge (l->admitted[7], l->admitted[2] * 2);
+  ck_assert_double_le (l->queue * SERVICE_US / SLOTS, QUEUE_WAIT_MAX_US);
+  end (l);
+}
+END_TEST
+
+/* Guards against a value that runs away while more cannot be refused, and then
+   refuses for long after the overload.  */
+START_TEST (refusals_end_with_a_deep_overload)
+{
+  struct load *l = start ();
+  int64_t over_us = 10 * CLOCK_US_PER_S;
+  int64_t recovered_us = over_us + 2 * CLOCK_US_PER_S;
+
+  l->queue_max = (double)DEADLINE_US * SLOTS / SERVICE_US;
+  play (l, 300, 200, 0, over_us);
+  play (l, 10, 20, over_us, recovered_us);
+  forget_counts (l);
+  play (l, 10, 20, recovered_us, 2 * recovered_us);
+  ck_assert_double_ge (l->admitted[2] / l->offered[2], 0.99);
+  end (l);
+}
+END_TEST
+
 /* Guards against a first daemon that refuses without a cause: routes that do
    not use the service, and reports that are old.  */
 START_TEST (other_routes_and_old_reports_refuse_nothing)
@@ -196,6 +244,8 @@
     overload_is_refused_from_the_least_important,
     refusals_end_with_the_overload,
     no_importance_is_refused_whole,
+    deep_overload_is_refused_to_the_capacity,
+    refusals_end_with_a_deep_overload,
     other_routes_and_old_reports_refuse_nothing,
     board_keeps_recent_reports_by_service,
   };
