Compare two different endpoints

Ruled out: reports that do not arrive (a debugging run shows both endpoints' values at each front). Change: the second candidate is another one if there is one.

--- a/src/route.c
+++ b/src/route.c
@@ -302,7 +302,20 @@
   return load > NEAR_LOAD_FREE && other_load < load * FAR_LOAD_PART;
 }
 
-/* Two random candidates, the first from the same failure domain if there is
+/* Another candidate than `first`, or `first` if it is the only one.  */
+static struct route_endpoint *
+pick_other (struct route_pool *p, const struct candidates *c,
+            struct route_endpoint *first)
+{
+  struct route_endpoint *other;
+
+  if (c->len == 1)
+    return first;
+  other = pick (p, c->all, c->len - 1);
+  return other != first ? other : c->all[c->len - 1];
+}
+
+/* Two different candidates, the first from the same failure domain if there is
    one; the second wins only if it is better.  */
 static struct route_endpoint *
 pick_of_two (struct route_pool *p, const struct candidates *c, int64_t now_us)
@@ -310,7 +323,7 @@
   struct route_endpoint *first = c->near_len > 0
                                      ? pick (p, c->near, c->near_len)
                                      : pick (p, c->all, c->len);
-  struct route_endpoint *second = pick (p, c->all, c->len);
+  struct route_endpoint *second = pick_other (p, c, first);
 
   if (is_off (p, ROUTE_RULE_LOAD))
     return second;
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -121,6 +121,22 @@
 }
 END_TEST
 
+/* Guards against a full endpoint of two that still gets a quarter of the
+   requests because it is compared with itself.  */
+START_TEST (full_endpoint_of_two_gets_nothing)
+{
+  struct route_pool p = make_pool (9, 2, ROUTE_RULE_DOMAIN);
+
+  route_note_answer (&p, 1, 500, 40, NOW_US);
+  route_note_answer (&p, 2, 30, 40, NOW_US);
+  for (int i = 0; i < 100; i++)
+    ck_assert_uint_eq (least_loaded ()->choose (&p, NULL, 0, NOW_US), 2);
+  route_remove_endpoint (&p, 2);
+  ck_assert_uint_eq (least_loaded ()->choose (&p, NULL, 0, NOW_US), 1);
+  route_close_pool (&p);
+}
+END_TEST
+
 /* Times that member 1 is chosen out of 3 in ROUNDS without answers.  */
 static int
 count_first (struct route_pool *p, int64_t now_us)
@@ -269,7 +285,8 @@
       = { longest_prefix_of_the_decoded_path,    slow_endpoint_gets_less,
           failed_endpoint_is_avoided_for_a_time, same_domain_unless_busier,
           room_in_the_own_domain_is_used_first,  cold_endpoint_gets_less,
-          subset_is_small_stable_and_even,       late_answers_are_ignored };
+          subset_is_small_stable_and_even,       late_answers_are_ignored,
+          full_endpoint_of_two_gets_nothing };
 
   return suite_run ("route", cases, G_N_ELEMENTS (cases));
 }
