Probe the dead more often while many are dead

Cause: known red, failure_domain_returns_whole: 4 minutes after a failure domain of 200 in 1,200 had returned some daemons still took members of it as dead. Counted by a small program over the same fleet: 30 s after the return each daemon has 59 dead rows, nearly all (9,827 of 10,099) of members that have refuted already; the refutations are lost to the byte budget, table exchanges bring 10 of them in 30 s, and one probe in 16 goes to a dead member. Ruled out: missing refutations (272 of 10,099); probing the members on which two tables differ changes little (219 and 179 dead rows left after 60 s) and was taken out again. Change: with more than one row in 256 not alive every other probe goes to a dead one, whose answer carries its incarnation. The number of probes stays the same. Measured: dead rows of 172 daemons 10,099 / 9,011 / 7,135 after 30 / 60 / 90 s before, 2,577 / 219 / 17 after, none at 150 s. test_member passes whole, failure_domain_returns_whole among its counted cases.

--- a/src/member.c
+++ b/src/member.c
@@ -416,11 +416,19 @@
   return first;
 }
 
+static uint32_t
+get_dead_probe_share (const struct member_table *t)
+{
+  return (t->rows.count - t->alive) * MEMBER_DEAD_MANY > t->rows.count
+             ? MEMBER_DEAD_MANY_PROBE_SHARE
+             : MEMBER_DEAD_PROBE_SHARE;
+}
+
 static struct member_row *
 pick_target (struct member_table *t, uint32_t slot)
 {
   const struct member_domain *d = pick_domain (t, slot);
-  bool dead = draw (t, MEMBER_DEAD_PROBE_SHARE) == 0;
+  bool dead = draw (t, get_dead_probe_share (t)) == 0;
   struct member_row *row = dead ? pick_dead (t) : NULL;
 
   for (int i = 0; i < PICK_TRIES && row == NULL; i++)
--- a/src/member.h
+++ b/src/member.h
@@ -53,6 +53,11 @@
 #define MEMBER_QUIET_MISSES 8u
 #define MEMBER_QUIET_MS 30000
 #define MEMBER_DEAD_PROBE_SHARE 16u /* one probe in 16 goes to a dead member */
+/* With more than one row in 256 not alive it is every other probe.  On an ordinary
+   day one in 1,000 fails; after a failure domain has returned one in 20 is dead
+   here though it has refuted, and its answer is the quickest way to learn it.  */
+#define MEMBER_DEAD_MANY 256u
+#define MEMBER_DEAD_MANY_PROBE_SHARE 2u
 #define MEMBER_SILENT_PROBE_SHARE 3u
 /* After a time-out in another domain the second slot stays inside for so many
    probes.  Without it a domain that is cut off has too few answers in the
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -244,7 +244,7 @@
 END_TEST
 
 /* The promise behind the check above: all members of a failure domain that has
-   returned are usable again.  Listed in KNOWN-RED.txt.  */
+   returned are usable again.  */
 START_TEST (failure_domain_returns_whole)
 {
   struct fleet f;
@@ -333,12 +333,8 @@
   tcase_add_test (tc, failed_member_is_removed_and_rejoins);
   tcase_add_test (tc, falsely_suspected_member_stays);
   tcase_add_test (tc, failure_domain_is_lost_and_returns);
-  tcase_add_test (tc, partition_of_an_hour_heals);
-  suite_add_tcase (suite, tc);
-  tc = tcase_create ("known-red");
-  tcase_set_timeout (tc, 240);
-  tcase_set_tags (tc, "known-red");
   tcase_add_test (tc, failure_domain_returns_whole);
+  tcase_add_test (tc, partition_of_an_hour_heals);
   suite_add_tcase (suite, tc);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
