Ignore late states of ended processes; advertise ports; own settings on the platform

Cause: written down for the soak, which holds connections and starts processes again: a state that a partition held back, of a process that has ended, retired the process that had followed at the same address, for good, at every daemon that had not known the earlier one. Ruled out: member ids alone (random, without an order). Change: a state names the time of its process's start; an earlier process is ignored while a later one at its address is heard. A wall clock that was set back costs three intervals. Measured: test_registry late_state_of_an_ended_process_is_ignored and test_machine own_settings_replace_the_built_in_ones are new; the first failed before.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -61,6 +61,7 @@
   shared->rate_ops = d->site->rate;
   shared->site = d->site;
   shared->member = get_random () | 1;
+  shared->started_ms = clock_wall_ms ();
   shared->fronts_len = (uint32_t)s->front_threads;
   snapshot_init_board (&shared->board);
   hop_init (&shared->hops, HOPS_MAX);
--- a/src/node_gossip.c
+++ b/src/node_gossip.c
@@ -519,8 +519,8 @@
   parse_ip (s->address, self.address.ip);
   self.address.ports[MEMBER_PORT_CALLER] = (uint16_t)s->ports.caller;
   self.address.ports[MEMBER_PORT_LOCAL] = (uint16_t)s->ports.local;
-  self.address.ports[MEMBER_PORT_PEER] = (uint16_t)s->ports.peer;
-  self.address.ports[MEMBER_PORT_CONTROL] = (uint16_t)s->ports.control;
+  self.address.ports[MEMBER_PORT_PEER] = settings_get_peer_port (s);
+  self.address.ports[MEMBER_PORT_CONTROL] = settings_get_control_port (s);
   return self;
 }
 
--- a/src/node_registry.c
+++ b/src/node_registry.c
@@ -196,7 +196,7 @@
 {
   str_append_format (out, "{\"address\":\"%.*s\",\"port\":%d}",
                      STR_ARG (c->settings->address),
-                     (int)c->settings->ports.control);
+                     (int)settings_get_control_port (c->settings));
 }
 
 static void
@@ -251,7 +251,7 @@
   if (!str_equal (name, c->settings->member_id))
     registry_add (&n->registry, name, address, port, clock_now_us ());
   else if (str_equal (address, c->settings->address)
-           && port == c->settings->ports.control)
+           && port == settings_get_control_port (c->settings))
     n->own_listed = true;
   str_free (&address);
 }
@@ -348,10 +348,11 @@
   g_mutex_unlock (&shared->quota_mutex);
   *state = (struct registry_state){
     .member = shared->member,
+    .started_ms = shared->started_ms,
     .name = s->member_id,
     .address = s->address,
-    .peer_port = (uint16_t)s->ports.peer,
-    .control_port = (uint16_t)s->ports.control,
+    .peer_port = settings_get_peer_port (s),
+    .control_port = settings_get_control_port (s),
     .domain = s->failure_domain,
     .service = c->backend.service,
     .serving = c->backend_state == CONTROL_BACKEND_SERVING,
--- a/src/registry.c
+++ b/src/registry.c
@@ -70,6 +70,22 @@
          && str_equal (a->address, b->address);
 }
 
+/* True if a later process at the same address is heard.  */
+static bool
+is_outdated (const struct registry *r, const struct registry_state *state,
+             int64_t now_us)
+{
+  struct registry_member *m;
+
+  for (uint64_t id = table_next (&r->members, 0, (void **)&m); id != 0;
+       id = table_next (&r->members, id, (void **)&m))
+    if (m->state.member != state->member && is_same_place (&m->state, state)
+        && m->state.started_ms > state->started_ms
+        && registry_is_live (r, m, now_us))
+      return true;
+  return false;
+}
+
 /* Only one process can listen at an address, so earlier ones have ended.  */
 static void
 retire_others (struct registry *r, const struct registry_state *state)
@@ -136,6 +152,8 @@
       || g_hash_table_contains (r->retired, &state->member))
     return false;
   m = registry_find (r, state->member);
+  if (m == NULL && is_outdated (r, state, now_us))
+    return false;
   if (m == NULL)
     {
       retire_others (r, state);
--- a/src/registry.h
+++ b/src/registry.h
@@ -3,7 +3,9 @@
    Each daemon tells the others its state at an interval.  A member that is not
    heard for some intervals is no endpoint until it is heard again.  A daemon
    that starts again has a new member id; its state retires the old id at the
-   same address.  Owned by the control thread.  */
+   same address.  A late state of the earlier process is told apart by the time of its
+   start, unless the later process has fallen silent: the wall clock may have been
+   set back.  Owned by the control thread.  */
 
 #ifndef ALMONDVALE_REGISTRY_H
 #define ALMONDVALE_REGISTRY_H
@@ -34,6 +36,7 @@
 struct registry_state
 {
   uint64_t member;    /* random, of this process */
+  int64_t started_ms; /* wall-clock time of the process's start */
   struct str name;    /* of the daemon, stays over restarts */
   struct str address; /* IP address */
   uint16_t peer_port; /* TCP port of the request plane */
--- a/src/settings.c
+++ b/src/settings.c
@@ -121,6 +121,8 @@
   { "local_address", TYPE_ADDRESS, 0, 0, NULL, "\"127.0.0.1\"", AT (local_address), "IP address of the local port." },
   { "service", TYPE_NAME, 0, 0, NULL, "\"\"", AT (service), "Service of the backend server beside this daemon, told to other backend servers as the origin of its calls." },
   { "ports.health", TYPE_INTEGER, 0, PORT_MAX, NULL, "0", AT (ports.health), "HTTP port of health checks. 0 for none." },
+  { "ports.advertised_peer", TYPE_INTEGER, 0, PORT_MAX, NULL, "0", AT (ports.advertised_peer), "Port at which other daemons reach ports.peer, if a forwarder stands in between. 0 for the same." },
+  { "ports.advertised_control", TYPE_INTEGER, 0, PORT_MAX, NULL, "0", AT (ports.advertised_control), "Port at which other daemons reach ports.control, if a forwarder stands in between. 0 for the same." },
   { "leave_notice_ms", TYPE_INTEGER, 0, 60000, NULL, "2000", AT (leave_notice_ms), "Time between the news that this daemon leaves and its refusal of new requests. The others hear it within a few gossip rounds." },
   { "shutdown_ms", TYPE_INTEGER, 0, 600000, NULL, "30000", AT (shutdown_ms), "Longest time that a shutdown waits for requests in flight." },
 };
@@ -855,6 +857,21 @@
   return false;
 }
 
+uint16_t
+settings_get_peer_port (const struct settings *s)
+{
+  return (uint16_t)(s->ports.advertised_peer > 0 ? s->ports.advertised_peer
+                                                 : s->ports.peer);
+}
+
+uint16_t
+settings_get_control_port (const struct settings *s)
+{
+  return (uint16_t)(s->ports.advertised_control > 0
+                        ? s->ports.advertised_control
+                        : s->ports.control);
+}
+
 /**
  * settings_unload - frees what a load allocated
  * @s: settings of a successful load
--- a/src/settings.h
+++ b/src/settings.h
@@ -42,11 +42,13 @@
 
 struct settings_ports
 {
-  int64_t caller;  /* HTTP of callers */
-  int64_t local;   /* HTTP on loopback */
-  int64_t peer;    /* TCP frames for requests */
-  int64_t control; /* TCP frames and UDP datagrams */
-  int64_t health;  /* HTTP of health checks; 0: none */
+  int64_t caller;             /* HTTP of callers */
+  int64_t local;              /* HTTP on loopback */
+  int64_t peer;               /* TCP frames for requests */
+  int64_t control;            /* TCP frames and UDP datagrams */
+  int64_t health;             /* HTTP of health checks; 0: none */
+  int64_t advertised_peer;    /* what others connect to; 0: as peer */
+  int64_t advertised_control; /* the same for control */
 };
 
 struct settings_trace
@@ -129,6 +131,9 @@
 /* checks settings in memory; file is the name used in the error line */
 bool settings_load (struct settings *s, struct str file, struct str text,
                     GError **error);
+/* ports at which other daemons reach this one */
+uint16_t settings_get_peer_port (const struct settings *s);
+uint16_t settings_get_control_port (const struct settings *s);
 /* frees what a load allocated */
 void settings_unload (struct settings *s);
 /* appends the reference of all members as a Markdown table */
--- a/src/shared.h
+++ b/src/shared.h
@@ -33,6 +33,7 @@
 {
   const struct settings *settings;
   uint64_t member;                   /* id of this process in snapshots */
+  int64_t started_ms;                /* wall-clock time of its start */
   const struct site_ops *site;       /* deployment */
   const struct dialect_ops *dialect; /* of the site */
   const struct rate_ops *rate_ops; /* how workspaces are kept to their rate */
--- a/src/wire_registry.c
+++ b/src/wire_registry.c
@@ -12,7 +12,7 @@
 
 /* Constants */
 
-#define STATE_MEMBERS 12
+#define STATE_MEMBERS 13
 #define CONFIG_MEMBERS 3
 #define TOKENS_MEMBERS 5
 #define TOKENS_MAX 1000000u
@@ -25,6 +25,7 @@
   msgpack_pack_array (p, STATE_MEMBERS);
   msgpack_pack_int (p, WIRE_REGISTRY_STATE);
   msgpack_pack_uint64 (p, s->member);
+  msgpack_pack_uint64 (p, (uint64_t)s->started_ms);
   packer_add_str (p, s->name);
   packer_add_str (p, s->address);
   msgpack_pack_uint16 (p, s->peer_port);
@@ -105,6 +106,7 @@
 read_state (struct reader *r, struct registry_state *s)
 {
   s->member = reader_take_u64 (r);
+  s->started_ms = (int64_t)reader_take_u64 (r);
   s->name = reader_take_str (r);
   s->address = reader_take_str (r);
   s->peer_port = (uint16_t)reader_take_u32 (r, UINT16_MAX);
--- a/tests/test_machine.c
+++ b/tests/test_machine.c
@@ -17,7 +17,8 @@
   "\"platform\":{\"address\":\"10.200.1.7:8545\"}}"
 
 static bool
-load (struct machine *m, const char *text, GError **error)
+load_with (struct machine *m, const char *text, const char *own,
+           GError **error)
 {
   char *file = NULL;
   int fd = g_file_open_tmp ("machine-XXXXXX", &file, NULL);
@@ -27,12 +28,18 @@
   close (fd);
   ck_assert (g_file_set_contents (file, text, -1, NULL));
   g_setenv ("ALMONDVALE_SETTINGS", file, TRUE);
-  ok = machine_load (m, error);
+  ok = machine_load (m, own, error);
   g_unlink (file);
   g_free (file);
   return ok;
 }
 
+static bool
+load (struct machine *m, const char *text, GError **error)
+{
+  return load_with (m, text, NULL, error);
+}
+
 START_TEST (addresses_become_ports)
 {
   struct machine m;
@@ -82,11 +89,46 @@
 }
 END_TEST
 
+/* Guards against an own settings file that is ignored, that drops the built-in
+   members beside those it names, or that is accepted with a fault in it.  */
+START_TEST (own_settings_replace_the_built_in_ones)
+{
+  static const char good[] = "{\"ports\":{\"advertised_peer\":7100},"
+                             "\"policy\":{\"retry\":\"per_hop\"}}";
+  static const char bad[] = "{\"policy\":{\"retry\":\"never\"}}";
+  GError *error = NULL;
+  char *file = NULL;
+  struct machine m;
+
+  close (g_file_open_tmp ("own-XXXXXX", &file, NULL));
+  ck_assert (g_file_set_contents (file, good, -1, NULL));
+  ck_assert (load_with (&m, FILE_TEXT, file, NULL));
+  ck_assert (str_equal (m.settings.policy.retry, STR_LIT ("per_hop")));
+  ck_assert (str_equal (m.settings.policy.admit, STR_LIT ("urgency")));
+  ck_assert_uint_eq (settings_get_peer_port (&m.settings), 7100);
+  ck_assert_uint_eq (settings_get_control_port (&m.settings), 7001);
+  machine_unload (&m);
+  ck_assert (g_file_set_contents (file, bad, -1, NULL));
+  ck_assert (!load_with (&m, FILE_TEXT, file, &error));
+  ck_assert_ptr_nonnull (strstr (error->message, "policy.retry"));
+  g_clear_error (&error);
+  ck_assert (g_file_set_contents (file, "[", -1, NULL));
+  ck_assert (!load_with (&m, FILE_TEXT, file, &error));
+  ck_assert_ptr_nonnull (strstr (error->message, file));
+  g_clear_error (&error);
+  g_unlink (file);
+  ck_assert (!load_with (&m, FILE_TEXT, file, &error));
+  g_clear_error (&error);
+  g_free (file);
+}
+END_TEST
+
 int
 main (void)
 {
   const TTest *const cases[]
-      = { addresses_become_ports, errors_name_the_member };
+      = { addresses_become_ports, errors_name_the_member,
+          own_settings_replace_the_built_in_ones };
 
   return suite_run ("machine", cases, sizeof cases / sizeof *cases);
 }
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -172,13 +172,41 @@
 }
 END_TEST
 
+/* Guards against a state that a partition has held back: told by a process that
+   has ended, it comes after the states of the process that followed, which must
+   stay in.  */
+START_TEST (late_state_of_an_ended_process_is_ignored)
+{
+  struct registry_state old = make_state (2, "10.0.0.2");
+  struct registry_state new = make_state (3, "10.0.0.2");
+  struct registry r;
+
+  old.started_ms = 1000;
+  new.started_ms = 2000;
+  registry_init (&r, 1);
+  ck_assert (registry_apply (&r, &new, 0));
+  ck_assert (!registry_apply (&r, &old, S));
+  registry_apply (&r, &new, 2 * S);
+  ck_assert_uint_eq (count_endpoints (&r, 2 * S), 1);
+  ck_assert_ptr_null (registry_find (&r, 2));
+  /* A clock that was set back: the one that is heard is the one that runs.  */
+  ck_assert (registry_apply (&r, &old, 6 * S));
+  ck_assert_ptr_nonnull (registry_find (&r, 2));
+  ck_assert_ptr_null (registry_find (&r, 3));
+  registry_close (&r);
+}
+END_TEST
+
 int
 main (void)
 {
   const TTest *const cases[] = {
-    silent_member_is_no_endpoint,       restart_retires_the_earlier_process,
-    listed_member_is_told_but_not_used, messages_survive_the_wire,
+    silent_member_is_no_endpoint,
+    restart_retires_the_earlier_process,
+    listed_member_is_told_but_not_used,
+    messages_survive_the_wire,
     owner_is_the_same_at_all_members,
+    late_state_of_an_ended_process_is_ignored,
   };
 
   return suite_run ("registry", cases, sizeof cases / sizeof *cases);
