Report no pressure without a backend server

Cause: seen in the logs of the soak: a front shed by the pressure of a service with an empty name, which a daemon reports whose backend server has not announced itself yet. Change: such a daemon reports nothing of its own.

--- a/src/serve.c
+++ b/src/serve.c
@@ -75,11 +75,13 @@
   uint32_t len = pressure_collect (&s->shared->pressures, seen,
                                    PRESSURE_PATH_MAX - 1, clock_now_us ());
 
-  reports[0] = (struct pressure_report){ s->backend.service,
-                                         pressure_get (&s->pressure),
-                                         PRESSURE_WHOLE };
   r->pressures = reports;
-  r->pressures_len = 1;
+  r->pressures_len = 0;
+  /* Without a backend server there is no service to speak of.  */
+  if (s->backend.service.len > 0)
+    reports[r->pressures_len++] = (struct pressure_report){
+      s->backend.service, pressure_get (&s->pressure), PRESSURE_WHOLE
+    };
   for (uint32_t i = 0; i < len; i++)
     reports[r->pressures_len++] = (struct pressure_report){
       { seen[i].name_len, seen[i].name },
