Close a link that brought a bad frame for its owner too

Ruled out: links closed by the other end (their owner is told). Change: link_fail closes a link as if the other end had; control, serve and dispatch use it, and control writes a line. Measured: test_platform bad_frame_ends_only_its_link failed before (no second connection in 20 s) and passes.

--- a/src/control.c
+++ b/src/control.c
@@ -28,7 +28,11 @@
         && c->nodes[i]->on_frame (c, link, type, frame))
       return;
   metrics_count (c->shared->stats.bad_frames, 1);
-  link_disconnect (&c->links, link);
+  LOGGER_WRITE (LOGGER_WARNING, "link_closed",
+                LOGGER_TEXT ("reason", STR_LIT ("unknown frame")),
+                LOGGER_NUMBER ("type", type),
+                LOGGER_NUMBER ("bytes", (int64_t)frame.len));
+  link_fail (&c->links, link);
 }
 
 static struct control_peer *
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -424,6 +424,7 @@
   if (!wire_load_message (&m, frame))
     {
       metrics_count (f->shared->stats.bad_frames, 1);
+      link_fail (&f->links, link);
       return;
     }
   switch (m.type)
--- a/src/link.c
+++ b/src/link.c
@@ -234,6 +234,15 @@
     remove_row (row);
 }
 
+void
+link_fail (struct link_set *set, uint64_t link)
+{
+  struct link_row *row = table_get (&set->links, link);
+
+  if (row != NULL)
+    close_row (row);
+}
+
 bool
 link_is_open (const struct link_set *set, uint64_t link)
 {
--- a/src/link.h
+++ b/src/link.h
@@ -53,6 +53,9 @@
 bool link_send (struct link_set *set, uint64_t link, struct str frames);
 /* closes one link; on_close is not called */
 void link_disconnect (struct link_set *set, uint64_t link);
+/* closes a link because of what it brought; on_close follows as if the other end
+   had closed it */
+void link_fail (struct link_set *set, uint64_t link);
 /* true if the link is still there */
 bool link_is_open (const struct link_set *set, uint64_t link);
 /* bytes not yet handed to the system */
--- a/src/serve.c
+++ b/src/serve.c
@@ -531,7 +531,7 @@
   if (!wire_load_message (&m, frame))
     {
       metrics_count (s->shared->stats.bad_frames, 1);
-      link_disconnect (&s->links, link);
+      link_fail (&s->links, link);
       return;
     }
   switch (m.type)
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -288,6 +288,55 @@
 }
 END_TEST
 
+/* Listens at a port; accepting gives up after the longest wait.  */
+static int
+listen_at (uint16_t port)
+{
+  struct sockaddr_in at = { .sin_family = AF_INET, .sin_port = htons (port) };
+  struct timeval wait = { PROCESS_WAIT_US / CLOCK_US_PER_S, 0 };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
+  ck_assert_int_eq (bind (fd, (struct sockaddr *)&at, sizeof at), 0);
+  ck_assert_int_eq (listen (fd, 8), 0);
+  return fd;
+}
+
+/* Guards against a daemon that is never told anything again because it once
+   answered with a frame that could not be decoded, as one of another release
+   may.  */
+START_TEST (bad_frame_ends_only_its_link)
+{
+  static const char bad_frame[] = { 0, 0, 0, 2, (char)0x91, 99 };
+  struct fixture f = start ();
+  uint16_t port = process_get_port ();
+  int listener = listen_at (port);
+  char *object
+      = g_strdup_printf ("{\"metadata\":{\"name\":\"other\"},"
+                         "\"spec\":{\"address\":\"127.0.0.1\",\"port\":%u}}",
+                         port);
+  int link;
+
+  ck_assert_int_eq (process_send (f.store, "POST",
+                                  "/almondvale/objects/almondvale-daemons",
+                                  object, NULL)
+                        .status,
+                    201);
+  process_stop (f.daemons[0].pid, SIGKILL);
+  start_daemon (&f, 0);
+  link = accept (listener, NULL, NULL);
+  ck_assert_int_ge (link, 0);
+  ck_assert_int_eq (write (link, bad_frame, sizeof bad_frame),
+                    sizeof bad_frame);
+  ck_assert_int_ge (accept (listener, NULL, NULL), 0);
+  close (link);
+  close (listener);
+  g_free (object);
+  stop (&f);
+}
+END_TEST
+
 static gpointer
 send_slow (gpointer data)
 {
@@ -330,6 +379,7 @@
     withdrawn_key_stops_everywhere,
     daemon_starts_without_the_store,
     shutdown_finishes_what_is_open,
+    bad_frame_ends_only_its_link,
   };
 
   return suite_run ("platform", cases, sizeof cases / sizeof *cases);
