Add a fault soak of real processes

Change: tests/test_soak.c starts daemons of the platform's program, the stand-in and a forwarder for each daemon's ports and calls to the store; callers keep their connections. Fifteen kinds of faults overlap: kill, SIGTERM, pause, SIGHUP, delay, reset, refusal, silence, one-way cut, the store cut off, reset, down, slow, losing answers, forgetting its history, changes of the configuration, drains. From the record of the backend servers and of the callers it checks: at most once, refusals that did not run, whole answers of the own request, no key at a backend server, the workspace, drains, the rate of a workspace over all daemons, versions that never go back in a boot, requests cut by a SIGTERM, processes that end by themselves, and service after the faults. The stand-in records runs and has store faults.

--- a/standins/machines.c
+++ b/standins/machines.c
@@ -1,18 +1,25 @@
 /* machines: a stand-in for the users' platform: its metadata store, and backend
    servers that report to their daemons.
 
-   usage: machines --store=PORT --config=FILE
+   usage: machines --store=PORT --config=FILE [--runs=FILE]
             --backend=PORT,CONTROL-PORT,SERVICE ...
 
    The backend servers answer with the id of the request, a signature and a body
    that names the service, the target and the headers that the daemon set.  A
    target with "slow" takes 700 ms, "unsigned" has no signature, "foreign" the
-   id of another request, "full" was not run.
+   id of another request, "full" was not run, "lost" runs and gets no answer.  A
+   request that expects another instance gets 421.
+
+   The file of --runs gets a line for each request that is run ("run MS ID TARGET
+   TENANT CALLER INSTANCE KEY") and for each drain or leave that a daemon has
+   acknowledged ("left MS INSTANCE"); MS is on the clock of the daemons.
 
    At the store's port, for tests: PUT /standin/config replaces the
-   configuration, PUT /standin/store takes "up" or "down", PUT /standin/drain and
-   PUT /standin/leave take the number of a backend server, GET
-   /standin/executions gives the number of requests run by each of them.  */
+   configuration, PUT /standin/store takes "up", "down", "slow" (answers after
+   1.5 s), "lost" (writes are done and not answered) or "forget" (the history so
+   far is gone), PUT /standin/drain, PUT /standin/leave and PUT /standin/return
+   take the number of a backend server, GET /standin/executions gives the number
+   of requests run by each of them.  */
 
 #include "clock.h"
 #include "httpc.h"
@@ -27,15 +34,17 @@
 #include <inttypes.h>
 #include <json-glib/json-glib.h>
 #include <signal.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 /* Constants */
 
-#define BACKENDS_MAX 8
+#define BACKENDS_MAX 32
 #define SLOTS 8
 #define HEARTBEAT_US 300000
 #define SLOW_US 700000
+#define STORE_SLOW_US 1500000
 #define OBJECTS_PATH "/almondvale/objects/"
 
 /* Types */
@@ -58,11 +67,20 @@
   struct event *timer;
 };
 
+enum store_mode
+{
+  STORE_UP,
+  STORE_DOWN,
+  STORE_SLOW,
+  STORE_LOST
+};
+
 struct backend
 {
   uint16_t port;
   char *service;
-  char id[16];
+  char id[32];
+  int boots;
   struct httpc_pool *daemon;
   struct event *timer;
   uint64_t sequence;
@@ -78,7 +96,9 @@
 static struct table objects;
 static struct table watches;
 static uint64_t revision = 100;
-static bool store_down;
+static enum store_mode store_mode;
+static uint64_t forgotten; /* revisions up to this one have no history */
+static FILE *runs;
 static struct backend backends[BACKENDS_MAX];
 static int backends_len;
 
@@ -106,6 +126,18 @@
   return text;
 }
 
+/* Internal functions: the record of runs */
+
+static void
+write_left (const char *instance)
+{
+  if (runs == NULL)
+    return;
+  fprintf (runs, "left %" PRId64 " %s\n", clock_now_us () / CLOCK_US_PER_MS,
+           instance);
+  fflush (runs);
+}
+
 /* Internal functions: the store */
 
 static struct object *
@@ -209,6 +241,13 @@
   uint64_t id = table_add (&watches, (void **)&w);
   GString *out = g_string_new ("");
 
+  if (strtoull (from + 6, NULL, 10) < forgotten)
+    {
+      table_remove (&watches, id);
+      g_string_free (out, TRUE);
+      reply (r, 410, "{}");
+      return;
+    }
   w->id = id;
   w->kind = g_strdup (kind);
   w->revision = strtoull (from + 6, NULL, 10);
@@ -261,14 +300,12 @@
 }
 
 static void
-handle_objects (struct evhttp_request *r, const char *path, const char *query)
+answer_objects (struct evhttp_request *r, const char *path, const char *query)
 {
   char **parts = g_strsplit (path, "/", 2);
   bool is_get = evhttp_request_get_command (r) == EVHTTP_REQ_GET;
 
-  if (store_down)
-    reply (r, 503, "{}");
-  else if (is_get && strstr (query, "watch=") != NULL)
+  if (is_get && strstr (query, "watch=") != NULL)
     start_watch (r, parts[0], query);
   else if (is_get)
     list_objects (r, parts[0]);
@@ -278,11 +315,74 @@
   g_strfreev (parts);
 }
 
+static void
+on_slow_store (evutil_socket_t fd, short what, void *data)
+{
+  struct evhttp_request *r = data;
+  const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri (r);
+  const char *query = evhttp_uri_get_query (uri);
+
+  answer_objects (r, evhttp_uri_get_path (uri) + strlen (OBJECTS_PATH),
+                  query != NULL ? query : "");
+}
+
+/* Does a write whose answer is lost.  */
+static void
+lose_answer (struct evhttp_request *r, const char *path)
+{
+  char **parts = g_strsplit (path, "/", 2);
+  char *body = read_body (r);
+  JsonNode *root = json_from_string (body, NULL);
+  JsonObject *o = root != NULL ? json_node_get_object (root) : NULL;
+  const char *name = parts[1];
+
+  if (o != NULL && name == NULL)
+    name = json_object_get_string_member (
+        json_object_get_object_member (o, "metadata"), "name");
+  if (o != NULL && (parts[1] != NULL || find_object (parts[0], name) == NULL))
+    put_object (parts[0], name, json_object_get_member (o, "spec"));
+  if (root != NULL)
+    json_node_unref (root);
+  g_free (body);
+  g_strfreev (parts);
+  evhttp_connection_free (evhttp_request_get_connection (r));
+}
+
+static void
+handle_objects (struct evhttp_request *r, const char *path, const char *query)
+{
+  struct timeval wait
+      = { STORE_SLOW_US / CLOCK_US_PER_S, STORE_SLOW_US % CLOCK_US_PER_S };
+
+  if (store_mode == STORE_DOWN)
+    reply (r, 503, "{}");
+  else if (store_mode == STORE_SLOW)
+    event_base_once (base, -1, EV_TIMEOUT, on_slow_store, r, &wait);
+  else if (store_mode == STORE_LOST
+           && evhttp_request_get_command (r) != EVHTTP_REQ_GET)
+    lose_answer (r, path);
+  else
+    answer_objects (r, path, query);
+}
+
 /* Internal functions: backend servers */
 
+/* Instance of a report that it leaves, which an acknowledgement confirms.  */
+struct report
+{
+  char instance[32];
+};
+
 static void
 on_reported (void *data, const struct httpc_answer *answer)
 {
+  struct report *report = data;
+
+  if (report == NULL)
+    return;
+  if (answer->result == HTTPC_ANSWERED && answer->status / 100 == 2)
+    write_left (report->instance);
+  g_free (report);
 }
 
 static void
@@ -303,8 +403,16 @@
                              .body = str_from_cstr (body),
                              .timeout_us = HEARTBEAT_US,
                              .done = on_reported };
+  struct report *report = NULL;
 
-  httpc_send (b->daemon, &q);
+  if (strcmp (state, "draining") == 0)
+    {
+      report = g_new (struct report, 1);
+      g_strlcpy (report->instance, b->id, sizeof report->instance);
+      q.data = report;
+    }
+  if (httpc_send (b->daemon, &q) == NULL)
+    g_free (report);
   g_free (target);
   g_free (body);
 }
@@ -327,6 +435,20 @@
   return value != NULL ? value : "-";
 }
 
+static void
+write_run (struct evhttp_request *r, const struct backend *b)
+{
+  if (runs == NULL)
+    return;
+  fprintf (runs, "run %" PRId64 " %s %s %s %s %s %s\n",
+           clock_now_us () / CLOCK_US_PER_MS,
+           get_header (r, "X-Almondvale-Attempt-Id"),
+           evhttp_request_get_uri (r), get_header (r, "X-Almondvale-Tenant"),
+           get_header (r, "X-Almondvale-Caller-Service"), b->id,
+           get_header (r, "Authorization"));
+  fflush (runs);
+}
+
 static void
 answer_request (struct evhttp_request *r, const struct backend *b)
 {
@@ -370,7 +492,13 @@
   struct backend *b = data;
   const char *target = evhttp_request_get_uri (r);
   struct timeval wait = { SLOW_US / CLOCK_US_PER_S, SLOW_US % CLOCK_US_PER_S };
+  const char *expected = get_header (r, "X-Almondvale-Expected-Instance");
 
+  if (strcmp (expected, "-") != 0 && strcmp (expected, b->id) != 0)
+    {
+      reply (r, 421, "{}");
+      return;
+    }
   if (strstr (target, "full") != NULL)
     {
       evhttp_add_header (evhttp_request_get_output_headers (r),
@@ -379,6 +507,12 @@
       return;
     }
   b->executions++;
+  write_run (r, b);
+  if (strstr (target, "lost") != NULL)
+    {
+      evhttp_connection_free (evhttp_request_get_connection (r));
+      return;
+    }
   if (strstr (target, "slow") != NULL)
     {
       struct slow *s = g_new (struct slow, 1);
@@ -413,6 +547,30 @@
   g_string_free (out, TRUE);
 }
 
+static void
+set_store (const char *mode)
+{
+  static const char *const modes[] = { "up", "down", "slow", "lost" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (modes); i++)
+    if (strcmp (mode, modes[i]) == 0)
+      store_mode = (enum store_mode)i;
+  if (strcmp (mode, "forget") == 0)
+    forgotten = ++revision;
+}
+
+/* A new boot under a new id, at the same address.  */
+static void
+start_again (struct backend *b)
+{
+  g_snprintf (b->id, sizeof b->id, "i-%d-%d", (int)(b - backends), ++b->boots);
+  b->born_ms = clock_wall_ms ();
+  b->sequence = 0;
+  b->draining = false;
+  b->left = false;
+  on_heartbeat (-1, 0, b);
+}
+
 static void
 handle_test (struct evhttp_request *r, const char *path)
 {
@@ -432,7 +590,7 @@
       json_node_unref (root);
     }
   else if (strcmp (path, "store") == 0)
-    store_down = strcmp (body, "down") == 0;
+    set_store (body);
   else if (strcmp (path, "drain") == 0)
     {
       take_backend (body)->draining = true;
@@ -443,6 +601,8 @@
       send_report (take_backend (body), "deregister", "draining");
       take_backend (body)->left = true;
     }
+  else if (strcmp (path, "return") == 0)
+    start_again (take_backend (body));
   reply (r, 200, "{}");
   g_free (body);
 }
@@ -507,6 +667,7 @@
 {
   gint store = 0;
   char *config = NULL;
+  char *runs_file = NULL;
   char **list = NULL;
   char *text;
   JsonNode *root;
@@ -515,6 +676,8 @@
             "PORT" },
           { "config", 0, 0, G_OPTION_ARG_FILENAME, &config,
             "First configuration", "FILE" },
+          { "runs", 0, 0, G_OPTION_ARG_FILENAME, &runs_file,
+            "Record of the requests that are run", "FILE" },
           { "backend", 0, 0, G_OPTION_ARG_STRING_ARRAY, &list,
             "Backend server", "PORT,CONTROL-PORT,SERVICE" },
           { 0 } };
@@ -524,6 +687,8 @@
   if (!g_option_context_parse (context, &argc, &argv, NULL) || config == NULL
       || !g_file_get_contents (config, &text, NULL, NULL))
     return EXIT_FAILURE;
+  if (runs_file != NULL)
+    runs = fopen (runs_file, "w");
   signal (SIGPIPE, SIG_IGN);
   base = event_base_new ();
   table_init (&objects, sizeof (struct object));
--- a/tests/process.h
+++ b/tests/process.h
@@ -31,6 +31,10 @@
 #define PROCESS_POLL_US 10000
 #define PROCESS_PORT_MIN 10000u
 #define PROCESS_PORT_MAX 32000u
+/* Each test process takes its ports from a block of its own, so that two that run
+   at once do not take a port between its choice and its use.  */
+#define PROCESS_PORT_BLOCKS 44u
+#define PROCESS_PORT_BLOCK 500u
 
 /* Types */
 
@@ -59,7 +63,7 @@
   static uint32_t next;
 
   if (next == 0)
-    next = (uint32_t)getpid () * 97;
+    next = (uint32_t)getpid () % PROCESS_PORT_BLOCKS * PROCESS_PORT_BLOCK;
   for (;;)
     {
       struct sockaddr_in sin = { .sin_family = AF_INET };
--- /dev/null
+++ b/tests/test_soak.c
@@ -0,0 +1,1179 @@
+/* Randomized soak of the platform's daemon: real processes, faults from outside,
+   and a check of what callers and backend servers see.
+
+   usage: test_soak [SEED [SEEDS [SECONDS [DAEMONS]]]]
+
+   Without arguments it plays the seeds of the list below for a short time, as CI
+   does.  A seed fixes the faults and their times; the processes run in real time.
+   Each daemon stands behind forwarders for what other daemons send it and for
+   its calls to the store.  After the faults everything is healed, and all must
+   be served again.  */
+
+#include "process.h"
+#include "proxy.h"
+#include "suite.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+
+/* Constants */
+
+#define DAEMONS_MAX 24
+#define DAEMONS_USUAL 5
+#define SECONDS_SHORT 6
+#define SECONDS_USUAL 20
+#define CALLERS_OF_DAEMON 4
+#define CONNECTIONS_OF_DAEMON 8
+#define THINK_US 30000
+#define REQUEST_LIMIT_US 3000000
+#define FAULT_GAP_MAX_US 900000
+#define FAULT_MAX_US 3000000
+#define RESTART_MAX_US 1500000
+/* Everything is served again this long after the last fault.  */
+#define HEAL_US (20 * CLOCK_US_PER_S)
+/* Bounds of the users' pages: `drain`, `revertSlack`, `quotaWindow`,
+   `quotaOverage`, `quotaSlack`, and a grace of 6 s.  */
+#define DRAIN_MS 2000
+#define REVERT_SLACK_US 250000
+#define QUOTA_WINDOW_MS 5000
+#define QUOTA_OVERAGE 1.1
+#define QUOTA_SLACK 20
+#define GRACE_US (6 * CLOCK_US_PER_S)
+#define RATE_LIMITED 40
+#define BURST_LIMITED 20
+#define ID_MAX 24
+
+/* Types */
+
+enum kind
+{
+  KIND_NOTE, /* idempotent */
+  KIND_BOOK, /* not idempotent, like the next two */
+  KIND_SLOW,
+  KIND_LOST,
+  KIND_OPEN,
+  KIND_LIMITED, /* of a workspace with a small rate */
+  KIND_PROBE,   /* of a route that one version has */
+  KINDS
+};
+
+struct request_kind
+{
+  const char *method;
+  const char *prefix;
+  const char *key; /* or NULL */
+  bool once;       /* must not run twice */
+};
+
+/* One try of a caller.  */
+struct record
+{
+  char id[ID_MAX];
+  char target[64];
+  enum kind kind;
+  int daemon;
+  int boot;    /* of the daemon */
+  int version; /* of a probe */
+  enum httpc_result result;
+  int status;
+  int64_t sent_us;
+  int64_t done_us; /* 0: still open */
+  bool whole;      /* the body is the one that belongs to the request */
+};
+
+struct soak;
+
+struct daemon
+{
+  int index;
+  pid_t pid;
+  uint16_t caller, control, ready, backend, peer, store;
+  uint16_t advertised_peer, advertised_control;
+  struct proxy to_peer, to_control, to_store;
+  struct httpc_pool *pool;
+  int boot;
+  int64_t start_us; /* when it is to be started again; 0: it runs */
+  bool paused;
+  bool killed;        /* a signal that ends it was sent */
+  int64_t term_us;    /* when SIGTERM was sent */
+  bool drained;       /* its backend server was told to go */
+  int64_t changed_us; /* of its backend server */
+};
+
+/* A SIGTERM and the time until the process was gone.  */
+struct term
+{
+  int daemon;
+  int64_t from_us;
+  int64_t to_us;
+};
+
+/* A fault under way.  */
+struct trouble
+{
+  const struct fault *fault;
+  struct daemon *daemon;
+  int64_t end_us;
+};
+
+/* A kind of fault; `end` may be NULL.  */
+struct fault
+{
+  const char *name;
+  void (*begin) (struct soak *s, struct daemon *d);
+  void (*end) (struct soak *s, struct daemon *d);
+  bool
+      planned; /* signals that a process has to bear without losing requests */
+};
+
+struct soak
+{
+  uint32_t seed;
+  int seconds;
+  int daemons_len;
+  char *dir;
+  pid_t machines;
+  uint16_t store;
+  struct event_base *base;
+  struct daemon daemons[DAEMONS_MAX];
+  GPtrArray *records; /* struct record */
+  GArray *troubles;   /* struct trouble */
+  GArray *terms;      /* struct term */
+  GArray *faulty;     /* int64_t: times at which an unplanned fault was on */
+  GRand *rand;
+  int version;
+  int keys; /* number of the rotating key in force */
+  bool faults_on;
+  uint64_t next_id;
+  int64_t end_us;
+  int64_t next_fault_us;
+  int failures;
+  /* what backend servers have seen */
+  GHashTable *runs; /* id -> number */
+};
+
+struct check
+{
+  const char *name;
+  void (*run) (struct soak *s);
+};
+
+/* State */
+
+static const struct request_kind kinds[KINDS] = {
+  { "GET", "/notes/", "aaaaaaaaaaaaaaaaaaaa", false },
+  { "POST", "/book/", "aaaaaaaaaaaaaaaaaaaa", true },
+  { "POST", "/book/slow-", "aaaaaaaaaaaaaaaaaaaa", true },
+  { "POST", "/book/lost-", "aaaaaaaaaaaaaaaaaaaa", true },
+  { "GET", "/open/", NULL, false },
+  { "GET", "/notes/limited-", "bbbbbbbbbbbbbbbbbbbb", false },
+  { "GET", "/v", "aaaaaaaaaaaaaaaaaaaa", false },
+};
+
+/* Internal functions: reports */
+
+static void complain (struct soak *s, const char *format, ...)
+    G_GNUC_PRINTF (2, 3);
+
+static void
+complain (struct soak *s, const char *format, ...)
+{
+  va_list args;
+
+  s->failures++;
+  if (s->failures > 10)
+    return;
+  printf ("seed %u: ", s->seed);
+  va_start (args, format);
+  vprintf (format, args);
+  va_end (args);
+  printf ("\n");
+}
+
+/* Writes down a fault for whoever reads the logs of a failed seed.  */
+static void
+note_fault (const struct soak *s, const char *name, const struct daemon *d,
+            const char *what)
+{
+  char *file = g_build_filename (s->dir, "faults.log", NULL);
+  FILE *out = fopen (file, "a");
+
+  fprintf (out, "%" PRId64 " %s %s n-%d\n", clock_now_us () / CLOCK_US_PER_MS,
+           name, what, d->index);
+  fclose (out);
+  g_free (file);
+}
+
+/* Internal functions: the deployment */
+
+static const char *
+get_service (const struct soak *s, int daemon)
+{
+  return daemon < s->daemons_len - s->daemons_len / 2 ? "notes" : "books";
+}
+
+static char *
+make_key (int number)
+{
+  return g_strdup_printf ("cccccccccccccccc%04d", number);
+}
+
+/* Each version has a route of its own, and the rotating key of its time.  */
+static char *
+make_config (const struct soak *s)
+{
+  char *key = make_key (s->keys);
+  char *text = g_strdup_printf (
+      "{\"version\":%d,\"routes\":{\"columns\":[\"name\",\"host\","
+      "\"pathPrefix\",\"kind\",\"timeout\",\"targetLatency\",\"priority\","
+      "\"maxAttempts\",\"public\",\"service\"],\"rows\":["
+      "[\"r1\",\"h.example\",\"/notes/\",\"safe\",\"2s\",\"1s\",1,2,false,"
+      "\"notes\"],"
+      "[\"r2\",\"h.example\",\"/book/\",\"unsafe\",\"2s\",\"1s\",0,2,false,"
+      "\"books\"],"
+      "[\"r3\",\"h.example\",\"/open/\",\"safe\",\"2s\",\"1s\",1,2,true,"
+      "\"notes\"],"
+      "[\"v%d\",\"h.example\",\"/v%d/\",\"safe\",\"2s\",\"1s\",1,2,false,"
+      "\"notes\"]]},"
+      "\"services\":{\"columns\":[\"name\"],\"rows\":[[\"notes\"],[\"books\"]]"
+      "},\"tenants\":{\"columns\":[\"name\",\"apiKeys\",\"priority\","
+      "\"ratePerS\",\"burst\"],\"rows\":["
+      "[\"w1\",[\"aaaaaaaaaaaaaaaaaaaa\"],1,100000,100000],"
+      "[\"w2\",[\"bbbbbbbbbbbbbbbbbbbb\"],2,%d,%d],"
+      "[\"w3\",[\"%s\"],1,100000,100000]]}}",
+      s->version, s->version, s->version, RATE_LIMITED, BURST_LIMITED, key);
+
+  g_free (key);
+  return text;
+}
+
+static void
+tell (const struct soak *s, const char *what, const char *body)
+{
+  char *target = g_strdup_printf ("/standin/%s", what);
+
+  ck_assert_int_eq (process_send (s->store, "PUT", target, body, NULL).status,
+                    200);
+  g_free (target);
+}
+
+static void
+tell_number (const struct soak *s, const char *what, int number)
+{
+  char *text = g_strdup_printf ("%d", number);
+
+  tell (s, what, text);
+  g_free (text);
+}
+
+static void
+start_daemon (struct soak *s, struct daemon *d)
+{
+  char *name = g_strdup_printf ("n-%d.json", d->index);
+  char *own_name = g_strdup_printf ("own-%d.json", d->index);
+  char *path = g_build_filename (s->dir, name, NULL);
+  char *own = g_build_filename (s->dir, own_name, NULL);
+  char *log = g_strdup_printf ("%s/n-%d.log", s->dir, d->index);
+  char *text = g_strdup_printf (
+      "{\"node\":\"n-%d\",\"ip\":\"127.0.0.1\",\"zone\":\"z%d\","
+      "\"region\":\"r\",\"service\":\"%s\",\"appAddr\":\"127.0.0.1:%u\","
+      "\"listen\":{\"outbound\":\"127.0.0.1:%u\",\"ready\":\"127.0.0.1:%u\","
+      "\"control\":\"127.0.0.1:%u\"},\"internalPortRange\":[%u,%u],"
+      "\"bounds\":[\"grace=6s\"],\"platform\":{\"address\":\"127.0.0.1:%u\"}}",
+      d->index, d->index % 3, get_service (s, d->index), d->backend, d->caller,
+      d->ready, d->control, d->peer, d->peer + 1, d->store);
+
+  process_write_file (s->dir, name, text);
+  g_free (text);
+  text = g_strdup_printf ("{\"ports\":{\"advertised_peer\":%u,"
+                          "\"advertised_control\":%u}}",
+                          d->advertised_peer, d->advertised_control);
+  process_write_file (s->dir, own_name, text);
+  g_setenv ("ALMONDVALE_SETTINGS", path, TRUE);
+  d->pid
+      = process_start (log, "almondvaled-platform", "--settings", own, NULL);
+  d->boot++;
+  d->killed = false;
+  d->paused = false;
+  d->start_us = 0;
+  d->term_us = 0;
+  g_free (text);
+  g_free (name);
+  g_free (own_name);
+  g_free (path);
+  g_free (own);
+  g_free (log);
+}
+
+/* First of two ports in a row.  */
+static uint16_t
+get_port_pair (void)
+{
+  uint16_t first = process_get_port ();
+  uint16_t second;
+
+  while ((second = process_get_port ()) != first + 1)
+    first = second;
+  return first;
+}
+
+static void
+init_daemon (struct soak *s, int index)
+{
+  struct daemon *d = &s->daemons[index];
+
+  d->index = index;
+  d->caller = process_get_port ();
+  d->control = process_get_port ();
+  d->ready = process_get_port ();
+  d->backend = process_get_port ();
+  d->peer = get_port_pair ();
+  d->store = process_get_port ();
+  d->advertised_peer = process_get_port ();
+  d->advertised_control = process_get_port ();
+  proxy_init (&d->to_peer, s->base, d->advertised_peer, d->peer);
+  proxy_init (&d->to_control, s->base, d->advertised_control, d->peer + 1);
+  proxy_init (&d->to_store, s->base, d->store, s->store);
+  d->pool = httpc_load_pool (s->base, STR_LIT ("127.0.0.1"), d->caller,
+                             CONNECTIONS_OF_DAEMON, 65536);
+}
+
+static void
+start_machines (struct soak *s)
+{
+  char *config = make_config (s);
+  char *store = g_strdup_printf ("--store=%u", s->store);
+  char *file = g_strdup_printf ("--config=%s/config.json", s->dir);
+  char *runs = g_strdup_printf ("--runs=%s/runs.log", s->dir);
+  char *log = g_strdup_printf ("%s/machines.log", s->dir);
+  char *args[DAEMONS_MAX + 1] = { NULL };
+
+  process_write_file (s->dir, "config.json", config);
+  for (int i = 0; i < s->daemons_len; i++)
+    args[i] = g_strdup_printf ("--backend=%u,%u,%s", s->daemons[i].backend,
+                               s->daemons[i].control, get_service (s, i));
+  s->machines = process_start (
+      log, "machines", store, file, runs, args[0], args[1], args[2], args[3],
+      args[4], args[5], args[6], args[7], args[8], args[9], args[10], args[11],
+      args[12], args[13], args[14], args[15], args[16], args[17], args[18],
+      args[19], args[20], args[21], args[22], args[23], NULL);
+  process_await (s->store, "/standin/executions", 200);
+  for (int i = 0; i < s->daemons_len; i++)
+    g_free (args[i]);
+  g_free (config);
+  g_free (store);
+  g_free (file);
+  g_free (runs);
+  g_free (log);
+}
+
+/* Internal functions: callers */
+
+static void
+on_answer (void *data, const struct httpc_answer *answer)
+{
+  struct record *r = data;
+  char *wanted = g_strdup_printf (" target=%s ", r->target);
+  char *body = g_strndup (answer->body.data != NULL ? answer->body.data : "",
+                          answer->body.len);
+
+  r->done_us = clock_now_us ();
+  r->result = answer->result;
+  r->status = answer->status;
+  r->whole = strstr (body, wanted) != NULL && g_str_has_suffix (body, "\n");
+  g_free (wanted);
+  g_free (body);
+}
+
+static struct record *
+add_record (struct soak *s, struct daemon *d, enum kind kind)
+{
+  struct record *r = g_new0 (struct record, 1);
+
+  g_snprintf (r->id, sizeof r->id, "%08x%08" PRIx64, s->seed, ++s->next_id);
+  r->kind = kind;
+  r->daemon = d->index;
+  r->boot = d->boot;
+  r->version = s->version;
+  if (kind == KIND_PROBE)
+    {
+      r->version -= g_rand_int_range (s->rand, 0, 2);
+      g_snprintf (r->target, sizeof r->target, "/v%d/%s", r->version, r->id);
+    }
+  else
+    g_snprintf (r->target, sizeof r->target, "%s%s", kinds[kind].prefix,
+                r->id);
+  r->sent_us = clock_now_us ();
+  g_ptr_array_add (s->records, r);
+  return r;
+}
+
+/* Sends a request over a kept connection if there is one.  */
+static struct record *
+send_request (struct soak *s, struct daemon *d, enum kind kind)
+{
+  struct record *r = add_record (s, d, kind);
+  char *key = g_strdup_printf ("Bearer %s", kinds[kind].key);
+  struct httpc_header headers[]
+      = { { STR_LIT ("Host"), STR_LIT ("h.example") },
+          { STR_LIT ("X-Almondvale-Attempt-Id"), str_from_cstr (r->id) },
+          { STR_LIT ("X-Almondvale-Deadline-Ms"), STR_LIT ("3000") },
+          { STR_LIT ("Authorization"), str_from_cstr (key) } };
+  struct httpc_request q = { .method = kinds[kind].method,
+                             .target = str_from_cstr (r->target),
+                             .headers = headers,
+                             .headers_len = kinds[kind].key != NULL ? 4 : 3,
+                             .body = STR_EMPTY,
+                             .timeout_us = REQUEST_LIMIT_US,
+                             .done = on_answer,
+                             .data = r };
+
+  if (kinds[kind].once)
+    q.body = str_from_cstr (r->id);
+  if (httpc_send (d->pool, &q) == NULL)
+    {
+      r->result = HTTPC_NOT_CONNECTED;
+      r->done_us = r->sent_us;
+    }
+  g_free (key);
+  return r;
+}
+
+struct caller
+{
+  struct soak *soak;
+  struct daemon *daemon;
+  struct record *last;
+  struct event *timer;
+};
+
+static void
+on_think (evutil_socket_t fd, short what, void *data)
+{
+  struct caller *c = data;
+  struct timeval wait = { 0, THINK_US };
+
+  if (c->last == NULL || c->last->done_us != 0)
+    c->last
+        = send_request (c->soak, c->daemon,
+                        (enum kind)g_rand_int_range (c->soak->rand, 0, KINDS));
+  event_add (c->timer, &wait);
+}
+
+/* Internal functions: faults */
+
+static void
+begin_kill (struct soak *s, struct daemon *d)
+{
+  if (d->start_us != 0)
+    return;
+  kill (d->pid, SIGKILL);
+  d->killed = true;
+}
+
+static void
+begin_term (struct soak *s, struct daemon *d)
+{
+  struct term t = { d->index, clock_now_us (), 0 };
+
+  if (d->start_us != 0 || d->killed)
+    return;
+  kill (d->pid, SIGTERM);
+  d->killed = true;
+  d->term_us = t.from_us;
+  g_array_append_val (s->terms, t);
+}
+
+static void
+begin_pause (struct soak *s, struct daemon *d)
+{
+  if (d->start_us != 0 || d->killed)
+    return;
+  kill (d->pid, SIGSTOP);
+  d->paused = true;
+}
+
+static void
+end_pause (struct soak *s, struct daemon *d)
+{
+  if (d->paused && d->start_us == 0)
+    kill (d->pid, SIGCONT);
+  d->paused = false;
+}
+
+static void
+begin_hup (struct soak *s, struct daemon *d)
+{
+  if (d->start_us == 0)
+    kill (d->pid, SIGHUP);
+}
+
+static void
+begin_delay (struct soak *s, struct daemon *d)
+{
+  d->to_peer.delay_us = g_rand_int_range (s->rand, 10000, 400000);
+  d->to_control.delay_us = d->to_peer.delay_us;
+}
+
+static void
+begin_reset (struct soak *s, struct daemon *d)
+{
+  proxy_reset (&d->to_peer);
+  proxy_reset (&d->to_control);
+}
+
+static void
+begin_refuse (struct soak *s, struct daemon *d)
+{
+  d->to_peer.refused = d->to_control.refused = true;
+  begin_reset (s, d);
+}
+
+static void
+begin_silence (struct soak *s, struct daemon *d)
+{
+  proxy_hold (&d->to_peer, PROXY_CALLER, true);
+  proxy_hold (&d->to_peer, PROXY_TARGET, true);
+  proxy_hold (&d->to_control, PROXY_CALLER, true);
+  proxy_hold (&d->to_control, PROXY_TARGET, true);
+}
+
+/* Requests arrive and their responses do not.  */
+static void
+begin_one_way (struct soak *s, struct daemon *d)
+{
+  proxy_hold (&d->to_peer, PROXY_TARGET, true);
+  proxy_hold (&d->to_control, PROXY_CALLER, true);
+}
+
+static void
+end_network (struct soak *s, struct daemon *d)
+{
+  proxy_heal (&d->to_peer);
+  proxy_heal (&d->to_control);
+}
+
+static void
+begin_store_cut (struct soak *s, struct daemon *d)
+{
+  proxy_hold (&d->to_store, PROXY_CALLER, true);
+}
+
+static void
+begin_store_reset (struct soak *s, struct daemon *d)
+{
+  d->to_store.refused = true;
+  proxy_reset (&d->to_store);
+}
+
+static void
+end_store_cut (struct soak *s, struct daemon *d)
+{
+  proxy_heal (&d->to_store);
+}
+
+static void
+begin_store_down (struct soak *s, struct daemon *d)
+{
+  static const char *const modes[] = { "down", "slow", "lost" };
+
+  tell (s, "store", modes[g_rand_int_range (s->rand, 0, 3)]);
+}
+
+static void
+end_store_down (struct soak *s, struct daemon *d)
+{
+  tell (s, "store", "up");
+}
+
+static void
+begin_forget (struct soak *s, struct daemon *d)
+{
+  tell (s, "store", "forget");
+}
+
+static void
+begin_config (struct soak *s, struct daemon *d)
+{
+  char *config;
+
+  s->version += g_rand_int_range (s->rand, 1, 4);
+  s->keys++;
+  config = make_config (s);
+  tell (s, "config", config);
+  g_free (config);
+}
+
+/* Number of backend servers of the same service that serve.  */
+static int
+count_serving (const struct soak *s, const struct daemon *d)
+{
+  int count = 0;
+
+  for (int i = 0; i < s->daemons_len; i++)
+    count += strcmp (get_service (s, i), get_service (s, d->index)) == 0
+             && !s->daemons[i].drained;
+  return count;
+}
+
+static void
+begin_drain (struct soak *s, struct daemon *d)
+{
+  if (d->drained || count_serving (s, d) < 2)
+    return;
+  d->drained = true;
+  d->changed_us = clock_now_us ();
+  tell_number (s, g_rand_boolean (s->rand) ? "drain" : "leave", d->index);
+}
+
+/* A backend server that leaves serves on for `drain` before it is gone.  */
+static void
+end_drain (struct soak *s, struct daemon *d)
+{
+  if (!d->drained)
+    return;
+  d->drained = false;
+  tell_number (s, "return", d->index);
+}
+
+static const struct fault faults[] = {
+  { "kill", begin_kill, NULL, false },
+  { "term", begin_term, NULL, true },
+  { "pause", begin_pause, end_pause, false },
+  { "hup", begin_hup, NULL, true },
+  { "delay", begin_delay, end_network, false },
+  { "reset", begin_reset, NULL, false },
+  { "refuse", begin_refuse, end_network, false },
+  { "silence", begin_silence, end_network, false },
+  { "one_way", begin_one_way, end_network, false },
+  { "store_cut", begin_store_cut, end_store_cut, false },
+  { "store_reset", begin_store_reset, end_store_cut, false },
+  { "store_down", begin_store_down, end_store_down, false },
+  { "store_forget", begin_forget, NULL, false },
+  { "config", begin_config, NULL, true },
+  { "drain", begin_drain, end_drain, true },
+};
+
+static void
+begin_fault (struct soak *s, int64_t now_us)
+{
+  struct trouble t
+      = { .fault
+          = &faults[g_rand_int_range (s->rand, 0, G_N_ELEMENTS (faults))],
+          .daemon = &s->daemons[g_rand_int_range (s->rand, 0, s->daemons_len)],
+          .end_us = now_us + g_rand_int_range (s->rand, 0, FAULT_MAX_US) };
+
+  /* Several at the same moment, now and then.  */
+  s->next_fault_us = now_us
+                     + (g_rand_int_range (s->rand, 0, 4) == 0
+                            ? 0
+                            : g_rand_int_range (s->rand, 0, FAULT_GAP_MAX_US));
+  note_fault (s, t.fault->name, t.daemon, "begins");
+  if (!t.fault->planned)
+    g_array_append_val (s->faulty, now_us);
+  t.fault->begin (s, t.daemon);
+  g_array_append_val (s->troubles, t);
+}
+
+static void
+end_faults (struct soak *s, int64_t now_us)
+{
+  for (guint i = s->troubles->len; i > 0; i--)
+    {
+      struct trouble t = g_array_index (s->troubles, struct trouble, i - 1);
+
+      if (now_us < t.end_us)
+        continue;
+      g_array_remove_index (s->troubles, i - 1);
+      if (t.fault->end == NULL)
+        continue;
+      note_fault (s, t.fault->name, t.daemon, "ends");
+      t.fault->end (s, t.daemon);
+      if (!t.fault->planned)
+        g_array_append_val (s->faulty, now_us);
+    }
+}
+
+static void
+end_term (struct soak *s, const struct daemon *d, int status)
+{
+  int64_t now_us = clock_now_us ();
+
+  for (guint i = 0; i < s->terms->len; i++)
+    {
+      struct term *t = &g_array_index (s->terms, struct term, i);
+
+      if (t->daemon == d->index && t->to_us == 0)
+        t->to_us = now_us;
+    }
+  if (WIFEXITED (status) && WEXITSTATUS (status) != 0)
+    complain (s, "n-%d ended with %d after SIGTERM", d->index,
+              WEXITSTATUS (status));
+}
+
+/* Starts again what has ended, some time later.  */
+static void
+watch_processes (struct soak *s, int64_t now_us)
+{
+  for (int i = 0; i < s->daemons_len; i++)
+    {
+      struct daemon *d = &s->daemons[i];
+      int status;
+
+      if (d->start_us != 0 && now_us >= d->start_us)
+        start_daemon (s, d);
+      if (d->start_us != 0)
+        continue;
+      if (d->term_us != 0 && now_us > d->term_us + GRACE_US && !d->paused)
+        {
+          kill (d->pid, SIGKILL);
+          d->term_us = 0;
+        }
+      if (waitpid (d->pid, &status, WNOHANG) != d->pid)
+        continue;
+      if (!d->killed)
+        complain (s, "n-%d ended by itself, wait status %d", i, status);
+      if (d->term_us != 0)
+        end_term (s, d, status);
+      d->paused = false;
+      d->start_us
+          = now_us
+            + (s->faults_on ? g_rand_int_range (s->rand, 0, RESTART_MAX_US)
+                            : 1);
+    }
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *data)
+{
+  struct soak *s = data;
+  int64_t now_us = clock_now_us ();
+
+  watch_processes (s, now_us);
+  end_faults (s, now_us);
+  if (now_us >= s->end_us)
+    event_base_loopbreak (s->base);
+  else if (now_us >= s->next_fault_us)
+    begin_fault (s, now_us);
+}
+
+/* Internal functions: checks */
+
+/* Reads what the backend servers have run; checks what one line shows.  */
+static void
+check_runs (struct soak *s)
+{
+  char *file = g_build_filename (s->dir, "runs.log", NULL);
+  GHashTable *left
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  GArray *limited = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  guint first = 0;
+  gchar *text = NULL;
+  gchar **lines;
+
+  ck_assert (g_file_get_contents (file, &text, NULL, NULL));
+  lines = g_strsplit (text, "\n", -1);
+  for (gchar **l = lines; *l != NULL; l++)
+    {
+      gchar **f = g_strsplit (*l, " ", -1);
+      guint len = g_strv_length (f);
+      int64_t ms = len > 1 ? g_ascii_strtoll (f[1], NULL, 10) : 0;
+
+      if (len == 3 && !g_hash_table_contains (left, f[2]))
+        g_hash_table_insert (left, g_strdup (f[2]),
+                             g_memdup2 (&ms, sizeof ms));
+      if (len == 8)
+        {
+          const int64_t *left_ms = g_hash_table_lookup (left, f[6]);
+          int count
+              = GPOINTER_TO_INT (g_hash_table_lookup (s->runs, f[2])) + 1;
+
+          g_hash_table_insert (s->runs, g_strdup (f[2]),
+                               GINT_TO_POINTER (count));
+          if (left_ms != NULL && ms > *left_ms + DRAIN_MS)
+            complain (s, "%s ran at %s %" PRId64 " ms after its leave", f[2],
+                      f[6], ms - *left_ms);
+          if (strcmp (f[7], "-") != 0)
+            complain (s, "%s: a backend server got the key", f[2]);
+          if (strcmp (f[4], strstr (f[3], "limited") != NULL    ? "w2"
+                            : g_str_has_prefix (f[3], "/open/") ? "-"
+                                                                : "w1")
+              != 0)
+            complain (s, "%s ran for workspace %s", f[2], f[4]);
+          if (strcmp (f[4], "w2") == 0)
+            g_array_append_val (limited, ms);
+        }
+      g_strfreev (f);
+    }
+  for (guint i = 0; i < limited->len; i++)
+    {
+      while (g_array_index (limited, int64_t, first)
+             < g_array_index (limited, int64_t, i) - QUOTA_WINDOW_MS)
+        first++;
+      if (i + 1 - first
+          > (RATE_LIMITED * QUOTA_WINDOW_MS / 1000 + BURST_LIMITED)
+                    * QUOTA_OVERAGE
+                + QUOTA_SLACK)
+        {
+          complain (s, "%u requests of w2 in 5 s", i + 1 - first);
+          break;
+        }
+    }
+  g_strfreev (lines);
+  g_free (text);
+  g_array_unref (limited);
+  g_hash_table_unref (left);
+  g_free (file);
+}
+
+static int
+get_runs (const struct soak *s, const struct record *r)
+{
+  return GPOINTER_TO_INT (g_hash_table_lookup (s->runs, r->id));
+}
+
+static bool
+is_promise (int status)
+{
+  return status == 429 || status == 503 || status == 408 || status == 421;
+}
+
+static void
+check_answers (struct soak *s)
+{
+  for (guint i = 0; i < s->records->len; i++)
+    {
+      const struct record *r = s->records->pdata[i];
+      int runs = get_runs (s, r);
+      bool answered = r->done_us != 0 && r->result == HTTPC_ANSWERED;
+
+      if (kinds[r->kind].once && runs > 1)
+        complain (s, "%s %s ran %d times", r->id, r->target, runs);
+      if (answered && is_promise (r->status) && runs > 0
+          && kinds[r->kind].once)
+        complain (s, "%s %s got %d and ran", r->id, r->target, r->status);
+      if (answered && r->status == 200 && (runs == 0 || !r->whole))
+        complain (s, "%s %s got a success that is not its own", r->id,
+                  r->target);
+      if (answered && r->kind != KIND_PROBE
+          && (r->status == 401 || r->status == 403 || r->status == 404))
+        complain (s, "%s %s got %d", r->id, r->target, r->status);
+    }
+}
+
+/* A route of its own tells which version is in force at a daemon.  */
+static void
+check_versions (struct soak *s)
+{
+  for (guint i = 0; i < s->records->len; i++)
+    {
+      const struct record *newer = s->records->pdata[i];
+
+      if (newer->kind != KIND_PROBE || newer->status != 200)
+        continue;
+      for (guint k = i + 1; k < s->records->len; k++)
+        {
+          const struct record *r = s->records->pdata[k];
+
+          if (r->kind == KIND_PROBE && r->status == 200
+              && r->daemon == newer->daemon && r->boot == newer->boot
+              && r->version < newer->version
+              && r->sent_us > newer->done_us + REVERT_SLACK_US)
+            complain (s, "n-%d went back from version %d to %d", r->daemon,
+                      newer->version, r->version);
+        }
+    }
+}
+
+static bool
+was_calm (const struct soak *s, int64_t from_us, int64_t to_us)
+{
+  for (guint i = 0; i < s->faulty->len; i++)
+    {
+      int64_t at_us = g_array_index (s->faulty, int64_t, i);
+
+      if (at_us > from_us - GRACE_US && at_us < to_us)
+        return false;
+    }
+  return true;
+}
+
+/* A daemon that is told to end finishes what it has begun.  */
+static void
+check_terms (struct soak *s)
+{
+  for (guint i = 0; i < s->terms->len; i++)
+    {
+      const struct term *t = &g_array_index (s->terms, struct term, i);
+
+      if (t->to_us == 0 || !was_calm (s, t->from_us, t->to_us))
+        continue;
+      for (guint k = 0; k < s->records->len; k++)
+        {
+          const struct record *r = s->records->pdata[k];
+
+          if (r->daemon == t->daemon && r->sent_us > t->from_us - GRACE_US
+              && r->sent_us < t->to_us && r->done_us > t->from_us
+              && r->result == HTTPC_FAILED && get_runs (s, r) > 0)
+            complain (s, "%s %s was cut by the end of n-%d", r->id, r->target,
+                      t->daemon);
+        }
+    }
+}
+
+static const struct check checks[] = {
+  { "runs", check_runs },
+  { "answers", check_answers },
+  { "versions", check_versions },
+  { "terms", check_terms },
+};
+
+/* Internal functions: recovery */
+
+static void
+heal (struct soak *s)
+{
+  s->faults_on = false;
+  end_faults (s, INT64_MAX);
+  for (int i = 0; i < s->daemons_len; i++)
+    {
+      end_pause (s, &s->daemons[i]);
+      end_network (s, &s->daemons[i]);
+      end_store_cut (s, &s->daemons[i]);
+      end_drain (s, &s->daemons[i]);
+    }
+  tell (s, "store", "up");
+}
+
+/* Sends a request with a key of w3 and gives its status.  */
+static int
+try_key (struct soak *s, const struct daemon *d, int number)
+{
+  char *key = make_key (number);
+  char *authorization = g_strdup_printf ("Authorization: Bearer %s", key);
+  const char *lines[]
+      = { "Host: h.example", "X-Almondvale-Attempt-Id: 9c41",
+          "X-Almondvale-Deadline-Ms: 1000", authorization, NULL };
+  int status = process_send (d->caller, "GET", "/v-none/x", "", lines).status;
+
+  g_free (key);
+  g_free (authorization);
+  return status;
+}
+
+static void
+on_poll (evutil_socket_t fd, short what, void *data)
+{
+  event_base_loopbreak (data);
+}
+
+/* Runs the proxies and the callers' answers for a while.  */
+static void
+run_for (struct soak *s, int64_t us)
+{
+  struct timeval wait
+      = { (time_t)(us / CLOCK_US_PER_S), (suseconds_t)(us % CLOCK_US_PER_S) };
+
+  event_base_once (s->base, -1, EV_TIMEOUT, on_poll, s->base, &wait);
+  event_base_dispatch (s->base);
+  watch_processes (s, clock_now_us ());
+}
+
+static bool
+is_served (struct soak *s, struct daemon *d, enum kind kind)
+{
+  struct record *r = send_request (s, d, kind);
+
+  while (r->done_us == 0)
+    run_for (s, 10000);
+  return r->result == HTTPC_ANSWERED && r->status == 200;
+}
+
+/* Everything is served again at all daemons, by the configuration that was
+   written last.  */
+static void
+await_recovery (struct soak *s)
+{
+  static const enum kind asked[] = { KIND_NOTE, KIND_BOOK, KIND_OPEN };
+  int64_t end_us = clock_now_us () + HEAL_US;
+
+  for (int i = 0; i < s->daemons_len; i++)
+    for (size_t k = 0; k < G_N_ELEMENTS (asked); k++)
+      while (!is_served (s, &s->daemons[i], asked[k]))
+        {
+          if (clock_now_us () > end_us)
+            {
+              complain (s, "n-%d does not serve %s after the faults", i,
+                        kinds[asked[k]].prefix);
+              return;
+            }
+          run_for (s, 100000);
+        }
+  for (int i = 0; i < s->daemons_len; i++)
+    while (try_key (s, &s->daemons[i], s->keys - 1) != 401
+           && try_key (s, &s->daemons[i], s->keys) != 404)
+      {
+        if (clock_now_us () > end_us)
+          {
+            complain (s, "n-%d knows a withdrawn key", i);
+            return;
+          }
+        run_for (s, 100000);
+      }
+}
+
+/* Internal functions: one play */
+
+static void
+stop_all (struct soak *s)
+{
+  for (int i = 0; i < s->daemons_len; i++)
+    {
+      struct daemon *d = &s->daemons[i];
+
+      if (d->start_us == 0)
+        process_stop (d->pid, SIGKILL);
+      httpc_unload_pool (d->pool);
+      proxy_close (&d->to_peer);
+      proxy_close (&d->to_control);
+      proxy_close (&d->to_store);
+    }
+  process_stop (s->machines, SIGKILL);
+}
+
+static void
+play (struct soak *s)
+{
+  struct timeval tick = { 0, 20000 };
+  struct event *timer = event_new (s->base, -1, EV_PERSIST, on_tick, s);
+  int callers_len = s->daemons_len * CALLERS_OF_DAEMON;
+  struct caller *callers = g_new0 (struct caller, callers_len);
+
+  for (int i = 0; i < callers_len; i++)
+    {
+      callers[i].soak = s;
+      callers[i].daemon = &s->daemons[i % s->daemons_len];
+      callers[i].timer = evtimer_new (s->base, on_think, &callers[i]);
+      on_think (-1, 0, &callers[i]);
+    }
+  s->faults_on = true;
+  s->end_us = clock_now_us () + (int64_t)s->seconds * CLOCK_US_PER_S;
+  event_add (timer, &tick);
+  event_base_dispatch (s->base);
+  event_free (timer);
+  for (int i = 0; i < callers_len; i++)
+    event_free (callers[i].timer);
+  g_free (callers);
+}
+
+/* Plays a seed; gives the number of failures.  */
+static int
+run_seed (uint32_t seed, int seconds, int daemons)
+{
+  struct soak *s = g_new0 (struct soak, 1);
+  int failures;
+
+  *s = (struct soak){ .seed = seed,
+                      .seconds = seconds,
+                      .daemons_len = daemons,
+                      .dir = process_make_dir (),
+                      .store = process_get_port (),
+                      .base = event_base_new (),
+                      .version = 10,
+                      .keys = 1 };
+  s->records = g_ptr_array_new_with_free_func (g_free);
+  s->troubles = g_array_new (FALSE, FALSE, sizeof (struct trouble));
+  s->terms = g_array_new (FALSE, FALSE, sizeof (struct term));
+  s->faulty = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  s->rand = g_rand_new_with_seed (seed);
+  s->runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (int i = 0; i < daemons; i++)
+    init_daemon (s, i);
+  start_machines (s);
+  for (int i = 0; i < daemons; i++)
+    start_daemon (s, &s->daemons[i]);
+  await_recovery (s);
+  play (s);
+  heal (s);
+  await_recovery (s);
+  run_for (s, REQUEST_LIMIT_US + CLOCK_US_PER_S);
+  for (size_t i = 0; i < G_N_ELEMENTS (checks); i++)
+    checks[i].run (s);
+  stop_all (s);
+  failures = s->failures;
+  printf ("seed %u: %u requests, %u runs, %d failures%s%s\n", seed,
+          s->records->len, g_hash_table_size (s->runs), failures,
+          failures > 0 ? ", logs in " : "", failures > 0 ? s->dir : "");
+  fflush (stdout);
+  g_ptr_array_unref (s->records);
+  g_array_unref (s->troubles);
+  g_array_unref (s->terms);
+  g_array_unref (s->faulty);
+  g_hash_table_unref (s->runs);
+  g_rand_free (s->rand);
+  event_base_free (s->base);
+  g_free (s->dir);
+  g_free (s);
+  return failures;
+}
+
+/* Seeds that CI plays.  One that ever failed stays, with its cause.  */
+static const uint32_t seeds[] = {
+  1,
+  402, /* the forwarder changed the order of bytes; a daemon that got a bad frame
+          was never told anything again */
+};
+
+/* Guards against a promise that breaks when faults overlap.  */
+START_TEST (short_soak)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (seeds); i++)
+    ck_assert_int_eq (run_seed (seeds[i], SECONDS_SHORT, DAEMONS_USUAL), 0);
+}
+END_TEST
+
+/* Arguments of a run by hand.  */
+static struct
+{
+  int seed;
+  int seeds;
+  int seconds;
+  int daemons;
+} asked;
+
+START_TEST (asked_soak)
+{
+  int failed = 0;
+
+  for (int i = 0; i < asked.seeds; i++)
+    failed += run_seed ((uint32_t)(asked.seed + i), asked.seconds,
+                        MIN (asked.daemons, DAEMONS_MAX))
+              > 0;
+  printf ("%d of %d seeds failed\n", failed, asked.seeds);
+  ck_assert_int_eq (failed, 0);
+}
+END_TEST
+
+static int
+get_argument (int argc, char **argv, int index, int usual)
+{
+  return argc > index ? atoi (argv[index]) : usual;
+}
+
+int
+main (int argc, char **argv)
+{
+  const TTest *const cases[] = { short_soak };
+  const TTest *const by_hand[] = { asked_soak };
+
+  signal (SIGPIPE, SIG_IGN);
+  if (argc < 2)
+    return suite_run ("soak", cases, G_N_ELEMENTS (cases));
+  asked.seed = atoi (argv[1]);
+  asked.seeds = get_argument (argc, argv, 2, 1);
+  asked.seconds = get_argument (argc, argv, 3, SECONDS_USUAL);
+  asked.daemons = get_argument (argc, argv, 4, DAEMONS_USUAL);
+  /* No time-out: the number of seeds decides.  */
+  g_setenv ("CK_FORK", "no", TRUE);
+  return suite_run ("soak", by_hand, G_N_ELEMENTS (by_hand));
+}
