--- a/src/front.c
+++ b/src/front.c
@@ -435,6 +435,20 @@
                   r->message.u.response.headers_len, get_body (call));
 }
 
+/* Address of the daemon that the last attempt went to, or an empty string.  */
+static struct str
+get_last_peer (const struct front_call *call)
+{
+  const struct snapshot *s = call->snapshot;
+
+  if (s == NULL || call->tried_len == 0)
+    return STR_EMPTY;
+  for (uint32_t i = 0; i < s->endpoints_len; i++)
+    if (s->endpoints[i].member == call->tried[call->tried_len - 1])
+      return s->endpoints[i].address;
+  return STR_EMPTY;
+}
+
 /* What decided the end of a request that its caller did not get an answer of
    the backend server for.  */
 static void
@@ -460,6 +474,7 @@
       LOGGER_TEXT ("workspace", call->workspace),
       LOGGER_NUMBER ("importance", call->importance),
       LOGGER_NUMBER ("attempts", call->attempts),
+      LOGGER_TEXT ("peer", get_last_peer (call)),
       LOGGER_NUMBER ("age_ms", (now_us - call->arrived_us) / CLOCK_US_PER_MS),
       LOGGER_NUMBER ("revision",
                      s != NULL ? (int64_t)s->config->inventory.revision : 0),
