Ask the candidates of unresolved lease writes for promises

Change: the candidates of writes with unknown outcome are kept, up to two writes, and have to promise too; with more the holder stops as before. Promises move along when a version is adopted.

--- a/src/lease.c
+++ b/src/lease.c
@@ -71,21 +71,72 @@
   return s->lease_from_us + from_ms (s->object.term_ms);
 }
 
-/* End of the time that the promises of all named candidates cover.  Without
-   candidates nobody may take over before the abandon limit.  */
+/* Daemon of a place among the promisers, with id 0 if the place is empty.  */
+static struct lease_owner
+get_promiser (const struct lease_shard *s, uint32_t i)
+{
+  return i < LEASE_CANDIDATES ? s->object.candidates[i]
+                              : s->pending[i - LEASE_CANDIDATES];
+}
+
+/* End of the time that the promises of all cover who may be candidates: those
+   that the object names and those that a write with unknown outcome would name.
+   Without candidates nobody may take over before the abandon limit.  */
 static int64_t
 promises_end (const struct lease_shard *s)
 {
   int64_t end = INT64_MAX;
 
-  if (s->unresolved_candidates)
+  if (s->unbounded)
     return LEASE_NO_TIME;
-  for (uint32_t i = 0; i < LEASE_CANDIDATES; i++)
-    if (s->object.candidates[i].id != 0)
+  for (uint32_t i = 0; i < LEASE_PROMISERS; i++)
+    if (get_promiser (s, i).id != 0)
       end = MIN (end, s->promise_until_us[i]);
   return end;
 }
 
+static void
+clear_promise (struct lease_shard *s, uint32_t i)
+{
+  s->promise_until_us[i] = LEASE_NO_TIME;
+  s->asked_us[i] = LEASE_NO_TIME;
+  s->asked_number[i] = 0;
+}
+
+/* Place of a daemon among the promisers, or LEASE_PROMISERS.  */
+static uint32_t
+find_promiser (const struct lease_shard *s, struct lease_owner owner)
+{
+  for (uint32_t i = 0; i < LEASE_PROMISERS; i++)
+    if (lease_equal_owner (get_promiser (s, i), owner))
+      return i;
+  return LEASE_PROMISERS;
+}
+
+/* Keeps the candidates of a write with unknown outcome, whose promises are
+   needed from now on.  */
+static void
+add_pending (struct lease_shard *s, const struct lease_object *object)
+{
+  for (uint32_t i = 0; i < LEASE_CANDIDATES; i++)
+    {
+      struct lease_owner owner = object->candidates[i];
+      uint32_t place = 0;
+
+      if (owner.id == 0 || find_promiser (s, owner) < LEASE_PROMISERS)
+        continue;
+      while (place < LEASE_PENDING && s->pending[place].id != 0)
+        place++;
+      if (place == LEASE_PENDING)
+        {
+          s->unbounded = true;
+          return;
+        }
+      s->pending[place] = owner;
+      clear_promise (s, LEASE_CANDIDATES + place);
+    }
+}
+
 static int64_t
 hold_end (const struct lease_table *t, const struct lease_shard *s)
 {
@@ -242,8 +293,32 @@
 clear_unresolved (struct lease_shard *s)
 {
   s->unresolved = false;
-  s->unresolved_candidates = false;
   s->unresolved_takeover = false;
+  s->unbounded = false;
+  memset (s->pending, 0, sizeof s->pending);
+}
+
+/* Takes over the candidates of a new version, with the promises that they have
+   given already.  */
+static void
+adopt_candidates (struct lease_shard *s, const struct lease_object *object,
+                  bool new_epoch)
+{
+  const struct lease_shard before = *s;
+
+  for (uint32_t i = 0; i < LEASE_CANDIDATES; i++)
+    {
+      uint32_t place = new_epoch || object->candidates[i].id == 0
+                           ? LEASE_PROMISERS
+                           : find_promiser (&before, object->candidates[i]);
+
+      clear_promise (s, i);
+      if (place == LEASE_PROMISERS)
+        continue;
+      s->promise_until_us[i] = before.promise_until_us[place];
+      s->asked_us[i] = before.asked_us[place];
+      s->asked_number[i] = before.asked_number[place];
+    }
 }
 
 /* Takes over a version that the row did not know.  A write conditional on an
@@ -255,14 +330,7 @@
 {
   bool new_epoch = object->epoch != s->object.epoch || s->version == 0;
 
-  for (uint32_t i = 0; i < LEASE_CANDIDATES; i++)
-    if (new_epoch
-        || !lease_equal_owner (object->candidates[i], s->object.candidates[i]))
-      {
-        s->promise_until_us[i] = LEASE_NO_TIME;
-        s->asked_us[i] = LEASE_NO_TIME;
-        s->asked_number[i] = 0;
-      }
+  adopt_candidates (s, object, new_epoch);
   s->version = version;
   s->object = *object;
   s->absent = false;
@@ -332,16 +400,17 @@
                          ? from_ms (t->settings.ask_ms)
                          : from_ms (s->object.term_ms) / RENEW_DIVISOR;
 
-  for (uint32_t i = 0; i < LEASE_CANDIDATES; i++)
+  for (uint32_t i = 0; i < LEASE_PROMISERS; i++)
     {
+      struct lease_owner promiser = get_promiser (s, i);
       struct lease_action *a;
 
-      if (s->object.candidates[i].id == 0
+      if (promiser.id == 0
           || (s->asked_us[i] != LEASE_NO_TIME
               && now_us < s->asked_us[i] + interval))
         continue;
       a = add_action (t, s, LEASE_ASK_PROMISE);
-      a->peer = s->object.candidates[i];
+      a->peer = promiser;
       a->request = ++t->last_request;
       s->asked_us[i] = now_us;
       s->asked_number[i] = a->request;
@@ -357,7 +426,7 @@
                  s->op_sent_us + from_ms (s->object.term_ms) / RENEW_DIVISOR);
   /* A candidate that reads the new version at once can take over as early as
      the rule allows, also if the platform fails before its next poll.  */
-  for (uint32_t i = 0; i < LEASE_CANDIDATES; i++)
+  for (uint32_t i = 0; i < LEASE_PROMISERS; i++)
     s->asked_us[i] = LEASE_NO_TIME;
   ask_promises (t, s, now_us);
 }
@@ -370,11 +439,7 @@
   s->unresolved = true;
   s->unresolved_takeover
       = s->unresolved_takeover || s->writing.epoch != s->object.epoch;
-  s->unresolved_candidates
-      = s->unresolved_candidates
-        || memcmp (s->writing.candidates, s->object.candidates,
-                   sizeof s->writing.candidates)
-               != 0;
+  add_pending (s, &s->writing);
   s->read_first = true;
   end_operation (s, false, now_us + from_ms (t->settings.retry_ms));
 }
@@ -418,11 +483,11 @@
 static void
 apply_promise (struct lease_shard *s, const struct lease_event *e)
 {
-  for (uint32_t i = 0; i < LEASE_CANDIDATES; i++)
+  for (uint32_t i = 0; i < LEASE_PROMISERS; i++)
     {
       if (s->asked_number[i] == 0 || s->asked_number[i] != e->request
           || e->epoch != s->object.epoch
-          || !lease_equal_owner (s->object.candidates[i], e->peer))
+          || !lease_equal_owner (get_promiser (s, i), e->peer))
         continue;
       s->asked_number[i] = 0;
       if (e->promise_ms > 0)
@@ -528,11 +593,8 @@
       s->lease_from_us = LEASE_NO_TIME;
       s->won_us = LEASE_NO_TIME;
       s->promised_until_us = LEASE_NO_TIME;
-      for (uint32_t k = 0; k < LEASE_CANDIDATES; k++)
-        {
-          s->promise_until_us[k] = LEASE_NO_TIME;
-          s->asked_us[k] = LEASE_NO_TIME;
-        }
+      for (uint32_t k = 0; k < LEASE_PROMISERS; k++)
+        clear_promise (s, k);
     }
 }
 
--- a/src/lease.h
+++ b/src/lease.h
@@ -23,6 +23,11 @@
 #define LEASE_DRIFT_DIVISOR 100
 #define LEASE_NO_TIME INT64_MIN
 
+/* Candidates of writes with unknown outcome that are kept: of two such writes.  */
+#define LEASE_PENDING (2 * LEASE_CANDIDATES)
+/* Daemons that may have to promise before the holder goes on.  */
+#define LEASE_PROMISERS (LEASE_CANDIDATES + LEASE_PENDING)
+
 /* Types */
 
 /* One run of a daemon.  */
@@ -104,13 +109,16 @@
   bool read_wanted;            /* a holder asked for a promise */
   bool unreachable;            /* the last operation got no answer */
   bool unresolved;             /* a write has unknown outcome */
-  bool unresolved_candidates;  /* it would change the candidates */
-  bool unresolved_takeover;    /* it would change the holder */
-  int64_t unresolved_sent_us;  /* when the first such write was decided */
-  int64_t promised_until_us;   /* as candidate */
-  int64_t promise_until_us[LEASE_CANDIDATES]; /* as holder */
-  int64_t asked_us[LEASE_CANDIDATES];
-  uint64_t asked_number[LEASE_CANDIDATES]; /* 0: no answer awaited */
+  /* candidates that such writes would name; more than fit: `unbounded` */
+  struct lease_owner pending[LEASE_PENDING];
+  bool unbounded;
+  bool unresolved_takeover;   /* it would change the holder */
+  int64_t unresolved_sent_us; /* when the first such write was decided */
+  int64_t promised_until_us;  /* as candidate */
+  /* as holder; of the object's candidates, then of the pending ones */
+  int64_t promise_until_us[LEASE_PROMISERS];
+  int64_t asked_us[LEASE_PROMISERS];
+  uint64_t asked_number[LEASE_PROMISERS]; /* 0: no answer awaited */
   struct lease_owner wanted[LEASE_CANDIDATES];
   bool preferred; /* creates the shard and watches for abandonment */
   bool granting;  /* LEASE_START was the last of start and stop */
