Encode messages in one place; share the fixture of the platform's daemon

Change: packer_append and packer_append_frame, wire_append_body_parts, process_start_machine. No behaviour changes; a response and its parts now go to the link in one call.

--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -135,29 +135,6 @@
 
 /* Internal functions: sending */
 
-static void
-send_body_parts (struct front *f, const struct front_call *call,
-                 struct str body)
-{
-  size_t sent = WIRE_PART_MAX_BYTES;
-
-  while (sent < body.len)
-    {
-      struct str part = str_slice (body, sent, sent + WIRE_PART_MAX_BYTES);
-      struct wire_message m = { .type = WIRE_BODY };
-      struct str_buf out = { 0 };
-
-      sent += part.len;
-      m.u.body = (struct wire_body){ .request_id = call->id,
-                                     .attempt = call->attempt,
-                                     .last = sent == body.len,
-                                     .bytes = part };
-      wire_append_message (&out, &m);
-      link_send (&f->links, call->link, str_view (&out));
-      str_reset (&out);
-    }
-}
-
 /* When the answer is due for its full value.  */
 static int64_t
 get_due_us (const struct front_call *call)
@@ -203,8 +180,11 @@
     .body = str_slice (body, 0, WIRE_PART_MAX_BYTES),
   };
   wire_append_message (&out, &m);
+  wire_append_body_parts (
+      &out,
+      &(struct wire_body){ .request_id = call->id, .attempt = call->attempt },
+      body);
   link_send (&f->links, call->link, str_view (&out));
-  send_body_parts (f, call, body);
   str_reset (&out);
   str_reset (&parent);
 }
--- a/src/packer.c
+++ b/src/packer.c
@@ -1,9 +1,46 @@
-/* packer: appends the members of a msgpack array.  */
+/* packer: encodes messages and the members of their msgpack arrays.  */
 
 #include "packer.h"
 
+#include "frame.h"
+
+/* Internal functions */
+
+/* Packs a message and hands its bytes to `append`.  */
+static void
+pack_with (struct str_buf *out,
+           void (*pack) (msgpack_packer *p, const void *message),
+           const void *message,
+           void (*append) (struct str_buf *out, struct str bytes))
+{
+  msgpack_sbuffer bytes;
+  msgpack_packer packer;
+
+  msgpack_sbuffer_init (&bytes);
+  msgpack_packer_init (&packer, &bytes, msgpack_sbuffer_write);
+  pack (&packer, message);
+  append (out, (struct str){ bytes.size, bytes.data });
+  msgpack_sbuffer_destroy (&bytes);
+}
+
 /* Public functions */
 
+void
+packer_append (struct str_buf *out,
+               void (*pack) (msgpack_packer *p, const void *message),
+               const void *message)
+{
+  pack_with (out, pack, message, str_append);
+}
+
+void
+packer_append_frame (struct str_buf *out,
+                     void (*pack) (msgpack_packer *p, const void *message),
+                     const void *message)
+{
+  pack_with (out, pack, message, frame_append);
+}
+
 void
 packer_add_str (msgpack_packer *p, struct str s)
 {
--- a/src/packer.h
+++ b/src/packer.h
@@ -1,4 +1,4 @@
-/* packer: appends the members of a msgpack array.  */
+/* packer: encodes messages and the members of their msgpack arrays.  */
 
 #ifndef ALMONDVALE_PACKER_H
 #define ALMONDVALE_PACKER_H
@@ -10,6 +10,16 @@
 
 /* Public functions */
 
+/* appends the bytes of a message */
+void packer_append (struct str_buf *out,
+                    void (*pack) (msgpack_packer *p, const void *message),
+                    const void *message);
+/* the same as one frame, with its length */
+void packer_append_frame (struct str_buf *out,
+                          void (*pack) (msgpack_packer *p,
+                                        const void *message),
+                          const void *message);
+
 /* text */
 void packer_add_str (msgpack_packer *p, struct str s);
 /* bytes */
--- a/src/serve.c
+++ b/src/serve.c
@@ -43,29 +43,6 @@
   return false;
 }
 
-static void
-send_body_parts (struct serve *s, const struct serve_job *job, struct str body)
-{
-  const struct wire_request *q = &job->message.u.request;
-  size_t sent = WIRE_PART_MAX_BYTES;
-
-  while (sent < body.len)
-    {
-      struct str part = str_slice (body, sent, sent + WIRE_PART_MAX_BYTES);
-      struct wire_message m = { .type = WIRE_BODY };
-      struct str_buf out = { 0 };
-
-      sent += part.len;
-      m.u.body = (struct wire_body){ .request_id = q->request_id,
-                                     .attempt = q->attempt,
-                                     .last = sent == body.len,
-                                     .bytes = part };
-      wire_append_message (&out, &m);
-      link_send (&s->links, job->link, str_view (&out));
-      str_reset (&out);
-    }
-}
-
 /* The own pressure, and what the backend server's calls have learned of the
    services below.  */
 static void
@@ -110,9 +87,12 @@
   add_pressures (s, r, reports, seen);
   m.u.response = *r;
   wire_append_message (&out, &m);
+  wire_append_body_parts (&out,
+                          &(struct wire_body){ .request_id = q->request_id,
+                                               .attempt = q->attempt },
+                          body);
   link_send (&s->links, job->link, str_view (&out));
   str_reset (&out);
-  send_body_parts (s, job, body);
   r->pressures = NULL;
   r->pressures_len = 0;
 }
--- a/src/wire.c
+++ b/src/wire.c
@@ -93,8 +93,10 @@
 }
 
 static void
-pack_message (msgpack_packer *p, const struct wire_message *m)
+pack_message (msgpack_packer *p, const void *message)
 {
+  const struct wire_message *m = message;
+
   switch (m->type)
     {
     case WIRE_REQUEST:
@@ -313,14 +315,22 @@
 void
 wire_append_message (struct str_buf *out, const struct wire_message *m)
 {
-  msgpack_sbuffer bytes;
-  msgpack_packer packer;
-
-  msgpack_sbuffer_init (&bytes);
-  msgpack_packer_init (&packer, &bytes, msgpack_sbuffer_write);
-  pack_message (&packer, m);
-  frame_append (out, (struct str){ bytes.size, bytes.data });
-  msgpack_sbuffer_destroy (&bytes);
+  packer_append_frame (out, pack_message, m);
+}
+
+void
+wire_append_body_parts (struct str_buf *out, const struct wire_body *part,
+                        struct str body)
+{
+  struct wire_message m = { .type = WIRE_BODY, .u.body = *part };
+
+  for (size_t sent = WIRE_PART_MAX_BYTES; sent < body.len;
+       sent += m.u.body.bytes.len)
+    {
+      m.u.body.bytes = str_slice (body, sent, sent + WIRE_PART_MAX_BYTES);
+      m.u.body.last = sent + m.u.body.bytes.len == body.len;
+      wire_append_message (out, &m);
+    }
 }
 
 /**
--- a/src/wire.h
+++ b/src/wire.h
@@ -150,6 +150,10 @@
 
 /* appends the frame (length and msgpack) of a message */
 void wire_append_message (struct str_buf *out, const struct wire_message *m);
+/* appends what of a body does not fit into the message that it belongs to, as
+   BODY messages; `part` names the request, its other members are ignored */
+void wire_append_body_parts (struct str_buf *out, const struct wire_body *part,
+                             struct str body);
 /* decodes the bytes of one frame without its length; false if malformed */
 bool wire_load_message (struct wire_message *m, struct str frame);
 /* frees what wire_load_message allocated */
--- a/src/wire_control.c
+++ b/src/wire_control.c
@@ -120,8 +120,10 @@
 }
 
 static void
-pack_datagram (msgpack_packer *p, const struct gossip_datagram *d)
+pack_datagram (msgpack_packer *p, const void *message)
 {
+  const struct gossip_datagram *d = message;
+
   switch (d->type)
     {
     case GOSSIP_PROBE:
@@ -158,8 +160,10 @@
 }
 
 static void
-pack_message (msgpack_packer *p, const struct wire_control_message *m)
+pack_message (msgpack_packer *p, const void *message)
 {
+  const struct wire_control_message *m = message;
+
   switch (m->type)
     {
     case WIRE_SYNC_MEMBERS:
@@ -413,14 +417,7 @@
 wire_control_append_datagram (struct str_buf *out,
                               const struct gossip_datagram *d)
 {
-  msgpack_sbuffer bytes;
-  msgpack_packer packer;
-
-  msgpack_sbuffer_init (&bytes);
-  msgpack_packer_init (&packer, &bytes, msgpack_sbuffer_write);
-  pack_datagram (&packer, d);
-  str_append (out, (struct str){ bytes.size, bytes.data });
-  msgpack_sbuffer_destroy (&bytes);
+  packer_append (out, pack_datagram, d);
 }
 
 /**
@@ -432,14 +429,7 @@
 wire_control_append_frame (struct str_buf *out,
                            const struct wire_control_message *m)
 {
-  msgpack_sbuffer bytes;
-  msgpack_packer packer;
-
-  msgpack_sbuffer_init (&bytes);
-  msgpack_packer_init (&packer, &bytes, msgpack_sbuffer_write);
-  pack_message (&packer, m);
-  frame_append (out, (struct str){ bytes.size, bytes.data });
-  msgpack_sbuffer_destroy (&bytes);
+  packer_append_frame (out, pack_message, m);
 }
 
 /**
--- a/src/wire_registry.c
+++ b/src/wire_registry.c
@@ -44,8 +44,10 @@
 }
 
 static void
-pack_message (msgpack_packer *p, const struct wire_registry_message *m)
+pack_message (msgpack_packer *p, const void *message)
 {
+  const struct wire_registry_message *m = message;
+
   switch (m->type)
     {
     case WIRE_REGISTRY_STATE:
@@ -157,14 +159,7 @@
 wire_registry_append (struct str_buf *out,
                       const struct wire_registry_message *m)
 {
-  msgpack_sbuffer bytes;
-  msgpack_packer packer;
-
-  msgpack_sbuffer_init (&bytes);
-  msgpack_packer_init (&packer, &bytes, msgpack_sbuffer_write);
-  pack_message (&packer, m);
-  frame_append (out, (struct str){ bytes.size, bytes.data });
-  msgpack_sbuffer_destroy (&bytes);
+  packer_append_frame (out, pack_message, m);
 }
 
 /**
--- a/src/wire_shard.c
+++ b/src/wire_shard.c
@@ -335,6 +335,44 @@
   return reader_is_done (r);
 }
 
+/* Internal functions: whole values */
+
+static void
+pack_message (msgpack_packer *p, const void *message)
+{
+  const struct wire_shard_message *m = message;
+  const struct codec *codec = find_codec ((uint32_t)m->type);
+
+  msgpack_pack_array (p, codec->members);
+  msgpack_pack_int (p, (int)codec->type);
+  codec->pack (p, m);
+}
+
+static void
+pack_object (msgpack_packer *p, const void *message)
+{
+  const struct lease_object *o = message;
+
+  msgpack_pack_array (p, OBJECT_MEMBERS);
+  pack_owner (p, o->holder);
+  msgpack_pack_uint64 (p, o->epoch);
+  for (uint32_t i = 0; i < LEASE_CANDIDATES; i++)
+    pack_owner (p, o->candidates[i]);
+  msgpack_pack_uint32 (p, o->term_ms);
+  packer_add_bool (p, o->released);
+}
+
+static void
+pack_outcome (msgpack_packer *p, const void *message)
+{
+  const struct wire_shard_outcome *o = message;
+
+  msgpack_pack_array (p, OUTCOME_MEMBERS);
+  msgpack_pack_uint32 (p, o->status);
+  packer_add_bin (p, o->content_type);
+  packer_add_bin (p, o->body);
+}
+
 /* Public functions */
 
 /**
@@ -346,19 +384,8 @@
 wire_shard_append_message (struct str_buf *out,
                            const struct wire_shard_message *m)
 {
-  const struct codec *codec = find_codec ((uint32_t)m->type);
-  msgpack_sbuffer bytes;
-  msgpack_packer packer;
-
-  if (codec == NULL)
-    return;
-  msgpack_sbuffer_init (&bytes);
-  msgpack_packer_init (&packer, &bytes, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, codec->members);
-  msgpack_pack_int (&packer, (int)codec->type);
-  codec->pack (&packer, m);
-  frame_append (out, (struct str){ bytes.size, bytes.data });
-  msgpack_sbuffer_destroy (&bytes);
+  if (find_codec ((uint32_t)m->type) != NULL)
+    packer_append_frame (out, pack_message, m);
 }
 
 /**
@@ -399,20 +426,7 @@
 void
 wire_shard_append_object (struct str_buf *out, const struct lease_object *o)
 {
-  msgpack_sbuffer bytes;
-  msgpack_packer p;
-
-  msgpack_sbuffer_init (&bytes);
-  msgpack_packer_init (&p, &bytes, msgpack_sbuffer_write);
-  msgpack_pack_array (&p, OBJECT_MEMBERS);
-  pack_owner (&p, o->holder);
-  msgpack_pack_uint64 (&p, o->epoch);
-  for (uint32_t i = 0; i < LEASE_CANDIDATES; i++)
-    pack_owner (&p, o->candidates[i]);
-  msgpack_pack_uint32 (&p, o->term_ms);
-  packer_add_bool (&p, o->released);
-  str_append (out, (struct str){ bytes.size, bytes.data });
-  msgpack_sbuffer_destroy (&bytes);
+  packer_append (out, pack_object, o);
 }
 
 bool
@@ -439,17 +453,7 @@
 wire_shard_append_outcome (struct str_buf *out,
                            const struct wire_shard_outcome *o)
 {
-  msgpack_sbuffer bytes;
-  msgpack_packer p;
-
-  msgpack_sbuffer_init (&bytes);
-  msgpack_packer_init (&p, &bytes, msgpack_sbuffer_write);
-  msgpack_pack_array (&p, OUTCOME_MEMBERS);
-  msgpack_pack_uint32 (&p, o->status);
-  packer_add_bin (&p, o->content_type);
-  packer_add_bin (&p, o->body);
-  str_append (out, (struct str){ bytes.size, bytes.data });
-  msgpack_sbuffer_destroy (&bytes);
+  packer_append (out, pack_outcome, o);
 }
 
 bool
--- a/src/wire_snapshot.c
+++ b/src/wire_snapshot.c
@@ -3,7 +3,7 @@
 
 #include "wire_snapshot.h"
 
-#include "frame.h"
+#include "packer.h"
 #include "scan.h"
 
 #include <msgpack.h>
@@ -11,10 +11,27 @@
 /* Internal functions */
 
 static void
-append_frame (struct str_buf *out, msgpack_sbuffer *bytes)
+pack_pull (msgpack_packer *p, const void *message)
 {
-  frame_append (out, (struct str){ bytes->size, bytes->data });
-  msgpack_sbuffer_destroy (bytes);
+  const struct wire_pull_snapshot *m = message;
+
+  msgpack_pack_array (p, 3);
+  msgpack_pack_int (p, WIRE_PULL_SNAPSHOT);
+  msgpack_pack_uint64 (p, m->revision);
+  msgpack_pack_uint64 (p, m->offset);
+}
+
+static void
+pack_snapshot (msgpack_packer *p, const void *message)
+{
+  const struct wire_snapshot *m = message;
+
+  msgpack_pack_array (p, 5);
+  msgpack_pack_int (p, WIRE_SNAPSHOT);
+  msgpack_pack_uint64 (p, m->revision);
+  msgpack_pack_uint64 (p, m->total);
+  msgpack_pack_uint64 (p, m->offset);
+  packer_add_bin (p, m->part);
 }
 
 /* Decodes an array of a type and unsigned numbers, and a bin member at the end
@@ -57,33 +74,13 @@
 wire_snapshot_append_pull (struct str_buf *out,
                            const struct wire_pull_snapshot *m)
 {
-  msgpack_sbuffer bytes;
-  msgpack_packer p;
-
-  msgpack_sbuffer_init (&bytes);
-  msgpack_packer_init (&p, &bytes, msgpack_sbuffer_write);
-  msgpack_pack_array (&p, 3);
-  msgpack_pack_int (&p, WIRE_PULL_SNAPSHOT);
-  msgpack_pack_uint64 (&p, m->revision);
-  msgpack_pack_uint64 (&p, m->offset);
-  append_frame (out, &bytes);
+  packer_append_frame (out, pack_pull, m);
 }
 
 void
 wire_snapshot_append (struct str_buf *out, const struct wire_snapshot *m)
 {
-  msgpack_sbuffer bytes;
-  msgpack_packer p;
-
-  msgpack_sbuffer_init (&bytes);
-  msgpack_packer_init (&p, &bytes, msgpack_sbuffer_write);
-  msgpack_pack_array (&p, 5);
-  msgpack_pack_int (&p, WIRE_SNAPSHOT);
-  msgpack_pack_uint64 (&p, m->revision);
-  msgpack_pack_uint64 (&p, m->total);
-  msgpack_pack_uint64 (&p, m->offset);
-  msgpack_pack_bin_with_body (&p, m->part.data, m->part.len);
-  append_frame (out, &bytes);
+  packer_append_frame (out, pack_snapshot, m);
 }
 
 bool
--- a/tests/process.h
+++ b/tests/process.h
@@ -289,6 +289,71 @@
   g_free (text);
 }
 
+/* First of two ports in a row.  */
+static inline uint16_t
+process_get_port_pair (void)
+{
+  uint16_t first = process_get_port ();
+  uint16_t second;
+
+  while ((second = process_get_port ()) != first + 1)
+    first = second;
+  return first;
+}
+
+/* A daemon of the platform's program, with the stand-in "machines".  */
+struct process_machine
+{
+  int index;
+  const char *service;
+  pid_t pid;
+  uint16_t caller, control, ready, backend, peer;
+  uint16_t store;  /* port at which it reaches the store */
+  const char *own; /* file with settings of the product, or NULL */
+};
+
+/* Takes ports for a daemon.  */
+static inline void
+process_init_machine (struct process_machine *m, int index,
+                      const char *service, uint16_t store)
+{
+  *m = (struct process_machine){ .index = index,
+                                 .service = service,
+                                 .caller = process_get_port (),
+                                 .control = process_get_port (),
+                                 .ready = process_get_port (),
+                                 .backend = process_get_port (),
+                                 .peer = process_get_port_pair (),
+                                 .store = store };
+}
+
+/* Writes the settings file and starts the daemon; its output goes to
+   n-INDEX.log.  */
+static inline void
+process_start_machine (struct process_machine *m, const char *dir)
+{
+  char *text = g_strdup_printf (
+      "{\"node\":\"n-%d\",\"ip\":\"127.0.0.1\",\"zone\":\"z%d\","
+      "\"region\":\"r\",\"service\":\"%s\",\"appAddr\":\"127.0.0.1:%u\","
+      "\"listen\":{\"outbound\":\"127.0.0.1:%u\",\"ready\":\"127.0.0.1:%u\","
+      "\"control\":\"127.0.0.1:%u\"},\"internalPortRange\":[%u,%u],"
+      "\"bounds\":[\"grace=6s\"],\"platform\":{\"address\":\"127.0.0.1:%u\"}}",
+      m->index, m->index % 3, m->service, m->backend, m->caller, m->ready,
+      m->control, m->peer, m->peer + 1, m->store);
+  char *name = g_strdup_printf ("n-%d.json", m->index);
+  char *path = g_build_filename (dir, name, NULL);
+  char *log = g_strdup_printf ("%s/n-%d.log", dir, m->index);
+
+  process_write_file (dir, name, text);
+  g_setenv ("ALMONDVALE_SETTINGS", path, TRUE);
+  m->pid = process_start (log, "almondvaled-platform",
+                          m->own != NULL ? "--settings" : NULL, m->own, NULL);
+  g_free (text);
+  g_free (name);
+  g_free (path);
+  g_free (log);
+}
+
 /* SHA-256 of a key as hex; free with g_free.  */
 static inline char *
 process_hash_key (const char *key)
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -16,18 +16,12 @@
 #define WAIT "X-Almondvale-Deadline-Ms: 5000"
 
 /* Services: notes beside the daemons 0 and 1, books beside daemon 2.  */
-struct daemon
-{
-  pid_t pid;
-  uint16_t caller, control, ready, backend, peer;
-};
-
 struct fixture
 {
   char *dir;
   pid_t machines;
   uint16_t store;
-  struct daemon daemons[DAEMONS];
+  struct process_machine daemons[DAEMONS];
 };
 
 static char *
@@ -49,43 +43,6 @@
       version, key);
 }
 
-/* First of two ports in a row.  */
-static uint16_t
-get_port_pair (void)
-{
-  uint16_t first = process_get_port ();
-  uint16_t second;
-
-  while ((second = process_get_port ()) != first + 1)
-    first = second;
-  return first;
-}
-
-static void
-start_daemon (struct fixture *f, int i)
-{
-  struct daemon *d = &f->daemons[i];
-  char *text = g_strdup_printf (
-      "{\"node\":\"n-%d\",\"ip\":\"127.0.0.1\",\"zone\":\"z%d\","
-      "\"region\":\"r\",\"service\":\"%s\",\"appAddr\":\"127.0.0.1:%u\","
-      "\"listen\":{\"outbound\":\"127.0.0.1:%u\",\"ready\":\"127.0.0.1:%u\","
-      "\"control\":\"127.0.0.1:%u\"},\"internalPortRange\":[%u,%u],"
-      "\"bounds\":[\"grace=6s\"],\"platform\":{\"address\":\"127.0.0.1:%u\"}}",
-      i, i, i < 2 ? "notes" : "books", d->backend, d->caller, d->ready,
-      d->control, d->peer, d->peer + 1, f->store);
-  char *name = g_strdup_printf ("n-%d.json", i);
-  char *path = g_build_filename (f->dir, name, NULL);
-  char *log = g_strdup_printf ("%s/n-%d.log", f->dir, i);
-
-  process_write_file (f->dir, name, text);
-  g_setenv ("ALMONDVALE_SETTINGS", path, TRUE);
-  d->pid = process_start (log, "almondvaled-platform", NULL);
-  g_free (text);
-  g_free (name);
-  g_free (path);
-  g_free (log);
-}
-
 static struct process_reply
 send_with (const struct fixture *f, int daemon, const char *method,
            const char *target, const char *authorization)
@@ -151,22 +108,18 @@
   process_write_file (f.dir, "config.json", config);
   for (int i = 0; i < DAEMONS; i++)
     {
-      struct daemon *d = &f.daemons[i];
+      struct process_machine *d = &f.daemons[i];
 
-      d->caller = process_get_port ();
-      d->control = process_get_port ();
-      d->ready = process_get_port ();
-      d->backend = process_get_port ();
-      d->peer = get_port_pair ();
+      process_init_machine (d, i, i < 2 ? "notes" : "books", f.store);
       args[i] = g_strdup_printf ("--backend=%u,%u,%s", d->backend, d->control,
-                                 i < 2 ? "notes" : "books");
+                                 d->service);
     }
   f.machines = process_start (log, "machines", store, file, args[0], args[1],
                               args[2], NULL);
   process_await (f.store, "/standin/executions", 200);
   for (int i = 0; i < DAEMONS; i++)
     {
-      start_daemon (&f, i);
+      process_start_machine (&f.daemons[i], f.dir);
       g_free (args[i]);
     }
   for (int i = 0; i < DAEMONS; i++)
@@ -279,7 +232,7 @@
   tell (&f, "store", "down");
   process_stop (f.daemons[2].pid, SIGKILL);
   await_status (&f, 0, "/book/x", 503);
-  start_daemon (&f, 2);
+  process_start_machine (&f.daemons[2], f.dir);
   process_await (f.daemons[2].ready, "/almondvale/ready", 200);
   for (int i = 0; i < DAEMONS; i++)
     await_status (&f, i, "/book/x", 200);
@@ -324,7 +277,7 @@
                         .status,
                     201);
   process_stop (f.daemons[0].pid, SIGKILL);
-  start_daemon (&f, 0);
+  process_start_machine (&f.daemons[0], f.dir);
   link = accept (listener, NULL, NULL);
   ck_assert_int_ge (link, 0);
   ck_assert_int_eq (write (link, bad_frame, sizeof bad_frame),
--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -85,9 +85,7 @@
 
 struct daemon
 {
-  int index;
-  pid_t pid;
-  uint16_t caller, control, ready, backend, peer, store;
+  struct process_machine machine;
   uint16_t advertised_peer, advertised_control;
   struct proxy to_peer, to_control, to_store;
   struct httpc_pool *pool;
@@ -199,7 +197,7 @@
   FILE *out = fopen (file, "a");
 
   fprintf (out, "%" PRId64 " %s %s n-%d\n", clock_now_us () / CLOCK_US_PER_MS,
-           name, what, d->index);
+           name, what, d->machine.index);
   fclose (out);
   g_free (file);
 }
@@ -269,73 +267,37 @@
 static void
 start_daemon (struct soak *s, struct daemon *d)
 {
-  char *name = g_strdup_printf ("n-%d.json", d->index);
-  char *own_name = g_strdup_printf ("own-%d.json", d->index);
-  char *path = g_build_filename (s->dir, name, NULL);
-  char *own = g_build_filename (s->dir, own_name, NULL);
-  char *log = g_strdup_printf ("%s/n-%d.log", s->dir, d->index);
-  char *text = g_strdup_printf (
-      "{\"node\":\"n-%d\",\"ip\":\"127.0.0.1\",\"zone\":\"z%d\","
-      "\"region\":\"r\",\"service\":\"%s\",\"appAddr\":\"127.0.0.1:%u\","
-      "\"listen\":{\"outbound\":\"127.0.0.1:%u\",\"ready\":\"127.0.0.1:%u\","
-      "\"control\":\"127.0.0.1:%u\"},\"internalPortRange\":[%u,%u],"
-      "\"bounds\":[\"grace=6s\"],\"platform\":{\"address\":\"127.0.0.1:%u\"}}",
-      d->index, d->index % 3, get_service (s, d->index), d->backend, d->caller,
-      d->ready, d->control, d->peer, d->peer + 1, d->store);
-
-  process_write_file (s->dir, name, text);
-  g_free (text);
-  text = g_strdup_printf ("{\"ports\":{\"advertised_peer\":%u,"
-                          "\"advertised_control\":%u}}",
-                          d->advertised_peer, d->advertised_control);
-  process_write_file (s->dir, own_name, text);
-  g_setenv ("ALMONDVALE_SETTINGS", path, TRUE);
-  d->pid
-      = process_start (log, "almondvaled-platform", "--settings", own, NULL);
+  process_start_machine (&d->machine, s->dir);
   d->boot++;
   d->killed = false;
   d->paused = false;
   d->start_us = 0;
   d->term_us = 0;
-  g_free (text);
-  g_free (name);
-  g_free (own_name);
-  g_free (path);
-  g_free (own);
-  g_free (log);
-}
-
-/* First of two ports in a row.  */
-static uint16_t
-get_port_pair (void)
-{
-  uint16_t first = process_get_port ();
-  uint16_t second;
-
-  while ((second = process_get_port ()) != first + 1)
-    first = second;
-  return first;
 }
 
 static void
 init_daemon (struct soak *s, int index)
 {
   struct daemon *d = &s->daemons[index];
+  struct process_machine *m = &d->machine;
+  char *name = g_strdup_printf ("own-%d.json", index);
+  char *text;
 
-  d->index = index;
-  d->caller = process_get_port ();
-  d->control = process_get_port ();
-  d->ready = process_get_port ();
-  d->backend = process_get_port ();
-  d->peer = get_port_pair ();
-  d->store = process_get_port ();
+  process_init_machine (m, index, get_service (s, index), process_get_port ());
+  m->own = g_build_filename (s->dir, name, NULL);
   d->advertised_peer = process_get_port ();
   d->advertised_control = process_get_port ();
-  proxy_init (&d->to_peer, s->base, d->advertised_peer, d->peer);
-  proxy_init (&d->to_control, s->base, d->advertised_control, d->peer + 1);
-  proxy_init (&d->to_store, s->base, d->store, s->store);
-  d->pool = httpc_load_pool (s->base, STR_LIT ("127.0.0.1"), d->caller,
+  text = g_strdup_printf ("{\"ports\":{\"advertised_peer\":%u,"
+                          "\"advertised_control\":%u}}",
+                          d->advertised_peer, d->advertised_control);
+  process_write_file (s->dir, name, text);
+  proxy_init (&d->to_peer, s->base, d->advertised_peer, m->peer);
+  proxy_init (&d->to_control, s->base, d->advertised_control, m->peer + 1);
+  proxy_init (&d->to_store, s->base, m->store, s->store);
+  d->pool = httpc_load_pool (s->base, STR_LIT ("127.0.0.1"), m->caller,
                              CONNECTIONS_OF_DAEMON, 65536);
+  g_free (name);
+  g_free (text);
 }
 
 static void
@@ -350,8 +312,9 @@
 
   process_write_file (s->dir, "config.json", config);
   for (int i = 0; i < s->daemons_len; i++)
-    args[i] = g_strdup_printf ("--backend=%u,%u,%s", s->daemons[i].backend,
-                               s->daemons[i].control, get_service (s, i));
+    args[i]
+        = g_strdup_printf ("--backend=%u,%u,%s", s->daemons[i].machine.backend,
+                           s->daemons[i].machine.control, get_service (s, i));
   s->machines = process_start (
       log, "machines", store, file, runs, args[0], args[1], args[2], args[3],
       args[4], args[5], args[6], args[7], args[8], args[9], args[10], args[11],
@@ -392,7 +355,7 @@
 
   g_snprintf (r->id, sizeof r->id, "%08x%08" PRIx64, s->seed, ++s->next_id);
   r->kind = kind;
-  r->daemon = d->index;
+  r->daemon = d->machine.index;
   r->boot = d->boot;
   r->version = s->version;
   if (kind == KIND_PROBE)
@@ -467,18 +430,18 @@
 {
   if (d->start_us != 0)
     return;
-  kill (d->pid, SIGKILL);
+  kill (d->machine.pid, SIGKILL);
   d->killed = true;
 }
 
 static void
 begin_term (struct soak *s, struct daemon *d)
 {
-  struct term t = { d->index, clock_now_us (), 0 };
+  struct term t = { d->machine.index, clock_now_us (), 0 };
 
   if (d->start_us != 0 || d->killed)
     return;
-  kill (d->pid, SIGTERM);
+  kill (d->machine.pid, SIGTERM);
   d->killed = true;
   d->term_us = t.from_us;
   g_array_append_val (s->terms, t);
@@ -489,7 +452,7 @@
 {
   if (d->start_us != 0 || d->killed)
     return;
-  kill (d->pid, SIGSTOP);
+  kill (d->machine.pid, SIGSTOP);
   d->paused = true;
 }
 
@@ -497,7 +460,7 @@
 end_pause (struct soak *s, struct daemon *d)
 {
   if (d->paused && d->start_us == 0)
-    kill (d->pid, SIGCONT);
+    kill (d->machine.pid, SIGCONT);
   d->paused = false;
 }
 
@@ -505,7 +468,7 @@
 begin_hup (struct soak *s, struct daemon *d)
 {
   if (d->start_us == 0)
-    kill (d->pid, SIGHUP);
+    kill (d->machine.pid, SIGHUP);
 }
 
 static void
@@ -611,8 +574,9 @@
   int count = 0;
 
   for (int i = 0; i < s->daemons_len; i++)
-    count += strcmp (get_service (s, i), get_service (s, d->index)) == 0
-             && !s->daemons[i].drained;
+    count
+        += strcmp (get_service (s, i), get_service (s, d->machine.index)) == 0
+           && !s->daemons[i].drained;
   return count;
 }
 
@@ -623,7 +587,8 @@
     return;
   d->drained = true;
   d->changed_us = clock_now_us ();
-  tell_number (s, g_rand_boolean (s->rand) ? "drain" : "leave", d->index);
+  tell_number (s, g_rand_boolean (s->rand) ? "drain" : "leave",
+               d->machine.index);
 }
 
 /* A backend server that leaves serves on for `drain` before it is gone.  */
@@ -633,7 +598,7 @@
   if (!d->drained)
     return;
   d->drained = false;
-  tell_number (s, "return", d->index);
+  tell_number (s, "return", d->machine.index);
 }
 
 static const struct fault faults[] = {
@@ -703,11 +668,11 @@
     {
       struct term *t = &g_array_index (s->terms, struct term, i);
 
-      if (t->daemon == d->index && t->to_us == 0)
+      if (t->daemon == d->machine.index && t->to_us == 0)
         t->to_us = now_us;
     }
   if (WIFEXITED (status) && WEXITSTATUS (status) != 0)
-    complain (s, "n-%d ended with %d after SIGTERM", d->index,
+    complain (s, "n-%d ended with %d after SIGTERM", d->machine.index,
               WEXITSTATUS (status));
 }
 
@@ -726,10 +691,10 @@
         continue;
       if (d->term_us != 0 && now_us > d->term_us + GRACE_US && !d->paused)
         {
-          kill (d->pid, SIGKILL);
+          kill (d->machine.pid, SIGKILL);
           d->term_us = 0;
         }
-      if (waitpid (d->pid, &status, WNOHANG) != d->pid)
+      if (waitpid (d->machine.pid, &status, WNOHANG) != d->machine.pid)
         continue;
       if (!d->killed)
         complain (s, "n-%d ended by itself, wait status %d", i, status);
@@ -954,7 +919,8 @@
   const char *lines[]
       = { "Host: h.example", "X-Almondvale-Attempt-Id: 9c41",
           "X-Almondvale-Deadline-Ms: 1000", authorization, NULL };
-  int status = process_send (d->caller, "GET", "/v-none/x", "", lines).status;
+  int status
+      = process_send (d->machine.caller, "GET", "/v-none/x", "", lines).status;
 
   g_free (key);
   g_free (authorization);
@@ -1032,7 +998,7 @@
       struct daemon *d = &s->daemons[i];
 
       if (d->start_us == 0)
-        process_stop (d->pid, SIGKILL);
+        process_stop (d->machine.pid, SIGKILL);
       httpc_unload_pool (d->pool);
       proxy_close (&d->to_peer);
       proxy_close (&d->to_control);
