Avoid endpoints that do not answer any more

Change: an endpoint with something outstanding that has answered nothing for six mean answer times, 150 ms at least, is chosen only if there is no other; a request given up there without an answer since it was sent counts as a failure.

--- a/bench/bench_overload.c
+++ b/bench/bench_overload.c
@@ -143,6 +143,7 @@
   enum err_kind error;
   uint64_t entry;
   int64_t deadline_us;
+  int64_t sent_us;
   int64_t started_us;
   int64_t nested_since_us;
   int64_t nested_us;
@@ -449,6 +450,7 @@
   c->server = (uint32_t)member - 1;
   c->part = budget_hand_down (&out->budget);
   c->deadline_us = deadline_us;
+  c->sent_us = s->now_us;
   schedule (s, s->now_us + LATENCY_US, EVENT_ARRIVE, out->call);
   schedule (s, deadline_us, EVENT_TIMEOUT, out->call);
 }
@@ -527,7 +529,8 @@
       struct call *n = get_call (s, c->out.call);
 
       if (n != NULL)
-        route_note_cancel (&v->sender.pool, n->server + 1);
+        route_note_cancel (&v->sender.pool, n->server + 1, n->sent_us,
+                           s->now_us);
       cancel_call (s, c->out.call);
     }
   if (c->state >= CALL_FIRST_HALF && c->state <= CALL_SECOND_HALF)
@@ -687,7 +690,8 @@
   c->thresholds[c->level] = s->policy->admit->get_threshold (v->admit);
   route_note_answer (&sender->pool, c->server + 1,
                      v->running + s->policy->admit->get_length (v->admit),
-                     s->policy->limit->get (&v->limit, s->now_us), s->now_us);
+                     s->policy->limit->get (&v->limit, s->now_us), c->sent_us,
+                     s->now_us);
   note_thresholds (s, c, sender, p);
   /* What the nested calls did not use; all of it if there were none.  */
   budget_return (&out->budget, c->part,
@@ -716,7 +720,7 @@
   request = c->request;
   r = table_get (&s->requests, request);
   sender = get_sender (s, r, get_call (s, parent));
-  route_note_cancel (&sender->pool, c->server + 1);
+  route_note_cancel (&sender->pool, c->server + 1, c->sent_us, s->now_us);
   if (s->policy->protects)
     cancel_call (s, id);
   else
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -263,7 +263,7 @@
     return;
   if (answered && !has_no_capacity (r->error))
     route_note_answer (&service->pool, call->member, r->in_flight, r->limit,
-                       now_us);
+                       call->sent_us, now_us);
   else
     route_note_failure (&service->pool, call->member, now_us);
 }
@@ -592,7 +592,8 @@
   link_send (&f->links, call->link, str_view (&out));
   str_reset (&out);
   if (service != NULL && !call->receiving)
-    route_note_cancel (&service->pool, call->member);
+    route_note_cancel (&service->pool, call->member, call->sent_us,
+                       clock_now_us ());
 }
 
 /**
--- a/src/route.c
+++ b/src/route.c
@@ -25,6 +25,15 @@
 #define NEAR_LOAD_FREE 0.5
 #define FAR_LOAD_PART 0.8
 
+/* An endpoint with something outstanding that has answered nothing for so many
+   mean answer times is silent: its backend server hangs, or the path to it is
+   cut.  An answer of that age is rare where the work varies threefold; at least
+   this time, since answers come in bursts.  */
+#define SILENT_ANSWERS 6.0
+#define SILENT_MIN_US 150000
+/* Weight of one answer in their mean time.  */
+#define ANSWER_GAIN 0.05
+
 /* Types */
 
 /* Candidates of one choice.  */
@@ -35,6 +44,8 @@
   struct route_endpoint *near[ROUTE_SUBSET_MAX]; /* same failure domain */
   uint32_t near_len;
   struct route_endpoint *soonest; /* avoided, for the shortest time */
+  struct route_endpoint *silent[ROUTE_SUBSET_MAX]; /* used if no others are */
+  uint32_t silent_len;
 };
 
 /* State */
@@ -248,6 +259,18 @@
   return (busy + 1) / (limit * get_weight (p, e, now_us));
 }
 
+/* True if it does not answer any more, as far as is seen from here.  */
+static bool
+is_silent (const struct route_pool *p, const struct route_endpoint *e,
+           int64_t now_us)
+{
+  double limit_us = MAX (p->answer_us * SILENT_ANSWERS, SILENT_MIN_US);
+
+  return e->outstanding > 0 && p->answer_us > 0
+         && (double)(now_us - e->silent_us) > limit_us
+         && !is_off (p, ROUTE_RULE_SILENT);
+}
+
 static void
 add_candidate (const struct route_pool *p, struct candidates *c,
                struct route_endpoint *e, int64_t now_us)
@@ -258,6 +281,11 @@
         c->soonest = e;
       return;
     }
+  if (is_silent (p, e, now_us))
+    {
+      c->silent[c->silent_len++] = e;
+      return;
+    }
   c->all[c->len++] = e;
   if (e->domain == p->domain && !is_off (p, ROUTE_RULE_DOMAIN))
     c->near[c->near_len++] = e;
@@ -338,6 +366,8 @@
 
   if (c.len > 0)
     return pick_of_two (p, &c, now_us)->member;
+  if (c.silent_len > 0)
+    return pick (p, c.silent, c.silent_len)->member;
   return c.soonest != NULL ? c.soonest->member : 0;
 }
 
@@ -611,20 +641,26 @@
 
   if (e == NULL)
     return;
-  e->outstanding++;
+  if (e->outstanding++ == 0)
+    e->silent_us = now_us;
   if (e->failures > 0)
     e->avoid_until_us = now_us + get_avoid_time (e);
 }
 
 void
 route_note_answer (struct route_pool *p, uint64_t member, uint32_t in_flight,
-                   uint32_t limit, int64_t now_us)
+                   uint32_t limit, int64_t sent_us, int64_t now_us)
 {
   struct route_endpoint *e = find_endpoint (p, member);
+  double took_us = (double)MAX (now_us - sent_us, 1);
 
   if (e == NULL)
     return;
   end_request (e);
+  e->silent_us = now_us;
+  if (p->answer_us == 0)
+    p->answer_us = took_us;
+  p->answer_us += ANSWER_GAIN * (took_us - p->answer_us);
   e->failures = 0;
   e->avoid_until_us = 0;
   if (limit == 0)
@@ -647,10 +683,15 @@
 }
 
 void
-route_note_cancel (struct route_pool *p, uint64_t member)
+route_note_cancel (struct route_pool *p, uint64_t member, int64_t sent_us,
+                   int64_t now_us)
 {
   struct route_endpoint *e = find_endpoint (p, member);
 
-  if (e != NULL)
+  if (e == NULL)
+    return;
+  if (is_silent (p, e, now_us) && e->silent_us <= sent_us)
+    route_note_failure (p, member, now_us);
+  else
     end_request (e);
 }
--- a/src/route.h
+++ b/src/route.h
@@ -59,7 +59,8 @@
   ROUTE_RULE_LOAD = 1,   /* the less loaded of two */
   ROUTE_RULE_DOMAIN = 2, /* same failure domain preferred */
   ROUTE_RULE_AVOID = 4,  /* recent failures are avoided */
-  ROUTE_RULE_COLD = 8    /* a new endpoint gets less */
+  ROUTE_RULE_COLD = 8,   /* a new endpoint gets less */
+  ROUTE_RULE_SILENT = 16 /* one that does not answer any more is avoided */
 };
 
 struct route_endpoint
@@ -71,6 +72,8 @@
   uint32_t in_flight;     /* reported on its last response */
   uint32_t limit;         /* reported on its last response; 0 unknown */
   int64_t reported_us;    /* time of that response */
+  int64_t silent_us;      /* when it last answered, or was sent the first of
+                             what is outstanding */
   uint32_t failures;      /* in a row */
   int64_t avoid_until_us; /* after failures */
   uint64_t rank;          /* rendezvous hash with this daemon */
@@ -86,6 +89,7 @@
   uint64_t self;                     /* this daemon's member id */
   uint32_t domain;                   /* this daemon's failure domain */
   uint32_t turn;                     /* of round_robin */
+  double answer_us;                  /* mean time of an answer, 0: unknown */
   GRand *rand;
   uint32_t rules_off; /* enum route_rule bits; 0 outside of tests */
 };
@@ -129,13 +133,17 @@
 void route_remove_endpoint (struct route_pool *p, uint64_t member);
 /* a request was sent to it */
 void route_note_sent (struct route_pool *p, uint64_t member, int64_t now_us);
-/* it answered, whatever the status; limit 0: nothing reported */
+/* it answered what was sent at sent_us, whatever the status; limit 0: nothing
+   reported */
 void route_note_answer (struct route_pool *p, uint64_t member,
-                        uint32_t in_flight, uint32_t limit, int64_t now_us);
+                        uint32_t in_flight, uint32_t limit, int64_t sent_us,
+                        int64_t now_us);
 /* no answer: connect failure, broken link, or no capacity */
 void route_note_failure (struct route_pool *p, uint64_t member,
                          int64_t now_us);
-/* its request ended without telling anything about it (cancelled) */
-void route_note_cancel (struct route_pool *p, uint64_t member);
+/* a request sent at sent_us was given up; without any answer since then the
+   endpoint counts as failed */
+void route_note_cancel (struct route_pool *p, uint64_t member, int64_t sent_us,
+                        int64_t now_us);
 
 #endif
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -104,7 +104,7 @@
       for (uint64_t e = 1; e <= 4; e++)
         for (uint32_t n = busy[e]; n > 0; n--)
           if (g_rand_double (rand) < (e == 1 ? 1.0 / slowness : 1.0) / 40)
-            route_note_answer (&p, e, --busy[e], 100, NOW_US);
+            route_note_answer (&p, e, --busy[e], 100, NOW_US, NOW_US);
     }
   route_close_pool (&p);
   g_rand_free (rand);
@@ -127,8 +127,8 @@
 {
   struct route_pool p = make_pool (9, 2, ROUTE_RULE_DOMAIN);
 
-  route_note_answer (&p, 1, 500, 40, NOW_US);
-  route_note_answer (&p, 2, 30, 40, NOW_US);
+  route_note_answer (&p, 1, 500, 40, NOW_US, NOW_US);
+  route_note_answer (&p, 2, 30, 40, NOW_US, NOW_US);
   for (int i = 0; i < 100; i++)
     ck_assert_uint_eq (least_loaded ()->choose (&p, NULL, 0, NOW_US), 2);
   route_remove_endpoint (&p, 2);
@@ -137,6 +137,67 @@
 }
 END_TEST
 
+/* Requests sent to member 1 of 3 in two seconds after it has stopped answering.
+   The others answer after 20 ms and are used by other fronts too; a request is
+   given up after 700 ms.  One comes each 10 ms.  */
+static int
+count_to_silent (uint32_t rules_off)
+{
+  const int64_t step_us = 10000;
+  const int64_t silent_us = NOW_US + 1000000;
+  struct route_pool p = make_pool (9, 3, rules_off | ROUTE_RULE_DOMAIN);
+  uint64_t to[300];
+  int count = 0;
+
+  for (int i = 0; i < 300; i++)
+    {
+      int64_t now_us = NOW_US + i * step_us;
+      int answered = i - 2;
+      int given_up = i - 70;
+
+      if (answered >= 0
+          && (to[answered] != 1 || NOW_US + answered * step_us < silent_us))
+        route_note_answer (&p, to[answered], 30, 40,
+                           NOW_US + answered * step_us, now_us);
+      if (given_up >= 0 && to[given_up] == 1
+          && NOW_US + given_up * step_us >= silent_us)
+        route_note_cancel (&p, 1, NOW_US + given_up * step_us, now_us);
+      to[i] = least_loaded ()->choose (&p, NULL, 0, now_us);
+      route_note_sent (&p, to[i], now_us);
+      count += to[i] == 1 && now_us >= silent_us;
+    }
+  route_close_pool (&p);
+  return count;
+}
+
+/* Guards against an endpoint whose backend server hangs or whose path is cut
+   and that still gets its share, since its last report says that it is idle and
+   each front has little outstanding there.  Of 200 requests it gets those of the
+   first 150 ms and some tries.  */
+START_TEST (silent_endpoint_is_avoided)
+{
+  ck_assert_int_le (count_to_silent (0), 20);
+  ck_assert_int_ge (count_to_silent (ROUTE_RULE_SILENT), 60);
+}
+END_TEST
+
+/* Guards against no choice at all when every endpoint is silent.  */
+START_TEST (silent_endpoints_are_used_if_there_are_no_others)
+{
+  struct route_pool p = make_pool (9, 2, ROUTE_RULE_DOMAIN);
+
+  for (uint64_t m = 1; m <= 2; m++)
+    {
+      route_note_sent (&p, m, NOW_US);
+      route_note_answer (&p, m, 1, 40, NOW_US, NOW_US + 1000);
+      route_note_sent (&p, m, NOW_US + 1000);
+    }
+  ck_assert_uint_ne (least_loaded ()->choose (&p, NULL, 0, NOW_US + 2000000),
+                     0);
+  route_close_pool (&p);
+}
+END_TEST
+
 /* Times that member 1 is chosen out of 3 in ROUNDS without answers.  */
 static int
 count_first (struct route_pool *p, int64_t now_us)
@@ -162,7 +223,7 @@
   ck_assert_int_gt (count_first (&p, NOW_US + 1000000), 0);
   route_note_sent (&p, 1, NOW_US + 1000000);
   ck_assert_int_eq (count_first (&p, NOW_US + 1000000), 0);
-  route_note_answer (&p, 1, 0, 100, NOW_US + 1000000);
+  route_note_answer (&p, 1, 0, 100, NOW_US, NOW_US + 1000000);
   ck_assert_int_gt (count_first (&p, NOW_US + 1000000), 0);
   for (uint64_t m = 1; m <= 3; m++)
     route_note_failure (&p, m, NOW_US + (int64_t)m);
@@ -264,10 +325,10 @@
 
   route_note_sent (&p, 1, NOW_US);
   route_remove_endpoint (&p, 1);
-  route_note_answer (&p, 1, 1, 100, NOW_US);
+  route_note_answer (&p, 1, 1, 100, NOW_US, NOW_US);
   route_note_failure (&p, 1, NOW_US);
-  route_note_cancel (&p, 1);
-  route_note_cancel (&p, 2);
+  route_note_cancel (&p, 1, NOW_US, NOW_US);
+  route_note_cancel (&p, 2, NOW_US, NOW_US);
   for (int i = 0; i < 100; i++)
     ck_assert_uint_eq (least_loaded ()->choose (&p, NULL, 0, NOW_US), 2);
   ck_assert_uint_eq (round_robin ()->choose (&p, NULL, 0, NOW_US), 2);
@@ -282,11 +343,17 @@
 main (void)
 {
   const TTest *const cases[]
-      = { longest_prefix_of_the_decoded_path,    slow_endpoint_gets_less,
-          failed_endpoint_is_avoided_for_a_time, same_domain_unless_busier,
-          room_in_the_own_domain_is_used_first,  cold_endpoint_gets_less,
-          subset_is_small_stable_and_even,       late_answers_are_ignored,
-          full_endpoint_of_two_gets_nothing };
+      = { longest_prefix_of_the_decoded_path,
+          slow_endpoint_gets_less,
+          failed_endpoint_is_avoided_for_a_time,
+          same_domain_unless_busier,
+          room_in_the_own_domain_is_used_first,
+          cold_endpoint_gets_less,
+          subset_is_small_stable_and_even,
+          late_answers_are_ignored,
+          full_endpoint_of_two_gets_nothing,
+          silent_endpoint_is_avoided,
+          silent_endpoints_are_used_if_there_are_no_others };
 
   return suite_run ("route", cases, G_N_ELEMENTS (cases));
 }
