Find the share of a reported demand by its hash

Each report of 95 daemons on 88 workspaces was matched by a walk over all shares, and the sums are made anew in each tick in which reports arrive: 1,978 us each, 20 times a second, 4% of a core in every daemon. Ruled out: a hot spot in the request path (perf of a daemon among 16: nothing above 3% of user code). Change: a table by hash.

--- a/src/share.c
+++ b/src/share.c
@@ -83,6 +83,7 @@
       = *(uint64_t *)g_hash_table_lookup (s->by_name, &share->workspace);
 
   g_hash_table_remove (s->by_name, &share->workspace);
+  g_hash_table_remove (s->by_hash, &share->hash);
   str_free (&share->workspace);
   table_remove (&s->shares, id);
 }
@@ -96,6 +97,7 @@
   table_init (&s->shares, sizeof (struct share));
   s->by_name
       = g_hash_table_new_full (str_hash_key, str_equal_keys, NULL, g_free);
+  s->by_hash = g_hash_table_new (g_int64_hash, g_int64_equal);
 }
 
 void
@@ -104,6 +106,7 @@
   struct share *share;
 
   g_hash_table_unref (s->by_name);
+  g_hash_table_unref (s->by_hash);
   for (uint64_t id = table_next (&s->shares, 0, (void **)&share); id != 0;
        id = table_next (&s->shares, id, (void **)&share))
     str_free (&share->workspace);
@@ -148,6 +151,7 @@
       share->rate = rate;
       share->burst = burst;
       g_hash_table_insert (s->by_name, &share->workspace, id);
+      g_hash_table_insert (s->by_hash, &share->hash, share);
     }
   if (share->owner == 0)
     fill (s, share, now_us);
@@ -186,15 +190,10 @@
 void
 share_add_other (struct share_set *s, struct share_demand demand)
 {
-  struct share *share;
+  struct share *share = g_hash_table_lookup (s->by_hash, &demand.hash);
 
-  for (uint64_t id = table_next (&s->shares, 0, (void **)&share); id != 0;
-       id = table_next (&s->shares, id, (void **)&share))
-    if (share->hash == demand.hash)
-      {
-        share->others += demand.per_s_q10 / SHARE_Q10;
-        return;
-      }
+  if (share != NULL)
+    share->others += demand.per_s_q10 / SHARE_Q10;
 }
 
 /**
--- a/src/share.h
+++ b/src/share.h
@@ -57,6 +57,7 @@
 {
   struct table shares;
   GHashTable *by_name;
+  GHashTable *by_hash; /* struct share, for the demands of others */
   uint32_t members; /* daemons in the fleet, this one included; 0: unknown */
   int64_t interval_us;
 };
