Do not report demand for a pool early

Ruled out: a longer interval for all (parts of unpooled workspaces depend on early reports; test_share sudden_demand_stays_within_the_rate). Change: a pooled workspace does not make a report due.

--- a/src/share.c
+++ b/src/share.c
@@ -330,6 +330,9 @@
       double high = MAX (share->measured, share->demand);
       double low = MIN (share->measured, share->demand);
 
+      /* Nobody's part depends on the demand for a pool.  */
+      if (share->owner != 0)
+        continue;
       if (high - low > SHARE_EARLY_MIN && high > low * SHARE_EARLY_FACTOR)
         return true;
     }
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -319,6 +319,28 @@
 }
 END_TEST
 
+/* Guards against messages to all daemons each half second that change nothing: in
+   a large fleet nearly all workspaces are pooled, and nobody's part depends on
+   the demand for a pool.  */
+START_TEST (demand_for_a_pool_is_not_reported_early)
+{
+  for (int pooled = 0; pooled <= 1; pooled++)
+    {
+      struct fleet *f = start_small_fleet ();
+      struct share_set *s = &f->sets[0];
+      int64_t now_us = CLOCK_US_PER_S;
+
+      share_set_owners (s, pooled ? find_first : find_none, NULL);
+      share_run (s, now_us);
+      for (int i = 0; i < 1000; i++)
+        share_take (s, W, now_us);
+      ck_assert (share_run (s, now_us + SHARE_INTERVAL_US));
+      ck_assert_int_eq (share_is_report_due (s), !pooled);
+      close_fleet (f);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -331,6 +353,7 @@
     clusters_of_a_small_workspace_are_served_from_the_pool,
     pool_stays_within_the_rate,
     new_owner_starts_empty_and_no_owner_means_an_even_part,
+    demand_for_a_pool_is_not_reported_early,
   };
 
   return suite_run ("share", cases, sizeof cases / sizeof *cases);
