--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -444,6 +444,7 @@
   wire_append_message (&out, &m);
   call->link = peer->link;
   call->query_until_us = now_us + QUERY_TIMEOUT_US;
+  f->next_query_us = MIN (f->next_query_us, call->query_until_us);
   front_set_state (f, call, FRONT_QUERYING);
   metrics_count (f->shared->stats.queries, 1);
   link_send (&f->links, call->link, str_view (&out));
@@ -485,15 +486,26 @@
 
 static const struct link_ops link_ops = { on_frame, on_link_close };
 
+/* Called in each turn of the loop, so it visits the calls only when a query may
+   have run out.  */
 static void
 expire_queries (struct front *f, int64_t now_us)
 {
   struct front_call *call;
 
+  if (now_us < f->next_query_us)
+    return;
+  f->next_query_us = INT64_MAX;
   for (uint64_t id = table_next (&f->calls, 0, (void **)&call); id != 0;
        id = table_next (&f->calls, id, (void **)&call))
-    if (call->state == FRONT_QUERYING && now_us >= call->query_until_us)
-      dispatch_fail_attempt (f, call, ERR_OUTCOME_UNKNOWN, now_us);
+    {
+      if (call->state != FRONT_QUERYING)
+        continue;
+      if (now_us >= call->query_until_us)
+        dispatch_fail_attempt (f, call, ERR_OUTCOME_UNKNOWN, now_us);
+      else
+        f->next_query_us = MIN (f->next_query_us, call->query_until_us);
+    }
 }
 
 /* Public functions */
@@ -509,6 +521,7 @@
       = g_hash_table_new_full (str_hash_key, str_equal_keys, NULL, g_free);
   f->attempt_origin = ((uint64_t)g_rand_int (rand) << 32) | g_rand_int (rand);
   budget_init_ratio (&f->ratio);
+  f->next_query_us = INT64_MAX;
   link_init_set (&f->links, f->loop.base, &link_ops, f);
 }
 
--- a/src/front.h
+++ b/src/front.h
@@ -146,6 +146,7 @@
   uint64_t attempt_number;
   int64_t next_tick_us;
   int64_t next_log_us;
+  int64_t next_query_us; /* earliest end of a query for an outcome */
   bool stopped_listening;
   struct logger_limit failures[ERR_KINDS]; /* lines about failed requests */
 };
