--- a/tests/test_node_config.c
+++ b/tests/test_node_config.c
@@ -6,6 +6,7 @@
 
 #define KEY "av_k1_0123456789abcdef0123"
 #define DAEMONS 3
+#define SHARDS 8 /* default of lease.shards */
 /* More than the freshness bound of 3.5 s, so that evidence from before an
    outage has run out.  */
 #define OUTAGE_US (5 * CLOCK_US_PER_S)
@@ -112,6 +113,37 @@
     }
 }
 
+static int
+count_held (const struct fixture *f, int i)
+{
+  struct process_reply r = process_send (f->daemons[i].local, "GET",
+                                         "/almondvale/status", "", NULL);
+  JsonNode *root = json_from_string (r.body, NULL);
+  int held = (int)json_array_get_length (json_object_get_array_member (
+      json_node_get_object (root), "shards_held"));
+
+  json_node_unref (root);
+  return held;
+}
+
+/* Waits until the first daemons hold all shards.  */
+static void
+await_holders (const struct fixture *f, int daemons)
+{
+  int64_t end_us = clock_now_us () + PROCESS_WAIT_US;
+  int held = 0;
+
+  while (held < SHARDS)
+    {
+      ck_assert_msg (clock_now_us () < end_us, "%d of %d shards are held",
+                     held, SHARDS);
+      g_usleep (PROCESS_POLL_US);
+      held = 0;
+      for (int i = 0; i < daemons; i++)
+        held += count_held (f, i);
+    }
+}
+
 static struct fixture
 start (void)
 {
@@ -127,8 +159,13 @@
   put_inventory (&f);
   for (int i = 0; i < DAEMONS; i++)
     take_ports (&f.daemons[i]);
-  for (int i = 0; i < DAEMONS; i++)
+  /* Daemon 2 is the one that tests kill or pause, so it must hold no shard: the
+     holder of the workspace's shard has no successor in an outage, and keyed
+     requests get rate_unavailable until the platform is back.  */
+  for (int i = 0; i < DAEMONS - 1; i++)
     start_daemon (&f, i);
+  await_holders (&f, DAEMONS - 1);
+  start_daemon (&f, DAEMONS - 1);
   local = g_strdup_printf ("--local=127.0.0.1:%u", f.daemons[1].local);
   f.backend_port = process_get_port ();
   backend_port = g_strdup_printf ("--port=%u", f.backend_port);
