Probe the dead more often only in a large fleet

Change: the share of probes to the dead rises only above MEMBER_SMALL_FLEET, where table exchanges do not bring the refutations soon.

--- a/src/member.c
+++ b/src/member.c
@@ -419,7 +419,9 @@
 static uint32_t
 get_dead_probe_share (const struct member_table *t)
 {
-  return (t->rows.count - t->alive) * MEMBER_DEAD_MANY > t->rows.count
+  bool many = (t->rows.count - t->alive) * MEMBER_DEAD_MANY > t->rows.count;
+
+  return many && t->rows.count > MEMBER_SMALL_FLEET
              ? MEMBER_DEAD_MANY_PROBE_SHARE
              : MEMBER_DEAD_PROBE_SHARE;
 }
--- a/src/member.h
+++ b/src/member.h
@@ -55,7 +55,9 @@
 #define MEMBER_DEAD_PROBE_SHARE 16u /* one probe in 16 goes to a dead member */
 /* With more than one row in 256 not alive it is every other probe.  On an ordinary
    day one in 1,000 fails; after a failure domain has returned one in 20 is dead
-   here though it has refuted, and its answer is the quickest way to learn it.  */
+   here though it has refuted, and its answer is the quickest way to learn it.  Not
+   in a small fleet: there a table exchange brings it, and half of the probes less
+   made evidence too old in a partition.  */
 #define MEMBER_DEAD_MANY 256u
 #define MEMBER_DEAD_MANY_PROBE_SHARE 2u
 #define MEMBER_SILENT_PROBE_SHARE 3u
