--- a/src/almondvaled.c
+++ b/src/almondvaled.c
@@ -83,6 +83,7 @@
   struct settings settings;
   int status = EXIT_SUCCESS;
 
+  daemon_begin ();
   if (!parse_options (&options, &argc, &argv))
     return DAEMON_EXIT_SETTINGS;
   if (options.version)
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -142,6 +142,14 @@
 
 /* Public functions */
 
+/* The settings may change while they are read at a start; the signal that says so
+   would end the process.  */
+void
+daemon_begin (void)
+{
+  signal (SIGHUP, SIG_IGN);
+}
+
 /**
  * daemon_run - runs the daemon until SIGTERM
  * @settings: checked settings
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -14,6 +14,8 @@
 
 /* Public functions */
 
+/* first call of a program: SIGHUP before the daemon handles it is ignored */
+void daemon_begin (void);
 /* runs the daemon until SIGTERM; gives the exit status */
 int daemon_run (const struct settings *settings, const struct site_ops *site);
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -7,6 +7,7 @@
 #include <glib.h>
 #include <glib/gstdio.h>
 #include <string.h>
+#include <sys/stat.h>
 
 #define DAEMONS 3
 #define HOST "Host: h.example"
@@ -241,6 +242,34 @@
 }
 END_TEST
 
+/* Guards against a SIGHUP that ends a daemon which is just reading its settings:
+   the file is a pipe, so that the daemon waits there for the signal.  */
+START_TEST (hangup_at_the_start_is_ignored)
+{
+  char *dir = process_make_dir ();
+  char *file = g_build_filename (dir, "settings", NULL);
+  char *log = g_build_filename (dir, "log", NULL);
+  int status;
+  pid_t pid;
+  int fd;
+
+  ck_assert_int_eq (mkfifo (file, 0600), 0);
+  g_setenv ("ALMONDVALE_SETTINGS", file, TRUE);
+  pid = process_start (log, "almondvaled-platform", NULL);
+  fd = open (file, O_WRONLY);
+  ck_assert_int_ge (fd, 0);
+  kill (pid, SIGHUP);
+  ck_assert_int_eq (write (fd, "[]", 2), 2);
+  close (fd);
+  status = process_wait (pid);
+  ck_assert_msg (WIFEXITED (status), "ended by signal %d", WTERMSIG (status));
+  ck_assert_int_eq (WEXITSTATUS (status), 2);
+  g_free (dir);
+  g_free (file);
+  g_free (log);
+}
+END_TEST
+
 /* Listens at a port; accepting gives up after the longest wait.  */
 static int
 listen_at (uint16_t port)
@@ -333,6 +362,7 @@
     daemon_starts_without_the_store,
     shutdown_finishes_what_is_open,
     bad_frame_ends_only_its_link,
+    hangup_at_the_start_is_ignored,
   };
 
   return suite_run ("platform", cases, sizeof cases / sizeof *cases);
