Let a later process come back that a late state has replaced

Cause: by reading, for the recovery that the soak misses: after three silent intervals a state of an ended process, held back by the partition, is taken (the wall clock may have been set back), and the process that runs was put among those that are ignored for good. Change: only an earlier process is ignored for good; a later one replaces it again when it is heard. Measured: test_registry late_state_of_an_ended_process_is_ignored, extended, failed before and passes.

--- a/src/registry.c
+++ b/src/registry.c
@@ -100,9 +100,13 @@
       if (m->state.member == state->member
           || !is_same_place (&m->state, state))
         continue;
-      member = g_new (uint64_t, 1);
-      *member = m->state.member;
-      g_hash_table_add (r->retired, member);
+      /* A later process comes back as soon as it is heard.  */
+      if (m->state.started_ms <= state->started_ms)
+        {
+          member = g_new (uint64_t, 1);
+          *member = m->state.member;
+          g_hash_table_add (r->retired, member);
+        }
       remove_member (r, m);
     }
 }
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -193,6 +193,12 @@
   ck_assert (registry_apply (&r, &old, 6 * S));
   ck_assert_ptr_nonnull (registry_find (&r, 2));
   ck_assert_ptr_null (registry_find (&r, 3));
+  /* The partition held back the states of the ended process and ends: the one
+     that runs is heard again.  */
+  ck_assert (registry_apply (&r, &new, 7 * S));
+  ck_assert_ptr_nonnull (registry_find (&r, 3));
+  ck_assert_ptr_null (registry_find (&r, 2));
+  ck_assert (!registry_apply (&r, &old, 8 * S));
   registry_close (&r);
 }
 END_TEST
