Free the settings' path of the soak's daemons

Ruled out: the HTTP client's buffers, which are as large at first; the stack with full unwinding names init_daemon. Change: stop_all frees the path. Conclusion: a leak of the test only.

--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -1009,6 +1009,7 @@
       proxy_close (&d->to_peer);
       proxy_close (&d->to_control);
       proxy_close (&d->to_store);
+      g_free ((char *)d->machine.own);
     }
   process_stop (s->machines, SIGKILL);
 }
