Find pool owners and endpoints anew only when they may have changed

Change: a digest of the live members tells whether owners must be ranked again; quota_run looks at rows whose requests began to wait at once and at all rows once a tick; endpoints and silence are looked at when something changed and each tick; demands that only pools meet are not reported.

--- a/src/node_registry.c
+++ b/src/node_registry.c
@@ -28,6 +28,10 @@
 #define PEER_CONFIG_DELAY_US (INT64_C (150) * CLOCK_US_PER_MS)
 #define PEER_CONFIG_RETRY_US (INT64_C (500) * CLOCK_US_PER_MS)
 
+/* Silence of a member shows at this interval, a tick of the control thread; the
+   bound on silence is 3 s and more.  */
+#define CHECK_INTERVAL_US (INT64_C (50) * CLOCK_US_PER_MS)
+
 /* Internal functions: configuration */
 
 static void
@@ -45,6 +49,7 @@
                      now_us);
   share_end_limits (&shared->shares);
   g_mutex_unlock (&shared->quota_mutex);
+  c->node_registry->owners_digest = 0;
   atomic_store (&shared->rate_limited, true);
   atomic_store (&shared->keyed_until_us, INT64_MAX);
 }
@@ -412,6 +417,7 @@
     return;
   n->backend_changes = c->backend_changes;
   n->leaving_told = c->shutting_down;
+  n->members_changed = true;
   n->tell_us = 0;
 }
 
@@ -552,8 +558,16 @@
 static void
 set_owners (struct control *c, int64_t now_us)
 {
+  struct node_registry *n = c->node_registry;
   struct owner_search search = { c, now_us };
+  uint64_t parts[] = { registry_get_owners_digest (&n->registry, now_us),
+                       c->shared->shares.members, n->listed };
+  uint64_t digest
+      = str_hash ((struct str){ sizeof parts, (const char *)parts });
 
+  if (digest == n->owners_digest)
+    return;
+  n->owners_digest = digest;
   share_set_owners (&c->shared->shares,
                     c->node_registry->listed ? find_owner : find_no_owner,
                     &search);
@@ -739,18 +753,19 @@
   struct node_registry *n = c->node_registry;
   bool measured;
   bool early;
+  bool check;
 
   enter_fleet (c, now_us);
   read_config (c, now_us);
   request_newer_config (c, now_us);
-  if (registry_run (&n->registry, now_us))
-    n->members_changed = true;
   note_changes (c);
+  check = n->members_changed || now_us >= n->check_us;
+  if (check)
+    registry_run (&n->registry, now_us);
   g_mutex_lock (&c->shared->quota_mutex);
   measured = share_run (&c->shared->shares, now_us);
-  if (measured || n->members_changed)
+  if (check || measured)
     set_owners (c, now_us);
-  n->members_changed = false;
   early = measured && share_is_report_due (&c->shared->shares);
   g_mutex_unlock (&c->shared->quota_mutex);
   if (measured || n->demands_changed)
@@ -760,7 +775,11 @@
   send_asks (c, now_us);
   if (now_us >= n->tell_us)
     tell_state (c, now_us);
+  if (!check)
+    return;
   publish_endpoints (c, now_us);
+  n->members_changed = false;
+  n->check_us = now_us + CHECK_INTERVAL_US;
 }
 
 static void
--- a/src/node_registry.h
+++ b/src/node_registry.h
@@ -46,8 +46,10 @@
   int64_t tell_us; /* next message to all */
   uint64_t backend_changes;
   bool leaving_told;
-  bool members_changed; /* owners of pools are to be found anew */
-  bool demands_changed; /* of other daemons, not applied yet */
+  bool members_changed;   /* endpoints and owners are to be found anew */
+  int64_t check_us;       /* when they are, without a change that was told */
+  uint64_t owners_digest; /* of what the owners were found from; 0: none */
+  bool demands_changed;   /* of other daemons, not applied yet */
   uint64_t endpoints_digest;
 };
 
--- a/src/quota.c
+++ b/src/quota.c
@@ -43,6 +43,7 @@
   q->validity_us = VALIDITY_DEFAULT_US;
   q->next_ask_us = INT64_MIN;
   q->short_us = INT64_MIN;
+  q->id = id;
   g_hash_table_insert (set->by_name, &q->workspace,
                        g_memdup2 (&id, sizeof id));
   return q;
@@ -58,6 +59,16 @@
   str_free (&name);
 }
 
+/* Has a row looked at in the next run.  */
+static void
+add_urgent (struct quota_set *set, struct quota *q)
+{
+  if (q->urgent)
+    return;
+  q->urgent = true;
+  g_array_append_val (set->urgent, q->id);
+}
+
 /* Internal functions: lots */
 
 static uint32_t
@@ -236,6 +247,8 @@
   *set = (struct quota_set){ .last_sequence = first_sequence };
   table_init (&set->quotas, sizeof (struct quota));
   table_init (&set->asks, sizeof (struct quota_ask));
+  set->urgent = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  set->scan_us = INT64_MIN;
   set->by_name
       = g_hash_table_new_full (str_hash_key, str_equal_keys, NULL, g_free);
 }
@@ -246,6 +259,7 @@
   void *row;
 
   g_hash_table_destroy (set->by_name);
+  g_array_unref (set->urgent);
   for (uint64_t id = table_next (&set->quotas, 0, &row); id != 0;
        id = table_next (&set->quotas, id, &row))
     str_free (&((struct quota *)row)->workspace);
@@ -275,6 +289,7 @@
   if (q->waiting == 0 && take_token (q, now_us))
     return QUOTA_TAKEN;
   q->waiting++;
+  add_urgent (set, q);
   return QUOTA_WAIT;
 }
 
@@ -353,6 +368,8 @@
                                  .expires_us = from + q->validity_us,
                                  .epoch = epoch },
              now_us);
+  if (q->waiting > 0)
+    add_urgent (set, q);
   return true;
 }
 
@@ -381,6 +398,20 @@
 {
   void *row;
 
+  for (guint i = 0; i < set->urgent->len; i++)
+    {
+      struct quota *q
+          = table_get (&set->quotas, g_array_index (set->urgent, uint64_t, i));
+
+      if (q == NULL)
+        continue;
+      q->urgent = false;
+      run_quota (set, q, now_us);
+    }
+  g_array_set_size (set->urgent, 0);
+  if (now_us < set->scan_us)
+    return;
+  set->scan_us = now_us + QUOTA_SCAN_US;
   for (uint64_t id = table_next (&set->quotas, 0, &row); id != 0;
        id = table_next (&set->quotas, id, &row))
     {
--- a/src/quota.h
+++ b/src/quota.h
@@ -20,6 +20,10 @@
 #define QUOTA_ROUND_TRIP_US 500000
 /* A request waits this long for a token: two lost asks.  */
 #define QUOTA_WAIT_US 1000000
+/* Rows whose requests have tokens are looked at once in this time: a tick of the
+   control thread, half of the time before a lot runs out at which the next one is
+   asked for.  */
+#define QUOTA_SCAN_US 50000
 /* A row without requests is removed after this time.  */
 #define QUOTA_IDLE_US 60000000
 
@@ -49,6 +53,7 @@
 /* One workspace at this daemon.  */
 struct quota
 {
+  uint64_t id;
   struct str workspace; /* owned */
   struct quota_lot lots[QUOTA_LOTS];
   uint32_t waiting;    /* requests that got QUOTA_WAIT */
@@ -65,6 +70,7 @@
   int64_t next_ask_us;   /* no ask before this time */
   int64_t short_us;      /* requests up to this time were refused a token */
   int64_t round_trip_us; /* of the last grant */
+  bool urgent;           /* in the set's list of urgent rows */
 };
 
 /* A TOKENS_WANTED to send; the caller removes it.  */
@@ -83,6 +89,8 @@
   struct table quotas;
   GHashTable *by_name; /* struct str * of a row to its id */
   struct table asks;
+  GArray *urgent;  /* uint64_t: rows with requests that have begun to wait */
+  int64_t scan_us; /* when all rows are looked at next */
   uint64_t last_sequence;
   uint64_t voided;         /* grants that came too late */
   uint32_t test_rules_off; /* enum quota_rule, 0 outside tests */
@@ -110,7 +118,8 @@
 /* the ask could not be sent or its link broke */
 void quota_fail_ask (struct quota_set *set, struct str workspace,
                      uint64_t sequence, int64_t now_us);
-/* the system: expires lots and adds the asks that are due */
+/* the system: expires lots and adds the asks that are due; rows with requests
+   that began to wait are looked at in each call, all in each QUOTA_SCAN_US */
 void quota_run (struct quota_set *set, int64_t now_us);
 
 #endif
--- a/src/registry.c
+++ b/src/registry.c
@@ -291,6 +291,29 @@
   return live * 2 >= r->members.count + 1 ? owner : 0;
 }
 
+/**
+ * registry_get_owners_digest - sums up what owners are found from
+ * @r: registry
+ * @now_us: current time
+ *
+ * Finding the owners of all pools takes a hash for each pool and member; the
+ * digest tells when it would give the same again.
+ *
+ * Return: a digest of the live members and the number of members, never 0.
+ */
+uint64_t
+registry_get_owners_digest (const struct registry *r, int64_t now_us)
+{
+  struct registry_member *m;
+  uint64_t sum = r->members.count;
+
+  for (uint64_t id = table_next (&r->members, 0, (void **)&m); id != 0;
+       id = table_next (&r->members, id, (void **)&m))
+    if (registry_is_live (r, m, now_us) && !m->state.leaving)
+      sum += XXH64 (&m->state.member, sizeof m->state.member, 0);
+  return MAX (sum, 1);
+}
+
 void
 registry_append_endpoints (const struct registry *r, GArray *endpoints,
                            int64_t now_us)
--- a/src/registry.h
+++ b/src/registry.h
@@ -94,6 +94,8 @@
    the members it knows, since the others may then have another owner.  */
 uint64_t registry_get_owner (const struct registry *r, struct str own_name,
                              uint64_t hash, int64_t now_us);
+/* changes when registry_get_owner() may give another owner */
+uint64_t registry_get_owners_digest (const struct registry *r, int64_t now_us);
 /* appends struct snapshot_endpoint; the strings are views of the members' */
 void registry_append_endpoints (const struct registry *r, GArray *endpoints,
                                 int64_t now_us);
--- a/src/share.c
+++ b/src/share.c
@@ -52,6 +52,13 @@
          && share->burst / count_members (s) < SHARE_POOLED_BELOW;
 }
 
+/* True if other daemons may compute their part from the demand here.  */
+static bool
+is_reported (const struct share_set *s, const struct share *share)
+{
+  return share->burst / count_members (s) >= SHARE_REPORTED_FROM;
+}
+
 /* Adds tokens for the time since the last call, for a part of the rate.  */
 static void
 fill_part (struct share *share, double part, double burst, int64_t now_us)
@@ -368,7 +375,7 @@
       struct share_demand d
           = { share->hash, (uint32_t)(share->demand * SHARE_Q10) };
 
-      if (d.per_s_q10 > 0)
+      if (d.per_s_q10 > 0 && is_reported (s, share))
         g_array_append_val (demands, d);
     }
 }
--- a/src/share.h
+++ b/src/share.h
@@ -31,6 +31,10 @@
 /* A workspace whose even part of the burst is smaller is pooled: with fewer
    tokens, requests that come in clusters are refused within the rate.  */
 #define SHARE_POOLED_BELOW 16.0
+/* Demands below this even part of the burst are not reported: pools do not
+   use them.  Half of the bound above, since daemons that know different numbers of
+   members may differ on what is pooled.  */
+#define SHARE_REPORTED_FROM (SHARE_POOLED_BELOW / 2)
 /* Validity of a lot of pooled tokens.  What is granted before a window may be
    spent in it, so the pool keeps back this time of the rate from the burst.  */
 #define SHARE_LOT_US 300000
@@ -109,7 +113,7 @@
 bool share_is_report_due (const struct share_set *s);
 /* the measured demands are reported to all other daemons now */
 void share_renew_demands (struct share_set *s);
-/* appends the demands as reported last */
+/* appends the demands as reported last, without those that only pools meet */
 void share_append_demands (const struct share_set *s, GArray *demands);
 
 #endif
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -134,6 +134,38 @@
 }
 END_TEST
 
+/* Guards against a request that waits for a token until the next scan of all
+   workspaces, and against a workspace in use whose next lot is not asked for in
+   time because only those that wait are looked at.  */
+START_TEST (waiting_request_asks_between_two_scans)
+{
+  struct quota_set set;
+  struct quota_ask ask;
+  bool asked_ahead = false;
+
+  quota_init_set (&set, 0);
+  ck_assert (!take_ask (&set, 0, &ask));
+  ck_assert_int_eq (quota_begin (&set, W, 1 * MS), QUOTA_WAIT);
+  ck_assert (take_ask (&set, 1 * MS, &ask));
+  quota_apply_grant (&set, W, 0, VALIDITY_US, 1, ask.sequence, 2 * MS);
+  /* Refused a token: asks again after the pause, at a scan.  */
+  ck_assert (!take_ask (&set, 3 * MS, &ask));
+  ck_assert (take_ask (&set, 2 * MS + 2 * QUOTA_SCAN_US, &ask));
+  quota_apply_grant (&set, W, 100, VALIDITY_US, 1, ask.sequence, 110 * MS);
+  ck_assert_int_eq (quota_poll (&set, W, 105 * MS, 110 * MS), QUOTA_TAKEN);
+  for (int64_t ms = 120; ms < 1100 && !asked_ahead; ms += 10)
+    {
+      ck_assert_int_eq (quota_begin (&set, W, ms * MS), QUOTA_TAKEN);
+      if (!take_ask (&set, ms * MS, &ask))
+        continue;
+      asked_ahead = ask.demand > 0;
+      quota_apply_grant (&set, W, 0, VALIDITY_US, 1, ask.sequence, ms * MS);
+    }
+  ck_assert (asked_ahead);
+  quota_close_set (&set);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -146,6 +178,7 @@
   tcase_add_test (tc, late_grants_are_void);
   tcase_add_test (tc, refusal_and_silence_differ);
   tcase_add_test (tc, steady_load_asks_ahead_and_gives_back);
+  tcase_add_test (tc, waiting_request_asks_between_two_scans);
   suite_add_tcase (suite, tc);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -203,6 +203,33 @@
 }
 END_TEST
 
+/* Guards against owners that are not found anew when a member falls silent,
+   leaves or is heard: the pool would be asked for at the wrong daemon.  */
+START_TEST (owners_digest_follows_the_live_members)
+{
+  struct registry_state a = make_state (2, "10.0.0.2");
+  struct registry_state b = make_state (3, "10.0.0.3");
+  struct registry r;
+  uint64_t both, one, leaving;
+
+  registry_init (&r, 1);
+  registry_apply (&r, &a, 0);
+  registry_apply (&r, &b, 0);
+  both = registry_get_owners_digest (&r, S);
+  registry_apply (&r, &a, 2 * S);
+  ck_assert_uint_eq (registry_get_owners_digest (&r, 2 * S), both);
+  one = registry_get_owners_digest (&r, 4 * S);
+  ck_assert_uint_ne (one, both);
+  registry_apply (&r, &b, 4 * S);
+  ck_assert_uint_eq (registry_get_owners_digest (&r, 4 * S), both);
+  b.leaving = true;
+  registry_apply (&r, &b, 4 * S);
+  leaving = registry_get_owners_digest (&r, 4 * S);
+  ck_assert_uint_ne (leaving, both);
+  registry_close (&r);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -212,6 +239,7 @@
     listed_member_is_told_but_not_used,
     messages_survive_the_wire,
     owner_is_the_same_at_all_members,
+    owners_digest_follows_the_live_members,
     late_state_of_an_ended_process_is_ignored,
   };
 
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -341,6 +341,41 @@
 }
 END_TEST
 
+/* Guards against state messages that grow with the number of workspaces: 88 demands
+   to each of 91 daemons were most of the bytes and of the control thread's time,
+   and no part was computed from them.  */
+START_TEST (demand_for_a_pool_is_not_reported)
+{
+  static const struct
+  {
+    uint32_t burst;
+    guint reported;
+  } cases[] = { { DAEMONS * SHARE_POOLED_BELOW, 1 },
+                { DAEMONS * SHARE_REPORTED_FROM, 1 },
+                { DAEMONS * SHARE_REPORTED_FROM - 1, 0 } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      GArray *demands
+          = g_array_new (FALSE, FALSE, sizeof (struct share_demand));
+      struct share_set s;
+
+      share_init (&s);
+      share_set_members (&s, DAEMONS);
+      configure (&s, RATE, cases[i].burst, 0);
+      share_run (&s, CLOCK_US_PER_S);
+      for (int n = 0; n < 100; n++)
+        share_take (&s, W, CLOCK_US_PER_S);
+      share_run (&s, CLOCK_US_PER_S + SHARE_INTERVAL_US);
+      share_renew_demands (&s);
+      share_append_demands (&s, demands);
+      ck_assert_uint_eq (demands->len, cases[i].reported);
+      g_array_unref (demands);
+      share_close (&s);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -354,6 +389,7 @@
     pool_stays_within_the_rate,
     new_owner_starts_empty_and_no_owner_means_an_even_part,
     demand_for_a_pool_is_not_reported_early,
+    demand_for_a_pool_is_not_reported,
   };
 
   return suite_run ("share", cases, sizeof cases / sizeof *cases);
