Test a caller that leaves, a route's time, and a store that forgets or loses answers

Ruled out: an unsafe request in the test of a caller that leaves: work that may not run again is finished by design, and the first version of the test, on an unsafe route, failed for that reason. Change: the stand-in has a target that is never answered and counts the connections that end meanwhile; four cases in test_platform, behind two daemons. The route and the caller's own time are 60 s where only the caller's leaving may end the work, and the test waits 20 s at most, so that no speed is asserted.

--- a/standins/machines.c
+++ b/standins/machines.c
@@ -6,7 +6,7 @@
 
    The backend servers answer with the id of the request, a signature and a body
    that names the service, the target and the headers that the daemon set.  A
-   target with "slow" takes 700 ms, "unsigned" has no signature, "foreign" the
+   target with "slow" takes 700 ms, "hang" is never answered, "unsigned" has no signature, "foreign" the
    id of another request, "full" was not run, "lost" runs and gets no answer.  A
    request that expects another instance gets 421.
 
@@ -19,7 +19,8 @@
    1.5 s), "lost" (writes are done and not answered) or "forget" (the history so
    far is gone), PUT /standin/drain, PUT /standin/leave and PUT /standin/return
    take the number of a backend server, GET /standin/executions gives the number
-   of requests run by each of them.  */
+   of requests run by each of them, GET /standin/cancelled the number of
+   connections that ended while a "hang" was open.  */
 
 #include "clock.h"
 #include "httpc.h"
@@ -27,6 +28,7 @@
 #include "table.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
@@ -88,6 +90,7 @@
   bool draining;
   bool left;
   int executions;
+  int cancelled;
 };
 
 /* State */
@@ -486,6 +489,38 @@
   g_free (s);
 }
 
+/* A request that is never answered.  evhttp does not read while a request is
+   open, so the loop watches for the end of its connection.  */
+struct hang
+{
+  struct evhttp_request *request;
+  struct backend *backend;
+  struct event *closed;
+};
+
+static void
+on_cancelled (evutil_socket_t fd, short what, void *data)
+{
+  struct hang *h = data;
+
+  h->backend->cancelled++;
+  event_free (h->closed);
+  evhttp_connection_free (evhttp_request_get_connection (h->request));
+  g_free (h);
+}
+
+static void
+start_hang (struct evhttp_request *r, struct backend *b)
+{
+  struct hang *h = g_new (struct hang, 1);
+  evutil_socket_t fd = bufferevent_getfd (
+      evhttp_connection_get_bufferevent (evhttp_request_get_connection (r)));
+
+  *h = (struct hang){ .request = r, .backend = b };
+  h->closed = event_new (base, fd, EV_CLOSED, on_cancelled, h);
+  event_add (h->closed, NULL);
+}
+
 static void
 on_request (struct evhttp_request *r, void *data)
 {
@@ -521,6 +556,11 @@
       event_base_once (base, -1, EV_TIMEOUT, on_slow, s, &wait);
       return;
     }
+  if (strstr (target, "hang") != NULL)
+    {
+      start_hang (r, b);
+      return;
+    }
   answer_request (r, b);
 }
 
@@ -535,13 +575,14 @@
 }
 
 static void
-reply_executions (struct evhttp_request *r)
+reply_counts (struct evhttp_request *r, bool cancelled)
 {
   GString *out = g_string_new ("[");
 
   for (int i = 0; i < backends_len; i++)
     g_string_append_printf (out, "%s%d", i > 0 ? "," : "",
-                            backends[i].executions);
+                            cancelled ? backends[i].cancelled
+                                      : backends[i].executions);
   g_string_append (out, "]");
   reply (r, 200, out->str);
   g_string_free (out, TRUE);
@@ -577,9 +618,11 @@
   char *body = read_body (r);
   JsonNode *root;
 
-  if (strcmp (path, "executions") == 0)
+  bool cancelled = strcmp (path, "cancelled") == 0;
+
+  if (cancelled || strcmp (path, "executions") == 0)
     {
-      reply_executions (r);
+      reply_counts (r, cancelled);
       g_free (body);
       return;
     }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -37,7 +37,9 @@
       "[\"r2\",\"h.example\",\"/book/\",\"unsafe\",\"2s\",\"1s\",0,1,false,"
       "\"books\"],"
       "[\"r3\",\"h.example\",\"/open/\",\"safe\",\"2s\",\"1s\",1,2,true,"
-      "\"notes\"]]},"
+      "\"notes\"],"
+      "[\"r4\",\"h.example\",\"/long/\",\"safe\",\"60s\",\"1s\",0,1,false,"
+      "\"books\"]]},"
       "\"services\":{\"columns\":[\"name\"],\"rows\":[[\"notes\"],[\"books\"]]"
       "},\"tenants\":{\"columns\":[\"name\",\"apiKeys\",\"priority\","
       "\"ratePerS\",\"burst\"],\"rows\":[[\"w1\",[\"%s\"],1,100000,100000]]}}",
@@ -85,16 +87,37 @@
 }
 
 static void
-get_executions (const struct fixture *f, int counts[DAEMONS])
+get_counts (const struct fixture *f, const char *target, int counts[DAEMONS])
 {
-  struct process_reply r
-      = process_send (f->store, "GET", "/standin/executions", "", NULL);
+  struct process_reply r = process_send (f->store, "GET", target, "", NULL);
 
   ck_assert_int_eq (
       sscanf (r.body, "[%d,%d,%d]", &counts[0], &counts[1], &counts[2]),
       DAEMONS);
 }
 
+static void
+get_executions (const struct fixture *f, int counts[DAEMONS])
+{
+  get_counts (f, "/standin/executions", counts);
+}
+
+/* Waits until a count of daemon 2's backend server is reached.  */
+static void
+await_count (const struct fixture *f, const char *target, int wanted)
+{
+  int64_t end_us = clock_now_us () + PROCESS_WAIT_US;
+  int counts[DAEMONS];
+
+  for (get_counts (f, target, counts); counts[2] < wanted;
+       get_counts (f, target, counts))
+    {
+      ck_assert_msg (clock_now_us () < end_us, "%s is %d, not %d", target,
+                     counts[2], wanted);
+      g_usleep (PROCESS_POLL_US);
+    }
+}
+
 static struct fixture
 start (void)
 {
@@ -351,6 +374,101 @@
 }
 END_TEST
 
+/* Connects as a caller does.  */
+static int
+connect_to (uint16_t port)
+{
+  struct sockaddr_in at = { .sin_family = AF_INET, .sin_port = htons (port) };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  ck_assert_int_eq (connect (fd, (struct sockaddr *)&at, sizeof at), 0);
+  return fd;
+}
+
+/* Guards against work for nobody: a request that may run again, behind two daemons,
+   goes on after its caller has left.  Its route and its own time are longer than the wait
+   of the test, so that nothing else ends it.  */
+START_TEST (caller_that_leaves_ends_the_work)
+{
+  static const char request[]
+      = "GET /long/hang HTTP/1.1\r\n" HOST "\r\n" AUTHORIZATION "\r\n" ID
+        "\r\nX-Almondvale-Deadline-Ms: 60000\r\n\r\n";
+  struct fixture f = start ();
+  int before[DAEMONS];
+  int fd = connect_to (f.daemons[0].caller);
+
+  get_executions (&f, before);
+  ck_assert_int_eq (write (fd, request, sizeof request - 1),
+                    sizeof request - 1);
+  await_count (&f, "/standin/executions", before[2] + 1);
+  close (fd);
+  await_count (&f, "/standin/cancelled", 1);
+  ck_assert_int_eq (get (&f, 1, "/book/x").status, 200);
+  stop (&f);
+}
+END_TEST
+
+/* Guards against a caller that waits past its route's time, against work that
+   goes on after it, and against an unsafe request that is tried again because its
+   first try did not answer.  */
+START_TEST (route_time_ends_a_request)
+{
+  struct fixture f = start ();
+  int before[DAEMONS], after[DAEMONS];
+
+  get_executions (&f, before);
+  ck_assert_int_eq (
+      send_with (&f, 0, "POST", "/book/hang", AUTHORIZATION).status, 504);
+  await_count (&f, "/standin/cancelled", 1);
+  get_executions (&f, after);
+  ck_assert_int_eq (after[2], before[2] + 1);
+  stop (&f);
+}
+END_TEST
+
+/* Guards against a daemon that stays with an old configuration because the
+   versions that its watch would go on from are gone from the store.  */
+START_TEST (forgotten_history_is_read_again)
+{
+  struct fixture f = start ();
+  char *config = make_config (2, "bbbbbbbbbbbbbbbbbbbb");
+
+  tell (&f, "store", "forget");
+  tell (&f, "store", "down");
+  g_usleep (300000);
+  tell (&f, "store", "up");
+  tell (&f, "config", config);
+  for (int i = 0; i < DAEMONS; i++)
+    await_status (&f, i, "/notes/x", 401);
+  g_free (config);
+  stop (&f);
+}
+END_TEST
+
+/* Guards against a daemon that never enters the fleet because the store does what
+   it asks and the answers are lost, and one that enters under two addresses.  */
+START_TEST (lost_answers_do_not_keep_a_daemon_out)
+{
+  struct fixture f = start ();
+  struct process_machine moved = f.daemons[2];
+
+  tell (&f, "store", "lost");
+  process_stop (f.daemons[2].pid, SIGKILL);
+  moved.peer = process_get_port ();
+  process_start_machine (&moved, f.dir);
+  f.daemons[2] = moved;
+  process_await (f.daemons[2].ready, "/almondvale/ready", 200);
+  for (int i = 0; i < DAEMONS; i++)
+    await_status (&f, i, "/book/x", 200);
+  tell (&f, "store", "up");
+  for (int i = 0; i < DAEMONS; i++)
+    for (int k = 0; k < 10; k++)
+      ck_assert_int_eq (get (&f, i, "/book/x").status, 200);
+  stop (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -363,6 +481,10 @@
     shutdown_finishes_what_is_open,
     bad_frame_ends_only_its_link,
     hangup_at_the_start_is_ignored,
+    caller_that_leaves_ends_the_work,
+    route_time_ends_a_request,
+    forgotten_history_is_read_again,
+    lost_answers_do_not_keep_a_daemon_out,
   };
 
   return suite_run ("platform", cases, sizeof cases / sizeof *cases);
