Split member by job

Ruled out: a change of behaviour; every function keeps its body, those that several files use have the prefix member_rows. Change: member_rows (rows and what is counted from them), member_probe, member_sync; member keeps merging, lifecycle and choices.

--- a/src/member.h
+++ b/src/member.h
@@ -271,6 +271,9 @@
 void member_expire_probes (struct member_table *t, int64_t now_us);
 /* system: silent failure domains, death of suspects, removal of the dead */
 void member_expire_rows (struct member_table *t, int64_t now_us);
+/* system: probes an address that was configured, the more seldom the more members
+   are alive; run by member_send_syncs() */
+void member_send_seed_probe (struct member_table *t, int64_t now_us);
 /* system: table exchange, seeds, missing full entries */
 void member_send_syncs (struct member_table *t, int64_t now_us);
 /* true until the whole table was exchanged once */
--- /dev/null
+++ b/src/member_sync.c
@@ -0,0 +1,240 @@
+/* member_sync: table exchanges, and asking for the full entries of services.  */
+
+#include "member.h"
+
+#include "clock.h"
+#include "member_rows.h"
+
+/* Constants */
+
+#define BRIEF_BYTES 56u /* largest encoded entry without the part below */
+#define FULL_BYTES 20u  /* three ports, slots, header of the name */
+
+/* Internal functions */
+
+/* Merges without telling others: they compare their tables too.  Only an own
+   refutation is told.  */
+static bool
+merge_quietly (struct member_table *t, const GArray *entries, int64_t now_us)
+{
+  guint queued = t->changed->len;
+  uint64_t own = t->self->entry.incarnation;
+  bool changed = false;
+
+  for (guint i = 0; i < entries->len; i++)
+    changed |= member_merge_entry (
+        t, &g_array_index (entries, struct member_entry, i), now_us);
+  g_array_set_size (t->changed, queued);
+  if (t->self->entry.incarnation != own)
+    member_rows_queue_change (t, t->self);
+  return changed;
+}
+
+static struct member_row *
+pick_of_service (struct member_table *t, uint64_t hash, bool *complete)
+{
+  struct member_row *found = NULL;
+  uint32_t seen = 0;
+  void *row;
+
+  *complete = true;
+  for (uint64_t id = table_next (&t->rows, 0, &row); id != 0;
+       id = table_next (&t->rows, id, &row))
+    {
+      struct member_row *r = row;
+
+      if (r->entry.service_hash != hash || !member_is_usable (r))
+        continue;
+      *complete = *complete && r->entry.full;
+      if (r != t->self && member_rows_draw (t, ++seen) == 0)
+        found = r;
+    }
+  return found;
+}
+
+static void
+send_wants (struct member_table *t, int64_t now_us)
+{
+  void *row;
+
+  if (now_us < t->next_want_us)
+    return;
+  t->next_want_us = now_us + (int64_t)MEMBER_WANT_MS * CLOCK_US_PER_MS;
+  for (uint64_t id = table_next (&t->services, 0, &row); id != 0;
+       id = table_next (&t->services, id, &row))
+    {
+      struct member_service *s = row;
+      struct member_row *peer;
+      bool complete;
+
+      if (!s->needed || s->rows == 0)
+        continue;
+      peer = pick_of_service (t, s->hash, &complete);
+      if (complete || peer == NULL)
+        continue;
+      member_rows_add_message_to (t, MEMBER_SEND_WANT, peer)->service_hash
+          = s->hash;
+    }
+}
+
+static int
+get_sync_ms (const struct member_table *t, int ms)
+{
+  return t->rows.count <= MEMBER_SMALL_FLEET ? ms / MEMBER_SMALL_FLEET_SYNCS
+                                             : ms;
+}
+
+/* Public functions */
+
+void
+member_send_syncs (struct member_table *t, int64_t now_us)
+{
+  struct member_row *peer;
+  struct member_message *m;
+  bool joining;
+
+  member_send_seed_probe (t, now_us);
+  send_wants (t, now_us);
+  if (now_us < t->next_sync_us)
+    return;
+  peer = member_pick (t, 0);
+  if (peer == NULL)
+    return;
+  joining = member_is_joining (t);
+  t->next_sync_us
+      = now_us
+        + (int64_t)(joining ? MEMBER_HOLD_MS : get_sync_ms (t, MEMBER_SYNC_MS))
+              * CLOCK_US_PER_MS;
+  m = member_rows_add_message_to (t, MEMBER_SEND_SYNC, peer);
+  m->max_bytes = joining ? MEMBER_JOIN_BYTES : MEMBER_REPAIR_BYTES;
+  m->window = t->window;
+}
+
+bool
+member_is_joining (const struct member_table *t)
+{
+  return t->joined < MEMBER_WINDOWS;
+}
+
+/**
+ * member_answer_sync - collects what the sender of a table exchange lacks
+ * @t: table
+ * @window: which part of the digests the sender gave
+ * @digests: the sender's digests
+ * @max_bytes: limit of the encoded entries
+ * @entries: struct member_entry, appended; views of the table
+ *
+ * Begins at a random bucket, so that repeated exchanges reach all buckets.
+ *
+ * Return: false if the limit was reached before the last bucket.
+ */
+bool
+member_answer_sync (const struct member_table *t, uint32_t window,
+                    const uint32_t digests[MEMBER_WINDOW], uint32_t max_bytes,
+                    GArray *entries)
+{
+  const uint32_t *own = t->digests + (size_t)window * MEMBER_WINDOW;
+  uint32_t bytes[MEMBER_BUCKETS] = { 0 };
+  bool taken[MEMBER_BUCKETS] = { false };
+  uint32_t total = 0;
+  uint32_t first = (uint32_t)(member_rows_mix (t->random) % MEMBER_WINDOW);
+  bool complete = true;
+  void *row;
+
+  for (uint64_t id = table_next (&t->rows, 0, &row); id != 0;
+       id = table_next (&t->rows, id, &row))
+    bytes[member_rows_find_bucket (((struct member_row *)row)->entry.id)]
+        += BRIEF_BYTES;
+  for (uint32_t i = 0; i < MEMBER_WINDOW; i++)
+    {
+      uint32_t at = (first + i) % MEMBER_WINDOW;
+      uint32_t b = window * MEMBER_WINDOW + at;
+
+      if (own[at] == digests[at])
+        continue;
+      if (total > 0 && total + bytes[b] > max_bytes)
+        {
+          complete = false;
+          continue;
+        }
+      taken[b] = true;
+      total += bytes[b];
+    }
+  for (uint64_t id = table_next (&t->rows, 0, &row); id != 0;
+       id = table_next (&t->rows, id, &row))
+    {
+      struct member_entry e = ((struct member_row *)row)->entry;
+
+      if (!taken[member_rows_find_bucket (e.id)]
+          || ((struct member_row *)row)->vague)
+        continue;
+      e.full = false;
+      g_array_append_val (entries, e);
+    }
+  return complete;
+}
+
+void
+member_answer_want (const struct member_table *t, uint64_t service_hash,
+                    GArray *entries)
+{
+  void *row;
+
+  for (uint64_t id = table_next (&t->rows, 0, &row); id != 0;
+       id = table_next (&t->rows, id, &row))
+    {
+      const struct member_entry *e = &((struct member_row *)row)->entry;
+
+      if (e->service_hash == service_hash && e->full
+          && e->liveness != MEMBER_DEAD)
+        g_array_append_val (entries, *e);
+    }
+}
+
+/**
+ * member_note_sync - merges the answer to a table exchange
+ * @t: table
+ * @entries: struct member_entry
+ * @complete: the peer had nothing more to tell
+ * @now_us: current time
+ */
+void
+member_note_sync (struct member_table *t, const GArray *entries, bool complete,
+                  int64_t now_us)
+{
+  guint queued = t->changed->len;
+  uint64_t own = t->self->entry.incarnation;
+  bool differed = false;
+  int64_t soon;
+
+  for (guint i = 0; i < entries->len; i++)
+    differed |= member_merge_entry (
+        t, &g_array_index (entries, struct member_entry, i), now_us);
+  g_array_set_size (t->changed, queued);
+  if (t->self->entry.incarnation != own)
+    member_rows_queue_change (t, t->self);
+  if (complete)
+    {
+      t->joined++;
+      t->window = (t->window + 1) % MEMBER_WINDOWS;
+    }
+  soon = now_us
+         + (member_is_joining (t) ? 0
+                                  : (int64_t)get_sync_ms (t, MEMBER_REPAIR_MS)
+                                        * CLOCK_US_PER_MS);
+  if (!complete || differed || member_is_joining (t))
+    t->next_sync_us = MIN (t->next_sync_us, soon);
+}
+
+void
+member_note_want (struct member_table *t, const GArray *entries,
+                  int64_t now_us)
+{
+  merge_quietly (t, entries, now_us);
+}
+
+uint32_t
+member_entry_bytes (const struct member_entry *e)
+{
+  return BRIEF_BYTES + (e->full ? FULL_BYTES + (uint32_t)e->service.len : 0);
+}
