Split node_shard by job

Ruled out: a change of behaviour; every function keeps its body. The retry interval of a key had used the constant of the holder's query; each file has its own now, with the same value. Change: shard_link, shard_lease, shard_token and shard_key, used by node_shard alone, which keeps the limits of the configuration and the node's operations.

--- /dev/null
+++ b/src/shard_lease.c
@@ -0,0 +1,233 @@
+/* shard_lease: carries out what the leases decide.  */
+
+#include "shard_lease.h"
+
+#include "clock.h"
+#include "logger.h"
+#include "shard_link.h"
+
+/* Constants */
+
+/* The platform answers in milliseconds.  With 1 s the attempts of a holder and
+   its candidates in a row could outlast the lease when answers stopped.  */
+#define STORE_TIMEOUT_US INT64_C (300000)
+/* A daemon that leaves waits this long for the platform to release its
+   shards; after that the candidates wait for the term.  */
+#define RELEASE_WAIT_US INT64_C (2000000)
+#define PLAN_INTERVAL_US INT64_C (50000)
+/* Members that candidates are chosen from.  */
+#define PLAN_MEMBERS 16u
+
+/* Types */
+
+/* One call of the store.  */
+struct store_call_data
+{
+  struct control *c;
+  uint32_t shard;
+  uint64_t request;
+  bool write;
+};
+
+/* Internal functions */
+
+static enum lease_event_kind
+get_event_kind (const struct store_answer *answer, bool write)
+{
+  switch (answer->error)
+    {
+    case ERR_NONE:
+      return write ? LEASE_EVENT_WRITTEN : LEASE_EVENT_READ;
+    case ERR_NOT_FOUND:
+      return write ? LEASE_EVENT_CONFLICT : LEASE_EVENT_ABSENT;
+    case ERR_STORE_CONFLICT:
+      return LEASE_EVENT_CONFLICT;
+    case ERR_STORE_UNAVAILABLE:
+      return LEASE_EVENT_UNREACHABLE;
+    default:
+      return write ? LEASE_EVENT_UNKNOWN : LEASE_EVENT_UNREACHABLE;
+    }
+}
+
+static void
+on_store_done (void *data, const struct store_answer *answer)
+{
+  struct store_call_data *call = data;
+  struct node_shard *n = call->c->node_shard;
+  struct lease_event e = { .shard = call->shard,
+                           .request = call->request,
+                           .version = answer->version,
+                           .kind = get_event_kind (answer, call->write) };
+
+  if (e.kind == LEASE_EVENT_READ
+      && !wire_shard_load_object (&e.object, answer->value))
+    {
+      LOGGER_WRITE (LOGGER_ERROR, "shard_object_malformed",
+                    LOGGER_NUMBER ("shard", call->shard));
+      e.kind = LEASE_EVENT_UNREACHABLE;
+    }
+  shard_lease_add_event (n, &e);
+  g_hash_table_remove (n->store_calls, call);
+}
+
+static void
+call_store (struct control *c, const struct lease_action *a)
+{
+  struct node_shard *n = c->node_shard;
+  struct store_call_data *data = g_new (struct store_call_data, 1);
+  struct store_call call = { STORE_TIMEOUT_US, on_store_done, data };
+  struct str_buf key = { 0 }, value = { 0 };
+
+  *data = (struct store_call_data){ c, a->shard, a->request,
+                                    a->kind == LEASE_WRITE };
+  g_hash_table_add (n->store_calls, data);
+  str_append_format (&key, "shards/%u", a->shard);
+  if (data->write)
+    {
+      wire_shard_append_object (&value, &a->object);
+      n->store->ops->put (n->store, str_view (&key), str_view (&value),
+                          a->version == 0 ? STORE_IF_ABSENT : STORE_IF_VERSION,
+                          a->version, &call);
+    }
+  else
+    n->store->ops->get (n->store, str_view (&key), &call);
+  str_reset (&key);
+  str_reset (&value);
+}
+
+static void
+send_promise (struct control *c, const struct lease_action *a)
+{
+  struct wire_shard_message m = { 0 };
+  struct lease_owner self = c->node_shard->leases.self;
+
+  if (a->kind == LEASE_ASK_PROMISE)
+    {
+      m.type = WIRE_PROMISE_WANTED;
+      m.u.promise_wanted = (struct wire_promise_wanted){ a->shard, a->epoch,
+                                                         a->request, self };
+    }
+  else
+    {
+      m.type = WIRE_PROMISE;
+      m.u.promise = (struct wire_promise){ a->shard, a->epoch, a->request,
+                                           self, a->promise_ms };
+    }
+  shard_link_send (c, a->peer.id, &m);
+}
+
+static void
+stop_shard (struct node_shard *n, uint32_t shard)
+{
+  bucket_stop_shard (&n->buckets, shard);
+  once_stop_shard (&n->once, shard);
+  LOGGER_WRITE (LOGGER_INFO, "shard_stopped", LOGGER_NUMBER ("shard", shard));
+}
+
+static void
+run_actions (struct control *c, int64_t now_us)
+{
+  struct node_shard *n = c->node_shard;
+  void *row;
+
+  for (uint64_t id = table_next (&n->leases.actions, 0, &row); id != 0;
+       id = table_next (&n->leases.actions, id, &row))
+    {
+      struct lease_action a = *(struct lease_action *)row;
+
+      table_remove (&n->leases.actions, id);
+      if (a.kind == LEASE_READ || a.kind == LEASE_WRITE)
+        call_store (c, &a);
+      else if (a.kind == LEASE_START)
+        shard_lease_start (n, a.shard, a.epoch, now_us);
+      else if (a.kind == LEASE_STOP)
+        stop_shard (n, a.shard);
+      else
+        send_promise (c, &a);
+    }
+}
+
+/* Plans one shard in an interval: a ranking looks at all members, and the
+   systems also run after each batch of events.  */
+static void
+plan_shard (struct node_shard *n, int64_t now_us)
+{
+  const struct member_entry *self = &n->members->self->entry;
+  struct member_query q = { .key = n->next_plan };
+  struct lease_member members[PLAN_MEMBERS + 1];
+  struct lease_owner wanted[LEASE_CANDIDATES];
+  uint64_t ids[PLAN_MEMBERS], first = 0;
+  uint32_t len;
+
+  if (now_us < n->next_plan_us)
+    return;
+  n->next_plan_us = now_us + PLAN_INTERVAL_US;
+  member_rank (n->members, q, &first, 1);
+  q.except = self->domain;
+  len = member_rank (n->members, q, ids, PLAN_MEMBERS);
+  if (len == 0)
+    {
+      q.except = 0;
+      len = member_rank (n->members, q, ids, PLAN_MEMBERS);
+    }
+  for (uint32_t i = 0; i < len; i++)
+    {
+      const struct member_entry *e = &member_find (n->members, ids[i])->entry;
+
+      members[i]
+          = (struct lease_member){ { e->id, member_get_run (e->incarnation) },
+                                   e->domain };
+    }
+  members[len++] = (struct lease_member){ n->leases.self, self->domain };
+  lease_choose (n->next_plan, members, len, n->leases.self, wanted);
+  lease_set_plan (&n->leases, n->next_plan, wanted, first == self->id);
+  n->next_plan = (n->next_plan + 1) % n->shards;
+}
+
+/* Public functions */
+
+void
+shard_lease_add_event (struct node_shard *n, const struct lease_event *e)
+{
+  void *row;
+
+  table_add (&n->events, &row);
+  *(struct lease_event *)row = *e;
+}
+
+void
+shard_lease_start (struct node_shard *n, uint32_t shard, uint64_t epoch,
+                   int64_t now_us)
+{
+  bucket_start_shard (&n->buckets, shard, epoch, now_us);
+  once_start_shard (&n->once, shard, epoch, clock_wall_ms ());
+  LOGGER_WRITE (LOGGER_INFO, "shard_started", LOGGER_NUMBER ("shard", shard),
+                LOGGER_NUMBER ("epoch", (int64_t)epoch));
+}
+
+void
+shard_lease_run (struct control *c, int64_t now_us)
+{
+  struct node_shard *n = c->node_shard;
+  void *row;
+
+  if (n->members == NULL)
+    return;
+  for (uint64_t id = table_next (&n->events, 0, &row); id != 0;
+       id = table_next (&n->events, id, &row))
+    {
+      lease_apply_event (&n->leases, row, now_us);
+      table_remove (&n->events, id);
+    }
+  if (c->listeners_stopped && !n->leases.leaving)
+    {
+      lease_release_all (&n->leases);
+      n->release_until_us = now_us + RELEASE_WAIT_US;
+    }
+  plan_shard (n, now_us);
+  lease_run (&n->leases, now_us);
+  run_actions (c, now_us);
+  c->leases_open
+      = !n->leases.leaving
+        || (now_us < n->release_until_us && lease_count_held (&n->leases) > 0);
+}
--- /dev/null
+++ b/src/shard_token.c
@@ -0,0 +1,162 @@
+/* shard_token: asks for tokens and grants between a daemon and the holders.  */
+
+#include "shard_token.h"
+
+#include "clock.h"
+#include "shard_link.h"
+
+/* Constants */
+
+#define LOCAL_ASKER 0
+
+/* Internal functions */
+
+static bool
+add_ask (struct control *c, uint64_t asker, const struct wire_tokens_wanted *q,
+         int64_t now_us)
+{
+  struct node_shard *n = c->node_shard;
+  uint32_t shard = bucket_get_shard (q->workspace, n->shards);
+
+  return shard_link_is_granting (n, shard, now_us)
+         && bucket_add_ask (&n->buckets, asker, q->workspace, q->waiting,
+                            q->demand, q->returned, q->returned_epoch,
+                            q->sequence, now_us);
+}
+
+static void
+fail_ask (struct control *c, struct str workspace, uint64_t sequence,
+          int64_t now_us)
+{
+  g_mutex_lock (&c->shared->quota_mutex);
+  quota_fail_ask (&c->shared->quotas, workspace, sequence, now_us);
+  g_mutex_unlock (&c->shared->quota_mutex);
+}
+
+static void
+apply_grant (struct control *c, const struct wire_tokens *t, int64_t now_us)
+{
+  g_mutex_lock (&c->shared->quota_mutex);
+  quota_apply_grant (&c->shared->quotas, t->workspace, t->count,
+                     (int64_t)t->validity_ms * CLOCK_US_PER_MS, t->epoch,
+                     t->sequence, now_us);
+  g_mutex_unlock (&c->shared->quota_mutex);
+  shard_link_wake_fronts (c);
+}
+
+static void
+send_ask (struct control *c, const struct wire_tokens_wanted *q,
+          int64_t now_us)
+{
+  struct node_shard *n = c->node_shard;
+  uint32_t shard = bucket_get_shard (q->workspace, n->shards);
+  struct wire_shard_message m = { .type = WIRE_TOKENS_WANTED };
+
+  if (shard_link_is_granting (n, shard, now_us))
+    {
+      if (!add_ask (c, LOCAL_ASKER, q, now_us))
+        fail_ask (c, q->workspace, q->sequence, now_us);
+      return;
+    }
+  m.u.tokens_wanted = *q;
+  if (!shard_link_send_to_holder (c, shard, &m, now_us))
+    fail_ask (c, q->workspace, q->sequence, now_us);
+}
+
+/* Public functions */
+
+void
+shard_token_take_ask (struct control *c, uint64_t link,
+                      const struct wire_tokens_wanted *q, int64_t now_us)
+{
+  struct wire_shard_message m = { .type = WIRE_TOKENS };
+
+  if (add_ask (c, link, q, now_us))
+    return;
+  m.u.tokens.workspace = q->workspace;
+  m.u.tokens.sequence = q->sequence;
+  shard_link_reply (c, link, &m);
+}
+
+void
+shard_token_take_grant (struct control *c, uint64_t link,
+                        const struct wire_tokens *t, int64_t now_us)
+{
+  struct node_shard *n = c->node_shard;
+
+  n->routes[bucket_get_shard (t->workspace, n->shards)].unanswered_us = 0;
+  if (t->held)
+    {
+      apply_grant (c, t, now_us);
+      return;
+    }
+  shard_link_forget_holder (n, bucket_get_shard (t->workspace, n->shards),
+                            control_get_peer (c, link));
+  fail_ask (c, t->workspace, t->sequence, now_us);
+}
+
+/* Asks are copied out, since the mutex is not held while they are sent.  */
+void
+shard_token_run_asks (struct control *c, int64_t now_us)
+{
+  struct quota_set *quotas = &c->shared->quotas;
+  GArray *asks
+      = g_array_new (FALSE, FALSE, sizeof (struct wire_tokens_wanted));
+  void *row;
+
+  g_mutex_lock (&c->shared->quota_mutex);
+  quota_run (quotas, now_us);
+  for (uint64_t id = table_next (&quotas->asks, 0, &row); id != 0;
+       id = table_next (&quotas->asks, id, &row))
+    {
+      const struct quota_ask *a = row;
+      struct wire_tokens_wanted q = { .workspace = str_copy (a->workspace),
+                                      .waiting = a->waiting,
+                                      .demand = a->demand,
+                                      .returned = a->returned,
+                                      .returned_epoch = a->returned_epoch,
+                                      .sequence = a->sequence };
+
+      g_array_append_val (asks, q);
+      table_remove (&quotas->asks, id);
+    }
+  g_mutex_unlock (&c->shared->quota_mutex);
+  for (guint i = 0; i < asks->len; i++)
+    {
+      struct wire_tokens_wanted *q
+          = &g_array_index (asks, struct wire_tokens_wanted, i);
+
+      send_ask (c, q, now_us);
+      str_free (&q->workspace);
+    }
+  g_array_unref (asks);
+}
+
+void
+shard_token_run_grants (struct control *c, int64_t now_us)
+{
+  struct node_shard *n = c->node_shard;
+  void *row;
+
+  bucket_run (&n->buckets, now_us);
+  for (uint64_t id = table_next (&n->buckets.grants, 0, &row); id != 0;
+       id = table_next (&n->buckets.grants, id, &row))
+    {
+      const struct bucket_grant *g = row;
+      struct wire_shard_message m = { .type = WIRE_TOKENS };
+
+      m.u.tokens = (struct wire_tokens){
+        .workspace = g->workspace,
+        .count = g->count,
+        .validity_ms = (uint32_t)(g->validity_us / CLOCK_US_PER_MS),
+        .epoch = g->epoch,
+        .sequence = g->sequence,
+        .held = true
+      };
+      if (g->asker == LOCAL_ASKER)
+        apply_grant (c, &m.u.tokens, now_us);
+      else
+        shard_link_reply (c, g->asker, &m);
+      table_remove (&n->buckets.grants, id);
+    }
+}
