Ask the domain that has spoken longest ago before evidence gets too old

Cause: in a platform outage a daemon needs a statement of each failure domain that is younger than 3.5 s. Random probes bring each domain's statement within two to three seconds as a rule, and later now and then: 4 of 24,000 samples refused keyed routes at 120 members (known red: outage_rejects_nothing), 0.75% at 22,000. Change: above an age of 2.7 s a daemon asks a random member of the domain that limits it, at most five times a second and not once the evidence has run out. Conclusion: kept, no longer known red.

--- a/src/fresh.c
+++ b/src/fresh.c
@@ -256,6 +256,19 @@
   return limit;
 }
 
+uint32_t
+fresh_get_limiting_domain (const struct fresh *f)
+{
+  int64_t limit = get_stated_limit (f);
+
+  if (limit == INT64_MIN || limit < fresh_get_limit (f))
+    return 0;
+  for (uint32_t i = 0; i < f->domains_len; i++)
+    if (f->domains[i].stated_us + f->bound_us == limit)
+      return f->domains[i].domain;
+  return 0;
+}
+
 bool
 fresh_is_current (const struct fresh *f, int64_t now_us)
 {
--- a/src/fresh.h
+++ b/src/fresh.h
@@ -90,6 +90,9 @@
 /* time until which the evidence here allows keyed routes, INT64_MIN if it
    does not */
 int64_t fresh_get_limit (const struct fresh *f);
+/* failure domain whose statement limits that time; 0 if a stamp does or there is
+   no evidence */
+uint32_t fresh_get_limiting_domain (const struct fresh *f);
 /* true if keyed routes may be served now */
 bool fresh_is_current (const struct fresh *f, int64_t now_us);
 
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -193,6 +193,30 @@
   return stale ? MIN (hold_ms, GOSSIP_HURRY_MS) : hold_ms;
 }
 
+/* Random probes leave a few daemons in a hundred without news of one failure domain
+   for longer than the bound.  */
+static void
+ask_urgently (struct gossip *g, int64_t now_us)
+{
+  int64_t limit_us = fresh_get_limit (g->fresh);
+  int64_t margin_us
+      = g->fresh->bound_us - (int64_t)GOSSIP_URGENT_MS * CLOCK_US_PER_MS;
+  uint32_t domain = fresh_get_limiting_domain (g->fresh);
+  const struct member_row *to;
+
+  if (now_us < g->urgent_us || limit_us <= now_us
+      || limit_us - now_us > margin_us)
+    return;
+  g->urgent_us = now_us + (int64_t)GOSSIP_URGENT_RETRY_MS * CLOCK_US_PER_MS;
+  if (domain == 0)
+    domain = g->members->self->entry.domain;
+  to = member_pick (g->members, domain);
+  if (to == NULL)
+    return;
+  g->urgent_asks++;
+  member_send_probe (g->members, to->entry.id, now_us);
+}
+
 static void
 send_answer (struct gossip *g, const struct gossip_held *h, int64_t now_us)
 {
@@ -507,6 +531,7 @@
   struct table *messages = &g->members->out;
   void *row;
 
+  ask_urgently (g, now_us);
   for (uint64_t id = table_next (messages, 0, &row); id != 0;
        id = table_next (messages, id, &row))
     {
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -37,6 +37,12 @@
    In a quiet fleet of 22,000 one in a hundred has evidence older than 1.7 s.  */
 #define GOSSIP_STALE_MS 2000
 #define GOSSIP_HURRY_MS 250
+/* A daemon whose evidence is older asks a member of the failure domain that has
+   spoken longest ago; its watchers alone would get 460 asks a second each from 22,000
+   daemons.  The rest of the bound is enough for three more asks if
+   answers are lost.  */
+#define GOSSIP_URGENT_MS 2700
+#define GOSSIP_URGENT_RETRY_MS 200
 #define GOSSIP_PULL_MS 1500 /* behind for so long: pull over TCP */
 #define GOSSIP_PULL_BYTES 524288u
 #define GOSSIP_HELD_MAX 256u
@@ -120,7 +126,9 @@
   uint64_t pushed;               /* highest that was sent on */
   uint64_t seen;                 /* highest shown by a peer */
   uint64_t seen_by;
-  int64_t pull_us; /* when to pull, while behind */
+  int64_t pull_us;      /* when to pull, while behind */
+  int64_t urgent_us;    /* next ask of a watcher */
+  uint32_t urgent_asks; /* count, to ask the watchers in turn */
 };
 
 /* Public functions */
--- a/src/member.h
+++ b/src/member.h
@@ -265,6 +265,9 @@
 void member_note_request (struct member_table *t, uint64_t requester,
                           uint32_t requester_seq, uint64_t target,
                           int64_t now_us);
+/* opens a probe of a member that is answered at once */
+void member_send_probe (struct member_table *t, uint64_t target,
+                        int64_t now_us);
 /* system: opens the probe of each free slot */
 void member_send_probes (struct member_table *t, int64_t now_us);
 /* system: indirect probes and suspicion after time-outs */
--- a/src/member_probe.c
+++ b/src/member_probe.c
@@ -287,6 +287,15 @@
   p->requester_seq = requester_seq;
 }
 
+void
+member_send_probe (struct member_table *t, uint64_t target, int64_t now_us)
+{
+  struct member_row *row = member_find (t, target);
+
+  if (row != NULL && row != t->self)
+    add_probe (t, target, &row->entry.address, 0, now_us);
+}
+
 void
 member_send_probes (struct member_table *t, int64_t now_us)
 {
--- a/tests/test_fresh.c
+++ b/tests/test_fresh.c
@@ -228,24 +228,28 @@
 }
 END_TEST
 
-/* The promise behind the share allowed above: in an outage that all watchers
-   see no keyed request is refused.  Listed in KNOWN-RED.txt.  */
+/* Guards against keyed requests that are refused in an outage which all watchers
+   see: random probes alone leave a daemon without news of one failure domain for
+   longer than the bound now and then.  */
 START_TEST (outage_rejects_nothing)
 {
-  struct fleet f;
-  uint32_t rejecting = 0;
-
-  fleet_init (&f, 120, 0, 12, 0.01, SEED);
-  fleet_run (&f, 8000);
-  f.platform_down = true;
-  fleet_run (&f, 4000);
-  for (int s = 0; s < 200; s++)
+  for (uint32_t seed = SEED; seed < SEED + 5; seed++)
     {
-      fleet_run (&f, 100);
-      rejecting += 120 - fleet_count_current (&f);
+      struct fleet f;
+      uint32_t rejecting = 0;
+
+      fleet_init (&f, 120, 0, 12, 0.01, seed);
+      fleet_run (&f, 8000);
+      f.platform_down = true;
+      fleet_run (&f, 4000);
+      for (int s = 0; s < 200; s++)
+        {
+          fleet_run (&f, 100);
+          rejecting += 120 - fleet_count_current (&f);
+        }
+      ck_assert_uint_eq (rejecting, 0);
+      fleet_close (&f);
     }
-  ck_assert_uint_eq (rejecting, 0);
-  fleet_close (&f);
 }
 END_TEST
 
@@ -308,9 +312,6 @@
   tcase_add_test (tc, silent_domain_may_reach_the_platform);
   tcase_add_test (tc, restart_during_an_outage);
   tcase_add_test (tc, bound_holds_under_random_faults);
-  suite_add_tcase (suite, tc);
-  tc = tcase_create ("known-red");
-  tcase_set_tags (tc, "known-red");
   tcase_add_test (tc, outage_rejects_nothing);
   suite_add_tcase (suite, tc);
   runner = srunner_create (suite);
