Add trace-request: join the daemons' logs on one request

Conclusion: what it cannot show is a request that the daemon behind refused or queued: only the first daemon logs by request id.

--- a/src/almondvalectl.c
+++ b/src/almondvalectl.c
@@ -23,6 +23,7 @@
   { "rule", "list | set NAME | delete NAME", "rank work by importance", ctl_rule },
   { "status", "", "show the platform's revision and a daemon's state", ctl_status },
   { "explain", "METHOD PATH", "tell what a request would get, and why", ctl_explain },
+  { "trace-request", "ID FILE...", "join what the daemons' logs say of a request", ctl_trace },
 };
 /* clang-format on */
 
@@ -44,11 +45,11 @@
     }
   fprintf (to,
            "\n`almondvalectl COMMAND --help` shows the options of a command."
-           "\n\nExit codes: 0 done; 1 diff found differences; 2 conflict "
-           "with another operator;\n64 usage; 65 invalid input; 66 file "
-           "cannot be read; 69 platform or daemon not\nreachable, nothing "
-           "was changed; 70 stored data cannot be read; 75 not known\n"
-           "whether the change takes effect.\n");
+           "\n\nExit codes: 0 done; 1 diff found differences, trace-request "
+           "found no line;\n2 conflict with another operator; 64 usage; 65 "
+           "invalid input; 66 file cannot be\nread; 69 platform or daemon not "
+           "reachable, nothing was changed; 70 stored data\ncannot be read; "
+           "75 not known whether the change takes effect.\n");
 }
 
 static const struct ctl_command *
--- a/src/ctl.h
+++ b/src/ctl.h
@@ -16,7 +16,7 @@
 enum ctl_exit
 {
   CTL_OK = 0,
-  CTL_DIFFERENT = 1,    /* diff found differences */
+  CTL_DIFFERENT = 1,    /* diff found differences, trace-request no line */
   CTL_CONFLICT = 2,     /* another operator changed the same members */
   CTL_USAGE = 64,       /* wrong arguments */
   CTL_DATA = 65,        /* invalid input */
@@ -108,5 +108,7 @@
                 char **argv);
 int ctl_explain (struct ctl *ctl, const struct ctl_command *self, int argc,
                  char **argv);
+int ctl_trace (struct ctl *ctl, const struct ctl_command *self, int argc,
+               char **argv);
 
 #endif
--- /dev/null
+++ b/src/ctl_trace.c
@@ -0,0 +1,325 @@
+/* ctl_trace: what the logs of several daemons say of one request.  */
+
+#include "ctl.h"
+
+#include <string.h>
+
+/* Constants */
+
+/* Decisions on a request are made from reports and states that are at most some
+   seconds old; the longest, a member's silence, is 3 s.  */
+#define SECONDS_DEFAULT 5
+#define SECONDS_MAX 3600
+
+/* Events that show what a daemon believed when it decided on a request.  */
+static const char *const context_events[] = {
+  "backend_announced",
+  "backend_loaded",
+  "backend_state",
+  "backend_stopped",
+  "change_rejected",
+  "configuration_applied",
+  "configuration_invalid",
+  "endpoints_changed",
+  "link_closed",
+  "requests_shed",
+  "shard_started",
+  "shard_stopped",
+  "shutdown_begun",
+  "started",
+  "stopped",
+  "store_lost",
+  "store_regained",
+};
+
+/* Types */
+
+/* One line of a log.  */
+struct log_line
+{
+  const char *file;
+  JsonNode *root;
+  const char *time; /* view of the node's, as written: UTC, to the ms */
+  const char *event;
+  int64_t time_ms;
+  bool own; /* it names the request */
+};
+
+struct log_set
+{
+  GArray *lines;     /* struct log_line */
+  uint32_t left_out; /* lines that are no log lines */
+};
+
+/* Internal functions: reading */
+
+static bool
+read_time (const char *text, int64_t *ms)
+{
+  GDateTime *time = g_date_time_new_from_iso8601 (text, NULL);
+
+  if (time == NULL)
+    return false;
+  *ms = g_date_time_to_unix (time) * 1000
+        + g_date_time_get_microsecond (time) / 1000;
+  g_date_time_unref (time);
+  return true;
+}
+
+static const char *
+get_text (const struct log_line *l, const char *member)
+{
+  JsonNode *node
+      = json_object_get_member (json_node_get_object (l->root), member);
+
+  return node != NULL && JSON_NODE_HOLDS_VALUE (node)
+                 && json_node_get_value_type (node) == G_TYPE_STRING
+             ? json_node_get_string (node)
+             : NULL;
+}
+
+static bool
+read_line (struct log_line *l, const char *file, const char *text,
+           const char *request)
+{
+  const char *named;
+
+  *l = (struct log_line){ .file = file,
+                          .root = json_from_string (text, NULL) };
+  if (l->root == NULL)
+    return false;
+  if (!JSON_NODE_HOLDS_OBJECT (l->root)
+      || (l->time = get_text (l, "time")) == NULL
+      || (l->event = get_text (l, "event")) == NULL
+      || !read_time (l->time, &l->time_ms))
+    {
+      json_node_unref (l->root);
+      return false;
+    }
+  named = get_text (l, "request");
+  l->own = named != NULL && strcmp (named, request) == 0;
+  return true;
+}
+
+static bool
+read_log (struct log_set *s, const char *file, const char *request)
+{
+  struct str text;
+  char *copy;
+  char **lines;
+
+  if (!ctl_read_file (file, &text))
+    return false;
+  copy = str_dup_cstr (text);
+  str_free (&text);
+  lines = g_strsplit (copy, "\n", -1);
+  g_free (copy);
+  for (char **p = lines; *p != NULL; p++)
+    {
+      struct log_line l;
+
+      if (**p == '\0')
+        continue;
+      if (read_line (&l, file, *p, request))
+        g_array_append_val (s->lines, l);
+      else
+        s->left_out++;
+    }
+  g_strfreev (lines);
+  return true;
+}
+
+static void
+clear_line (void *data)
+{
+  json_node_unref (((struct log_line *)data)->root);
+}
+
+/* Internal functions: choosing */
+
+static bool
+is_context (const struct log_line *l)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (context_events); i++)
+    if (strcmp (l->event, context_events[i]) == 0)
+      return true;
+  return false;
+}
+
+/* A line that names a service counts only if the request went there.  */
+static bool
+is_of_service (const struct log_line *l, const struct log_set *s)
+{
+  const char *service = get_text (l, "service");
+
+  if (service == NULL || *service == '\0')
+    return true;
+  for (guint i = 0; i < s->lines->len; i++)
+    {
+      const struct log_line *own
+          = &g_array_index (s->lines, struct log_line, i);
+      const char *other = own->own ? get_text (own, "service") : NULL;
+
+      if (other != NULL && strcmp (other, service) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* Time of the first and the last line that names the request; false if none
+   does.  */
+static bool
+find_span (const struct log_set *s, int64_t *first_ms, int64_t *last_ms)
+{
+  *first_ms = INT64_MAX;
+  *last_ms = INT64_MIN;
+  for (guint i = 0; i < s->lines->len; i++)
+    {
+      const struct log_line *l = &g_array_index (s->lines, struct log_line, i);
+
+      if (!l->own)
+        continue;
+      *first_ms = MIN (*first_ms, l->time_ms);
+      *last_ms = MAX (*last_ms, l->time_ms);
+    }
+  return *last_ms != INT64_MIN;
+}
+
+/* Keeps the request's lines and the context before them, in order of time.  */
+static void
+keep_lines (struct log_set *s, int64_t from_ms, int64_t to_ms)
+{
+  for (guint i = s->lines->len; i > 0; i--)
+    {
+      const struct log_line *l
+          = &g_array_index (s->lines, struct log_line, i - 1);
+
+      if (!l->own
+          && (l->time_ms < from_ms || l->time_ms > to_ms || !is_context (l)
+              || !is_of_service (l, s)))
+        g_array_remove_index (s->lines, i - 1);
+    }
+}
+
+static int
+compare_lines (const void *a, const void *b)
+{
+  const struct log_line *x = a, *y = b;
+
+  return (x->time_ms > y->time_ms) - (x->time_ms < y->time_ms);
+}
+
+/* Internal functions: showing */
+
+static void
+append_text (struct str_buf *out, const struct log_line *l)
+{
+  JsonObject *o = json_node_get_object (l->root);
+  GList *names = json_object_get_members (o);
+
+  str_append_format (out, "%s %s %s %s", l->own ? "*" : " ", l->time, l->file,
+                     l->event);
+  for (GList *n = names; n != NULL; n = n->next)
+    {
+      const char *name = n->data;
+      char *value;
+
+      if (strcmp (name, "time") == 0 || strcmp (name, "event") == 0
+          || strcmp (name, "level") == 0 || strcmp (name, "request") == 0)
+        continue;
+      value = json_to_string (json_object_get_member (o, name), FALSE);
+      str_append_format (out, " %s=%s", name, value);
+      g_free (value);
+    }
+  str_append_char (out, '\n');
+  g_list_free (names);
+}
+
+static void
+append_lines (struct ctl *ctl, const struct log_set *s)
+{
+  JsonBuilder *b = ctl->json ? json_builder_new () : NULL;
+
+  if (b != NULL)
+    json_builder_begin_array (b);
+  for (guint i = 0; i < s->lines->len; i++)
+    {
+      const struct log_line *l = &g_array_index (s->lines, struct log_line, i);
+
+      if (b == NULL)
+        {
+          append_text (&ctl->out, l);
+          continue;
+        }
+      json_builder_begin_object (b);
+      ctl_add_string (b, "file", str_from_cstr (l->file));
+      json_builder_set_member_name (b, "names_request");
+      json_builder_add_boolean_value (b, l->own);
+      json_builder_set_member_name (b, "line");
+      json_builder_add_value (b, json_node_copy (l->root));
+      json_builder_end_object (b);
+    }
+  if (b == NULL)
+    return;
+  json_builder_end_array (b);
+  ctl_append_json (ctl, b);
+}
+
+/* Public functions */
+
+/**
+ * ctl_trace - joins what the logs of several daemons say of one request
+ * @ctl: command's state
+ * @self: command
+ * @argc: number of arguments
+ * @argv: the request's id and the files
+ *
+ * Return: %CTL_OK, %CTL_DIFFERENT if no line names the request, or another code
+ * after an error line.
+ */
+int
+ctl_trace (struct ctl *ctl, const struct ctl_command *self, int argc,
+           char **argv)
+{
+  gint seconds = SECONDS_DEFAULT;
+  const GOptionEntry entries[]
+      = { { "seconds", 0, 0, G_OPTION_ARG_INT, &seconds,
+            "Show what the daemons believed up to this long before", "N" },
+          { NULL, 0, 0, 0, NULL, NULL, NULL } };
+  struct log_set s = { 0 };
+  int64_t first_ms, last_ms;
+  int code = CTL_OK;
+
+  if (!ctl_parse (ctl, self, entries, 2, G_MAXINT, &argc, &argv))
+    return CTL_USAGE;
+  if (seconds < 0 || seconds > SECONDS_MAX)
+    {
+      ctl_print_error ("--seconds: %d is not between 0 and %d", seconds,
+                       SECONDS_MAX);
+      return CTL_USAGE;
+    }
+  s.lines = g_array_new (FALSE, FALSE, sizeof (struct log_line));
+  g_array_set_clear_func (s.lines, clear_line);
+  for (int i = 2; i < argc && code == CTL_OK; i++)
+    if (!read_log (&s, argv[i], argv[1]))
+      code = CTL_NO_INPUT;
+  if (s.left_out > 0)
+    ctl_print_error ("%u lines are no log lines and were left out",
+                     s.left_out);
+  if (code == CTL_OK && !find_span (&s, &first_ms, &last_ms))
+    {
+      ctl_print_error ("no line names the request \"%s\"; requests that were "
+                       "served are not logged, and repeated events are "
+                       "written ten times a second at most",
+                       argv[1]);
+      code = CTL_DIFFERENT;
+    }
+  if (code == CTL_OK)
+    {
+      keep_lines (&s, first_ms - (int64_t)seconds * 1000, last_ms);
+      g_array_sort (s.lines, compare_lines);
+      append_lines (ctl, &s);
+    }
+  g_array_unref (s.lines);
+  return code;
+}
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -352,6 +352,66 @@
 }
 END_TEST
 
+/* Guards against a trace that mixes the logs of several daemons in the wrong order,
+   leaves out what a daemon believed when it decided, shows what other services
+   did, or takes a line that is no log line for the end.  */
+START_TEST (logs_of_several_daemons_are_joined)
+{
+  static const char front[]
+      = "{\"time\":\"2026-12-04T10:00:01.000Z\",\"level\":\"info\","
+        "\"event\":\"configuration_applied\",\"revision\":7}\n"
+        "not a log line\n"
+        "{\"time\":\"2026-12-04T10:00:04.250Z\",\"level\":\"info\","
+        "\"event\":\"request_failed\",\"request\":\"ab12\","
+        "\"error\":\"overloaded\",\"service\":\"notes\"}\n"
+        "{\"time\":\"2026-12-04T10:00:04.300Z\",\"level\":\"info\","
+        "\"event\":\"request_failed\",\"request\":\"ab13\","
+        "\"error\":\"overloaded\",\"service\":\"notes\"}\n";
+  static const char behind[]
+      = "{\"time\":\"2026-12-04T09:59:50.000Z\",\"level\":\"info\","
+        "\"event\":\"backend_loaded\",\"service\":\"notes\",\"queued\":1}\n"
+        "{\"time\":\"2026-12-04T10:00:03.900Z\",\"level\":\"info\","
+        "\"event\":\"backend_loaded\",\"service\":\"notes\",\"queued\":40}\n"
+        "{\"time\":\"2026-12-04T10:00:03.950Z\",\"level\":\"info\","
+        "\"event\":\"backend_loaded\",\"service\":\"books\",\"queued\":2}\n";
+  char *a, *b, *line;
+  struct output o;
+
+  start ();
+  process_write_file (dir, "a.log", front);
+  process_write_file (dir, "b.log", behind);
+  a = g_build_filename (dir, "a.log", NULL);
+  b = g_build_filename (dir, "b.log", NULL);
+  line = g_strdup_printf ("trace-request ab12 %s %s", b, a);
+  o = run (line);
+  ck_assert_int_eq (o.code, 0);
+  ck_assert_ptr_nonnull (strstr (o.err, "1 lines are no log lines"));
+  ck_assert (strstr (o.out, "revision=7") < strstr (o.out, "queued=40"));
+  ck_assert (strstr (o.out, "queued=40") < strstr (o.out, "* 2026"));
+  ck_assert_ptr_nonnull (strstr (o.out, "error=\"overloaded\""));
+  ck_assert_ptr_null (strstr (o.out, "queued=1"));
+  ck_assert_ptr_null (strstr (o.out, "books"));
+  ck_assert_ptr_null (strstr (o.out, "ab13"));
+  g_free (o.out);
+  g_free (o.err);
+  g_free (line);
+  line = g_strdup_printf ("trace-request zz %s", a);
+  expect (line, 1, "no line names the request");
+  g_free (line);
+  line = g_strdup_printf ("trace-request ab12 %s --json", a);
+  expect (line, 0, "\"names_request\" : true");
+  g_free (line);
+  line = g_strdup_printf ("trace-request ab12 %s --seconds -1", a);
+  expect (line, 64, "not between 0 and 3600");
+  expect ("trace-request ab12 /nonexistent", 66, "/nonexistent");
+  expect ("trace-request ab12", 64, "usage");
+  g_free (line);
+  g_free (a);
+  g_free (b);
+  stop ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -359,7 +419,7 @@
       = { bad_input_changes_nothing,     operators_conflict_by_member,
           simultaneous_changes_are_kept, lost_answers_and_outages_are_told,
           keys_are_shown_once,           explanations_give_reasons,
-          daemon_status_is_shown };
+          daemon_status_is_shown,        logs_of_several_daemons_are_joined };
 
   return suite_run ("ctl", cases, G_N_ELEMENTS (cases));
 }
