Match the calls made for a request in trace-request

Ruled out: a match of any prefix: ab12c is another request than ab12. Change: ids that continue after a dot are the request's; the id is shown. Measured: logs_of_several_daemons_are_joined, extended by both, passes. Conclusion: one command shows a request's whole tree as far as it was logged.

--- a/src/ctl_trace.c
+++ b/src/ctl_trace.c
@@ -78,12 +78,21 @@
              : NULL;
 }
 
+/* Calls that a backend server makes for a request have ids that continue the
+   request's after a dot.  */
+static bool
+is_named (const char *found, const char *request)
+{
+  size_t len = strlen (request);
+
+  return found != NULL && strncmp (found, request, len) == 0
+         && (found[len] == '\0' || found[len] == '.');
+}
+
 static bool
 read_line (struct log_line *l, const char *file, const char *text,
            const char *request)
 {
-  const char *named;
-
   *l = (struct log_line){ .file = file,
                           .root = json_from_string (text, NULL) };
   if (l->root == NULL)
@@ -96,8 +105,7 @@
       json_node_unref (l->root);
       return false;
     }
-  named = get_text (l, "request");
-  l->own = named != NULL && strcmp (named, request) == 0;
+  l->own = is_named (get_text (l, "request"), request);
   return true;
 }
 
@@ -225,7 +233,7 @@
       char *value;
 
       if (strcmp (name, "time") == 0 || strcmp (name, "event") == 0
-          || strcmp (name, "level") == 0 || strcmp (name, "request") == 0)
+          || strcmp (name, "level") == 0)
         continue;
       value = json_to_string (json_object_get_member (o, name), FALSE);
       str_append_format (out, " %s=%s", name, value);
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -365,6 +365,12 @@
         "\"event\":\"request_failed\",\"request\":\"ab12\","
         "\"error\":\"overloaded\",\"service\":\"notes\"}\n"
         "{\"time\":\"2026-12-04T10:00:04.300Z\",\"level\":\"info\","
+        "\"event\":\"request_failed\",\"request\":\"ab12c\","
+        "\"error\":\"overloaded\",\"service\":\"notes\"}\n"
+        "{\"time\":\"2026-12-04T10:00:04.200Z\",\"level\":\"info\","
+        "\"event\":\"request_failed\",\"request\":\"ab12.7f\","
+        "\"error\":\"deadline_not_run\",\"service\":\"notes\"}\n"
+        "{\"time\":\"2026-12-04T10:00:04.300Z\",\"level\":\"info\","
         "\"event\":\"request_failed\",\"request\":\"ab13\","
         "\"error\":\"overloaded\",\"service\":\"notes\"}\n";
   static const char behind[]
@@ -392,6 +398,8 @@
   ck_assert_ptr_null (strstr (o.out, "queued=1"));
   ck_assert_ptr_null (strstr (o.out, "books"));
   ck_assert_ptr_null (strstr (o.out, "ab13"));
+  ck_assert_ptr_null (strstr (o.out, "ab12c"));
+  ck_assert_ptr_nonnull (strstr (o.out, "request=\"ab12.7f\""));
   g_free (o.out);
   g_free (o.err);
   g_free (line);
