Let a holder go on without a candidate that was started again

Cause: in an outage a holder needs the promises of both candidates. One that is started again cannot promise for its earlier run, so the holder stopped at the end of its term, and keyed requests of the whole fleet got rate_unavailable until the platform was back (known red: restart_in_an_outage). Ruled out: trusting the restart alone: a daemon that was moved to another VM may have its first run cut off and alive, so the new run has to answer from the address at which the named run was known; and a run that began later than a term after the holder's last write may have tried to take over before it ended. Change: the answer to an ask for a promise carries the age of the run; membership keeps the earliest run known at a member's address; lease counts such a candidate as ended. Not used on the platform, which has no leases.

--- a/src/lease.c
+++ b/src/lease.c
@@ -405,7 +405,7 @@
       struct lease_owner promiser = get_promiser (s, i);
       struct lease_action *a;
 
-      if (promiser.id == 0
+      if (promiser.id == 0 || s->promise_until_us[i] == INT64_MAX
           || (s->asked_us[i] != LEASE_NO_TIME
               && now_us < s->asked_us[i] + interval))
         continue;
@@ -467,6 +467,9 @@
   a->peer = e->peer;
   a->request = e->request;
   a->epoch = e->epoch;
+  if (t->started_us != LEASE_NO_TIME)
+    a->age_ms
+        = (uint32_t)MIN ((now_us - t->started_us) / US_PER_MS, UINT32_MAX);
   if (may_promise (t, s, e->epoch))
     {
       s->promised_until_us
@@ -480,14 +483,35 @@
     }
 }
 
+/* True if a later run of a candidate has answered from the candidate's address and
+   began before the candidate could have tried to take over: a candidate waits
+   for a term after the version that names it, which was written after
+   lease_from_us.  It has ended, so it never will.  */
+static bool
+has_ended (const struct lease_shard *s, struct lease_owner candidate,
+           const struct lease_event *e, int64_t now_us)
+{
+  int64_t age_us = from_ms (e->age_ms);
+  int64_t began_us = now_us - (age_us - age_us / LEASE_DRIFT_DIVISOR);
+
+  return candidate.id == e->peer.id
+         && candidate.incarnation < e->peer.incarnation && e->placed_run != 0
+         && e->placed_run <= candidate.incarnation && !s->object.released
+         && s->lease_from_us != LEASE_NO_TIME && began_us <= lease_end (s);
+}
+
 static void
-apply_promise (struct lease_shard *s, const struct lease_event *e)
+apply_promise (struct lease_shard *s, const struct lease_event *e,
+               int64_t now_us)
 {
   for (uint32_t i = 0; i < LEASE_PROMISERS; i++)
     {
       if (s->asked_number[i] == 0 || s->asked_number[i] != e->request
-          || e->epoch != s->object.epoch
-          || !lease_equal_owner (get_promiser (s, i), e->peer))
+          || e->epoch != s->object.epoch)
+        continue;
+      if (has_ended (s, get_promiser (s, i), e, now_us))
+        s->promise_until_us[i] = INT64_MAX;
+      if (!lease_equal_owner (get_promiser (s, i), e->peer))
         continue;
       s->asked_number[i] = 0;
       if (e->promise_ms > 0)
@@ -582,7 +606,9 @@
 lease_init_table (struct lease_table *t, struct lease_owner self,
                   const struct lease_settings *settings)
 {
-  *t = (struct lease_table){ .settings = *settings, .self = self };
+  *t = (struct lease_table){ .settings = *settings,
+                             .self = self,
+                             .started_us = LEASE_NO_TIME };
   t->shards = g_new0 (struct lease_shard, settings->shards);
   table_init (&t->actions, sizeof (struct lease_action));
   for (uint32_t i = 0; i < settings->shards; i++)
@@ -726,7 +752,7 @@
   if (e->kind == LEASE_EVENT_PROMISE_WANTED)
     answer_promise (t, s, e, now_us);
   else if (e->kind == LEASE_EVENT_PROMISE)
-    apply_promise (s, e);
+    apply_promise (s, e, now_us);
   else if (s->op != LEASE_NO_OPERATION && s->op_request == e->request)
     apply_answer (t, s, e, now_us);
   update_granting (t, s, now_us);
--- a/src/lease.h
+++ b/src/lease.h
@@ -144,6 +144,7 @@
   struct lease_owner peer;
   uint64_t epoch;
   uint32_t promise_ms; /* 0: refused */
+  uint32_t age_ms;     /* of this run, as the answer to a promise tells it */
 };
 
 enum lease_event_kind
@@ -168,12 +169,16 @@
   struct lease_owner peer;
   uint64_t epoch;
   uint32_t promise_ms;
+  uint32_t age_ms; /* of the run that answered */
+  uint64_t
+      placed_run; /* earliest run known at the peer's address; 0: unknown */
 };
 
 struct lease_table
 {
   struct lease_settings settings;
   struct lease_owner self;
+  int64_t started_us; /* when this run began at the latest, or LEASE_NO_TIME */
   struct lease_shard *shards;
   struct table actions; /* struct lease_action, removed by the caller */
   uint64_t last_request;
--- a/src/member.c
+++ b/src/member.c
@@ -54,11 +54,14 @@
               const struct member_entry *e)
 {
   struct member_entry *known = &row->entry;
-  bool moved = memcmp (known->address.ip, e->address.ip, MEMBER_IP_BYTES) != 0
-               || known->address.ports[MEMBER_PORT_CONTROL]
-                      != e->address.ports[MEMBER_PORT_CONTROL]
-               || known->service_hash != e->service_hash;
-
+  bool replaced
+      = memcmp (known->address.ip, e->address.ip, MEMBER_IP_BYTES) != 0
+        || known->address.ports[MEMBER_PORT_CONTROL]
+               != e->address.ports[MEMBER_PORT_CONTROL];
+  bool moved = replaced || known->service_hash != e->service_hash;
+
+  if (replaced)
+    row->placed_run = member_get_run (e->incarnation);
   known->backend = e->backend;
   if (!e->full && !moved)
     return;
--- a/src/member.h
+++ b/src/member.h
@@ -155,6 +155,7 @@
   uint64_t row;                   /* own row id */
   uint32_t domain_index;          /* position in domain->rows */
   int64_t changed_us;             /* last change of liveness */
+  uint64_t placed_run;            /* earliest run known at its address */
   bool vague; /* heard with a newer incarnation; the details are of an older
                  one, and the row is not in the digests */
 };
--- a/src/member_rows.c
+++ b/src/member_rows.c
@@ -131,6 +131,7 @@
   row->entry = *e;
   row->row = id;
   row->changed_us = now_us;
+  row->placed_run = member_get_run (e->incarnation);
   member_rows_set_service (t, row, e->service_hash, e->service);
   enter_domain (row, need_domain (t, e->domain, now_us));
   g_hash_table_insert (t->by_id, &row->entry.id, row);
--- a/src/node_shard.c
+++ b/src/node_shard.c
@@ -66,6 +66,7 @@
   struct node_shard *n = c->node_shard;
   int64_t now_us = clock_now_us ();
   struct lease_event e = { 0 };
+  const struct member_row *row;
 
   switch (m->type)
     {
@@ -94,7 +95,13 @@
       shard_lease_add_event (n, &e);
       break;
     case WIRE_PROMISE:
+      row = n->members != NULL
+                ? member_find (n->members, m->u.promise.candidate.id)
+                : NULL;
       e = (struct lease_event){ .kind = LEASE_EVENT_PROMISE,
+                                .age_ms = m->u.promise.age_ms,
+                                .placed_run
+                                = row != NULL ? row->placed_run : 0,
                                 .shard = m->u.promise.shard,
                                 .epoch = m->u.promise.epoch,
                                 .request = m->u.promise.number,
@@ -245,6 +252,7 @@
   settings.round_trip_ms = (uint32_t)s->grant.round_trip_bound_ms;
   settings.validity_ms = BUCKET_VALIDITY_MAX_US / CLOCK_US_PER_MS;
   lease_init_table (&n->leases, owner, &settings);
+  n->leases.started_us = clock_now_us ();
   n->members = members;
   n->store = store;
   atomic_store (&c->shared->rate_limited, true);
--- a/src/shard_lease.c
+++ b/src/shard_lease.c
@@ -110,8 +110,9 @@
   else
     {
       m.type = WIRE_PROMISE;
-      m.u.promise = (struct wire_promise){ a->shard, a->epoch, a->request,
-                                           self, a->promise_ms };
+      m.u.promise
+          = (struct wire_promise){ a->shard, a->epoch,      a->request,
+                                   self,     a->promise_ms, a->age_ms };
     }
   shard_link_send (c, a->peer.id, &m);
 }
--- a/src/wire_shard.c
+++ b/src/wire_shard.c
@@ -254,6 +254,7 @@
   msgpack_pack_uint64 (p, q->number);
   pack_owner (p, q->candidate);
   msgpack_pack_uint32 (p, q->promise_ms);
+  msgpack_pack_uint32 (p, q->age_ms);
 }
 
 static void
@@ -266,6 +267,7 @@
   q->number = reader_take_u64 (r);
   q->candidate = read_owner (r);
   q->promise_ms = reader_take_u32 (r, INT32_MAX);
+  q->age_ms = reader_take_u32 (r, UINT32_MAX);
 }
 
 static void
@@ -307,7 +309,7 @@
   { WIRE_REGISTERED, 4, pack_registered, read_registered },
   { WIRE_COMPLETE, 6, pack_complete, read_complete },
   { WIRE_PROMISE_WANTED, 6, pack_promise_wanted, read_promise_wanted },
-  { WIRE_PROMISE, 7, pack_promise, read_promise },
+  { WIRE_PROMISE, 8, pack_promise, read_promise },
   { WIRE_HOLDER_WANTED, 2, pack_holder_wanted, read_holder_wanted },
   { WIRE_HOLDER, 5, pack_holder, read_holder },
 };
--- a/src/wire_shard.h
+++ b/src/wire_shard.h
@@ -91,6 +91,7 @@
   uint64_t number;
   struct lease_owner candidate;
   uint32_t promise_ms; /* 0: refused */
+  uint32_t age_ms;     /* of the candidate's run */
 };
 
 struct wire_holder_wanted
--- a/tests/shard_sim.h
+++ b/tests/shard_sim.h
@@ -376,6 +376,7 @@
   n->drift_ppm = sim_span (s, -s->opt.drift_ppm, s->opt.drift_ppm + 1);
   n->wall_offset_ms = sim_span (s, -1000, 1000);
   lease_init_table (&n->lease, self, &lease);
+  n->lease.started_us = sim_node_us (s, n);
   bucket_init_set (&n->buckets, SIM_SHARDS);
   n->buckets.test_rules_off = s->opt.bucket_off;
   quota_init_set (&n->quotas, n->incarnation << 32);
@@ -430,7 +431,9 @@
                                   .request = a->request,
                                   .epoch = a->epoch,
                                   .peer = n->lease.self,
-                                  .promise_ms = a->promise_ms };
+                                  .promise_ms = a->promise_ms,
+                                  .age_ms = a->age_ms,
+                                  .placed_run = 1 };
   switch (a->kind)
     {
     case LEASE_READ:
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -309,6 +309,85 @@
 }
 END_TEST
 
+/* An answer to a promise by a later run of a candidate.  */
+static void
+answer_by_later_run (struct lease_table *t, uint32_t age_ms,
+                     uint64_t placed_run, int64_t now_us)
+{
+  struct lease_event e = { .kind = LEASE_EVENT_PROMISE,
+                           .epoch = 3,
+                           .age_ms = age_ms,
+                           .placed_run = placed_run,
+                           .peer = { other.id, other.incarnation + 1 },
+                           .request = t->shards[0].asked_number[0] };
+
+  lease_apply_event (t, &e, now_us);
+}
+
+/* Guards against a holder that stops in an outage because a candidate was started
+   again, and against one that goes on although the earlier run may still take
+   over: it runs at another address, or it ended so late that it may have tried, or
+   the other candidate has not promised.  */
+START_TEST (restarted_candidate_has_ended)
+{
+  static const struct
+  {
+    uint32_t age_ms;
+    uint64_t placed_run;
+    bool promised;
+    bool granting;
+  } cases[] = {
+    { 3000, 1, true, true },  { 3000, 1, false, false },
+    { 3000, 2, true, false }, /* another address */
+    { 3000, 0, true, false }, /* not known where it ran */
+    { 800, 1, true, false },  /* began 200 ms after the term */
+    { 1000, 1, true, false }, /* began at its end, by a clock that is fast */
+    { 1020, 1, true, true },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct lease_table t;
+      struct lease_shard *s;
+
+      open_candidate (&t, other);
+      s = &t.shards[0];
+      s->object.holder = self;
+      s->lease_from_us = 0;
+      s->granting = true;
+      s->unreachable = true;
+      lease_run (&t, TERM_US - 500000);
+      if (cases[i].promised)
+        promise (&t, 1, third, TERM_US - 400000);
+      answer_by_later_run (&t, cases[i].age_ms, cases[i].placed_run,
+                           TERM_US + 1000000);
+      ck_assert_int_eq (lease_is_granting (&t, 0, TERM_US + 1100000),
+                        cases[i].granting);
+      lease_close_table (&t);
+    }
+}
+END_TEST
+
+/* Guards against an age that is too high because it is not known since when the
+   process runs.  */
+START_TEST (answers_tell_the_age_of_the_run)
+{
+  struct lease_event e = { .kind = LEASE_EVENT_PROMISE_WANTED, .epoch = 3 };
+  struct lease_action a;
+  struct lease_table t;
+
+  open_candidate (&t, self);
+  lease_apply_event (&t, &e, 5000000);
+  ck_assert (take_action (&t, LEASE_ANSWER_PROMISE, &a));
+  ck_assert_uint_eq (a.age_ms, 0);
+  t.started_us = 1500000;
+  lease_apply_event (&t, &e, 5000000);
+  ck_assert (take_action (&t, LEASE_ANSWER_PROMISE, &a));
+  ck_assert_uint_eq (a.age_ms, 3500);
+  lease_close_table (&t);
+}
+END_TEST
+
 /* Guards against a holder that forgets the first of several writes with unknown
    outcome: with more candidates than are kept it stops.  */
 START_TEST (too_many_unknown_candidates_stop_the_holder)
@@ -432,6 +511,8 @@
   tcase_add_test (tc, holder_measures_from_sending);
   tcase_add_test (tc, holder_needs_all_promises);
   tcase_add_test (tc, unknown_change_of_candidates_needs_all_promises);
+  tcase_add_test (tc, restarted_candidate_has_ended);
+  tcase_add_test (tc, answers_tell_the_age_of_the_run);
   tcase_add_test (tc, too_many_unknown_candidates_stop_the_holder);
   tcase_add_test (tc, choice_spreads_over_members_and_domains);
   tcase_add_loop_test (tc, one_holder_under_random_faults, 0, SEEDS);
--- a/tests/test_node_config.c
+++ b/tests/test_node_config.c
@@ -9,6 +9,9 @@
 #define SHARDS 8 /* default of lease.shards */
 /* More than the freshness bound of 3.5 s, so that evidence from before an
    outage has run out.  */
+/* The default of lease.term_ms, and the time until a promise runs out.  */
+#define LEASE_TERM_US 10000000
+#define LEASE_RENEWALS_US 4500000
 #define OUTAGE_US (5 * CLOCK_US_PER_S)
 
 struct fixture
@@ -313,9 +316,9 @@
 END_TEST
 
 /* Guards against a daemon that starts during an outage with no configuration
-   or an old one.  Listed in KNOWN-RED.txt: the process that was killed is a
-   candidate of the workspace's shard and cannot promise any more, so the holder
-   stops at the end of its term and keyed requests get rate_unavailable.  */
+   or an old one, and against a holder that stops at the end of its term because
+   a candidate of its shard was started again: keyed requests of the whole fleet would
+   get rate_unavailable until the platform is back.  */
 START_TEST (restart_in_an_outage_gets_the_newest_revision)
 {
   struct fixture f = start ();
@@ -324,12 +327,17 @@
   for (int i = 0; i < DAEMONS; i++)
     process_await_text (f.daemons[i].local, "/almondvale/status",
                         "\"revision\" : 2");
+  /* The holders renew every 2 s; by then they have named daemon 2.  */
+  g_usleep (LEASE_RENEWALS_US);
   set_outage (&f, "refuse");
   process_stop (f.daemons[2].pid, SIGKILL);
   start_daemon (&f, 2);
   process_await_text (f.daemons[2].local, "/almondvale/status",
                       "\"revision\" : 2");
   await_keyed (&f, 2, 200);
+  g_usleep (LEASE_TERM_US);
+  for (int i = 0; i < DAEMONS; i++)
+    await_keyed (&f, i, 200);
   stop (&f);
 }
 END_TEST
--- a/tests/test_wire_shard.c
+++ b/tests/test_wire_shard.c
@@ -23,7 +23,7 @@
   { .type = WIRE_COMPLETE,
     .u.complete = { { { 9 } }, { 4, 5 }, false, { 3, "a\0b" } } },
   { .type = WIRE_PROMISE_WANTED, .u.promise_wanted = { 255, 3, 4, { 5, 6 } } },
-  { .type = WIRE_PROMISE, .u.promise = { 0, 3, 4, { 5, 6 }, 4000 } },
+  { .type = WIRE_PROMISE, .u.promise = { 0, 3, 4, { 5, 6 }, 4000, 700 } },
   { .type = WIRE_HOLDER_WANTED, .u.holder_wanted = { 255 } },
   { .type = WIRE_HOLDER, .u.holder = { 255, 3, { 5, 6 } } },
 };
