End kept connections when a daemon leaves

The listener stops after 2.2 s, but libmicrohttpd goes on with open connections, and as long as other requests run the daemon does too. Ruled out: a shorter time until the end, which cuts requests that may still be answered; serving to the end, which cuts the last ones. Change: when the listener stops, connections without a request are closed (libmicrohttpd's own time-out of 1 s), the others end with their answer (Connection: close); callers' requests that come later than 0.8 s after that are refused as not run, so that their callers go elsewhere at once.

--- a/src/front.c
+++ b/src/front.c
@@ -13,6 +13,10 @@
 /* Constants */
 
 #define FRONT_TICK_US 10000
+/* Callers have heard that the daemon leaves when its listener stops; what they sent just
+   before on connections that were kept open is still served.  Later requests would be
+   cut by the end of the process.  */
+#define FRONT_LATE_REQUESTS_US 800000
 /* Interval of the log lines about refused requests, as the serve thread's.  */
 #define FRONT_LOG_US 1000000
 /* The serving daemon answers at the deadline whether the request ran; this is
@@ -77,6 +81,8 @@
   x->call = id;
   if (f->calls.count > (uint32_t)f->shared->settings->limits.open_requests)
     front_fail (f, call, ERR_TOO_MANY_REQUESTS_OPEN, STR_EMPTY);
+  else if (x->source == FRONT_CALLER && call->arrived_us >= f->refuse_from_us)
+    front_fail (f, call, ERR_SHUTTING_DOWN, STR_EMPTY);
   else
     front_set_state (f, call, FRONT_ARRIVED);
 }
@@ -151,6 +157,7 @@
       if (n->kind == NOTE_SHUTDOWN && !f->stopped_listening)
         {
           f->stopped_listening = true;
+          f->refuse_from_us = clock_now_us () + FRONT_LATE_REQUESTS_US;
           httpd_stop_listening (f->callers);
         }
       note_unload (n);
@@ -598,6 +605,7 @@
   feedback_init (&f->feedback, &feedback);
   pressure_init_shedder (&f->shedder, g_rand_int (rand));
   f->rand = rand;
+  f->refuse_from_us = INT64_MAX;
   backend_init (&f->backend);
   shared->fronts[index] = &f->loop.inbox;
   return listen_http (f, error);
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -17,6 +17,9 @@
    one block for each connection.  */
 #define CONNECTION_MEMORY_SPARE_BYTES 16384
 #define HTTPD_BACKLOG 1024
+/* libmicrohttpd counts in seconds; a connection without a request is closed one to
+   two seconds after the listener has stopped.  */
+#define CLOSING_IDLE_S 1u
 
 /* Types */
 
@@ -34,6 +37,8 @@
   void *owner;
   uint64_t source;
   evutil_socket_t listen_fd;
+  bool closing;            /* connections end with their next answer */
+  GHashTable *connections; /* struct MHD_Connection, busy or idle */
 };
 
 /* Internal functions */
@@ -167,6 +172,24 @@
   return MHD_YES;
 }
 
+static void
+on_connection (void *data, struct MHD_Connection *connection, void **context,
+               enum MHD_ConnectionNotificationCode what)
+{
+  struct httpd *h = data;
+
+  if (what == MHD_CONNECTION_NOTIFY_STARTED)
+    g_hash_table_insert (h->connections, connection, GINT_TO_POINTER (false));
+  else
+    g_hash_table_remove (h->connections, connection);
+}
+
+static void
+set_busy (struct httpd *h, struct MHD_Connection *connection, bool busy)
+{
+  g_hash_table_insert (h->connections, connection, GINT_TO_POINTER (busy));
+}
+
 /* The raw request target is only shown here; its result is the context of the
    request.  */
 static void *
@@ -177,6 +200,7 @@
   x->httpd = data;
   x->source = x->httpd->source;
   x->target = str_copy (str_from_cstr (uri));
+  set_busy (x->httpd, connection, true);
   return x;
 }
 
@@ -189,6 +213,7 @@
   if (x == NULL)
     return;
   *context = NULL;
+  set_busy (x->httpd, connection, false);
   if (x->closed != NULL)
     event_free (x->closed);
   if (x->handed_over)
@@ -260,9 +285,11 @@
   h->ops = ops;
   h->owner = owner;
   h->source = source;
+  h->connections = g_hash_table_new (NULL, NULL);
   h->listen_fd = open_listener (address, port);
   if (h->listen_fd < 0)
     {
+      g_hash_table_unref (h->connections);
       g_free (h);
       return NULL;
     }
@@ -270,6 +297,7 @@
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access, h,
       MHD_OPTION_LISTEN_SOCKET, h->listen_fd, MHD_OPTION_URI_LOG_CALLBACK,
       on_uri, h, MHD_OPTION_NOTIFY_COMPLETED, on_completed, h,
+      MHD_OPTION_NOTIFY_CONNECTION, on_connection, h,
       MHD_OPTION_CONNECTION_LIMIT, limits->connections,
       MHD_OPTION_CONNECTION_TIMEOUT, limits->idle_timeout_s,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT,
@@ -277,6 +305,7 @@
   if (h->daemon == NULL)
     {
       evutil_closesocket (h->listen_fd);
+      g_hash_table_unref (h->connections);
       g_free (h);
       return NULL;
     }
@@ -296,16 +325,34 @@
   event_free (h->timer);
   event_free (h->resumed);
   MHD_stop_daemon (h->daemon);
+  g_hash_table_unref (h->connections);
   g_free (h);
 }
 
+/**
+ * httpd_stop_listening - accepts no new connections and ends the open ones
+ * @h: listener
+ *
+ * A connection that was kept open would go on to bring requests until the process
+ * ends: one without a request is closed within two seconds, one with a request
+ * ends with its answer.
+ */
 void
 httpd_stop_listening (struct httpd *h)
 {
   MHD_socket fd = MHD_quiesce_daemon (h->daemon);
+  GHashTableIter all;
+  void *connection, *busy;
 
   if (fd != MHD_INVALID_SOCKET)
     evutil_closesocket (fd);
+  h->closing = true;
+  g_hash_table_iter_init (&all, h->connections);
+  while (g_hash_table_iter_next (&all, &connection, &busy))
+    if (!GPOINTER_TO_INT (busy))
+      MHD_set_connection_option (connection, MHD_CONNECTION_OPTION_TIMEOUT,
+                                 CLOSING_IDLE_S);
+  schedule_timer (h);
 }
 
 /**
@@ -333,6 +380,8 @@
       g_free (name);
       g_free (value);
     }
+  if (x->httpd->closing)
+    MHD_add_response_header (r, "Connection", "close");
   if (x->closed != NULL)
     event_free (x->closed);
   x->closed = NULL;
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -63,7 +63,8 @@
                           uint64_t source);
 /* closes all connections */
 void httpd_unload (struct httpd *h);
-/* accepts no new connections; open ones go on */
+/* accepts no new connections; open ones end with their answer, or within two
+   seconds if they have no request */
 void httpd_stop_listening (struct httpd *h);
 /* answers a request; strings are copied */
 void httpd_answer (struct httpd_exchange *x, int status,
--- /dev/null
+++ b/tests/test_httpd.c
@@ -0,0 +1,202 @@
+/* Tests of httpd: what becomes of open connections when the listener stops.  */
+
+#include "clock.h"
+#include "httpd.h"
+#include "suite.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Nothing is asserted about speed: the longest wait only ends a test that hangs.  */
+#define WAIT_US (20 * CLOCK_US_PER_S)
+
+static const char request[] = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+
+struct fixture
+{
+  struct event_base *base;
+  struct httpd *httpd;
+  struct httpd_exchange *open; /* a request that waits for its answer */
+  uint16_t port;
+};
+
+static void
+on_request (void *owner, struct httpd_exchange *x)
+{
+  struct fixture *f = owner;
+
+  f->open = x;
+}
+
+static void
+on_gone (void *owner, struct httpd_exchange *x)
+{
+  struct fixture *f = owner;
+
+  f->open = NULL;
+}
+
+static const struct httpd_ops ops = { on_request, on_gone };
+
+static void
+open_fixture (struct fixture *f)
+{
+  const struct httpd_limits limits = { .headers_bytes = 4096,
+                                       .body_bytes = 4096,
+                                       .connections = 8,
+                                       .idle_timeout_s = 60 };
+
+  memset (f, 0, sizeof *f);
+  f->base = event_base_new ();
+  /* Below the range of outgoing connections, as in process.h.  */
+  for (f->port = (uint16_t)(9000 + getpid () % 900); f->httpd == NULL;
+       f->port++)
+    f->httpd = httpd_load (f->base, STR_LIT ("127.0.0.1"), f->port, &limits,
+                           &ops, f, 0);
+  f->port--;
+}
+
+static void
+close_fixture (struct fixture *f)
+{
+  httpd_unload (f->httpd);
+  event_base_free (f->base);
+}
+
+static void
+on_poll (evutil_socket_t fd, short what, void *data)
+{
+  event_base_loopbreak (data);
+}
+
+static void
+run_for (struct fixture *f, int us)
+{
+  struct timeval wait = { 0, us };
+
+  event_base_once (f->base, -1, EV_TIMEOUT, on_poll, f->base, &wait);
+  event_base_dispatch (f->base);
+}
+
+static int
+connect_to (const struct fixture *f)
+{
+  struct sockaddr_in at
+      = { .sin_family = AF_INET, .sin_port = htons (f->port) };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  ck_assert_int_eq (connect (fd, (struct sockaddr *)&at, sizeof at), 0);
+  return fd;
+}
+
+static void
+send_request (struct fixture *f, int fd)
+{
+  int64_t end_us = clock_now_us () + WAIT_US;
+
+  ck_assert_int_eq (write (fd, request, sizeof request - 1),
+                    sizeof request - 1);
+  while (f->open == NULL)
+    {
+      ck_assert_msg (clock_now_us () < end_us, "the request does not arrive");
+      run_for (f, 1000);
+    }
+}
+
+/* Answers the open request.  */
+static void
+send_answer (struct fixture *f)
+{
+  struct httpd_exchange *x = f->open;
+
+  f->open = NULL;
+  httpd_answer (x, 200, NULL, 0, STR_LIT ("done"));
+}
+
+/* Reads until the peer has closed or the text has come; gives what was read.  */
+static void
+read_until (struct fixture *f, int fd, const char *text, char got[4096])
+{
+  int64_t end_us = clock_now_us () + WAIT_US;
+  struct pollfd readable = { .fd = fd, .events = POLLIN };
+  size_t len = 0;
+
+  for (;;)
+    {
+      ssize_t n;
+
+      ck_assert_msg (clock_now_us () < end_us, "neither an end nor \"%s\"",
+                     text != NULL ? text : "");
+      run_for (f, 1000);
+      if (poll (&readable, 1, 0) == 0)
+        continue;
+      n = read (fd, got + len, 4095 - len);
+      ck_assert_int_ge (n, 0);
+      len += (size_t)n;
+      got[len] = '\0';
+      if (n == 0 || (text != NULL && strstr (got, text) != NULL))
+        return;
+    }
+}
+
+/* Guards against a connection without a request that stays open until the process
+   ends: a request that comes on it at the last moment is cut.  */
+START_TEST (idle_connection_is_closed)
+{
+  struct fixture f;
+  char got[4096] = "";
+  int fd;
+
+  open_fixture (&f);
+  fd = connect_to (&f);
+  send_request (&f, fd);
+  send_answer (&f);
+  read_until (&f, fd, "done", got);
+  ck_assert_ptr_null (strstr (got, "close"));
+  httpd_stop_listening (f.httpd);
+  got[0] = '\0';
+  read_until (&f, fd, NULL, got);
+  ck_assert_str_eq (got, "");
+  close (fd);
+  close_fixture (&f);
+}
+END_TEST
+
+/* Guards against an open request that is cut when the listener stops, and against a
+   connection that goes on after its answer.  */
+START_TEST (open_request_is_answered_and_its_connection_ends)
+{
+  struct fixture f;
+  char got[4096] = "";
+  int fd;
+
+  open_fixture (&f);
+  fd = connect_to (&f);
+  send_request (&f, fd);
+  httpd_stop_listening (f.httpd);
+  /* Longer than a connection without a request stays open.  */
+  for (int i = 0; i < 25; i++)
+    run_for (&f, 100000);
+  send_answer (&f);
+  read_until (&f, fd, NULL, got);
+  ck_assert_ptr_nonnull (strstr (got, "Connection: close"));
+  ck_assert_ptr_nonnull (strstr (got, "done"));
+  close (fd);
+  close_fixture (&f);
+}
+END_TEST
+
+int
+main (void)
+{
+  const TTest *const cases[]
+      = { idle_connection_is_closed,
+          open_request_is_answered_and_its_connection_ends };
+
+  return suite_run ("httpd", cases, G_N_ELEMENTS (cases));
+}
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -409,6 +409,65 @@
 }
 END_TEST
 
+static gpointer
+send_hang (gpointer data)
+{
+  get (data, 0, "/long/hang");
+  return NULL;
+}
+
+/* Reads until the peer has closed or a whole answer has come.  */
+static void
+read_answer (int fd, char got[4096])
+{
+  size_t len = 0;
+  ssize_t n;
+
+  got[0] = '\0';
+  while (len < 4095 && strstr (got, "key=-") == NULL
+         && strstr (got, "not_run") == NULL
+         && (n = read (fd, got + len, 4095 - len)) > 0)
+    {
+      len += (size_t)n;
+      got[len] = '\0';
+    }
+}
+
+/* Guards against a request that a daemon takes seconds after its SIGTERM, on a
+   connection that was kept open, and cuts when it ends: 5.1 s after the signal in a
+   hunt.  Another request keeps the daemon running until its time is over.  */
+START_TEST (late_request_is_not_taken_at_the_end)
+{
+  static const char request[]
+      = "GET /notes/x HTTP/1.1\r\n" HOST "\r\n" AUTHORIZATION "\r\n" ID
+        "\r\n" WAIT "\r\n\r\n";
+  struct fixture f = start ();
+  int fd = connect_to (f.daemons[0].caller);
+  GThread *thread = g_thread_new ("hang", send_hang, &f);
+  char got[4096];
+
+  ck_assert_int_eq (write (fd, request, sizeof request - 1),
+                    sizeof request - 1);
+  read_answer (fd, got);
+  ck_assert_ptr_nonnull (strstr (got, "200 OK"));
+  kill (f.daemons[0].pid, SIGTERM);
+  /* The listener stops after 2.2 s, late requests are refused from 3 s on, and the
+     process ends after 5.3 s.  */
+  g_usleep (3300000);
+  if (write (fd, request, sizeof request - 1) > 0)
+    read_answer (fd, got);
+  else
+    got[0] = '\0';
+  ck_assert_msg (got[0] == '\0' || strstr (got, " 503 ") != NULL, "got %s",
+                 got);
+  process_wait (f.daemons[0].pid);
+  f.daemons[0].pid = 0;
+  g_thread_join (thread);
+  close (fd);
+  stop (&f);
+}
+END_TEST
+
 /* Guards against a caller that waits past its route's time, against work that
    goes on after it, and against an unsafe request that is tried again because its
    first try did not answer.  */
@@ -482,6 +541,7 @@
     bad_frame_ends_only_its_link,
     hangup_at_the_start_is_ignored,
     caller_that_leaves_ends_the_work,
+    late_request_is_not_taken_at_the_end,
     route_time_ends_a_request,
     forgotten_history_is_read_again,
     lost_answers_do_not_keep_a_daemon_out,
