Drop a count that nobody reads from gossip

Cause: reading the change again: urgent_asks chose between watchers in an earlier form and is only incremented now. Ruled out, measured: nothing else changes. Conclusion: the field and a wrong comment are gone.

--- a/src/gossip.c
+++ b/src/gossip.c
@@ -193,7 +193,7 @@
   return stale ? MIN (hold_ms, GOSSIP_HURRY_MS) : hold_ms;
 }
 
-/* Random probes leave a few daemons in a hundred without news of one failure domain
+/* Random probes leave one daemon in some hundred without news of one failure domain
    for longer than the bound.  */
 static void
 ask_urgently (struct gossip *g, int64_t now_us)
@@ -213,7 +213,6 @@
   to = member_pick (g->members, domain);
   if (to == NULL)
     return;
-  g->urgent_asks++;
   member_send_probe (g->members, to->entry.id, now_us);
 }
 
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -126,9 +126,8 @@
   uint64_t pushed;               /* highest that was sent on */
   uint64_t seen;                 /* highest shown by a peer */
   uint64_t seen_by;
-  int64_t pull_us;      /* when to pull, while behind */
-  int64_t urgent_us;    /* next ask of a watcher */
-  uint32_t urgent_asks; /* count, to ask the watchers in turn */
+  int64_t pull_us;   /* when to pull, while behind */
+  int64_t urgent_us; /* no urgent ask before */
 };
 
 /* Public functions */
