Report open and waiting connections of each listener

Callers saw a daemon that answered its readiness probe and accepted none of their connections. No metric or log line told a listener at its limit from one whose accept fails or from a front thread that is late.

almondvale_connections_open, almondvale_connections_accepted_total and almondvale_listeners_waiting now do, by listener, and listener_stalled is logged once a second while a caller waits and none is accepted: at the limit the open connections equal it, after a failed accept they are fewer, and a late front goes on accepting. The three listeners of a front stand in one array by source. The waiting state comes from poll() on the listening socket, once a second, so a request costs nothing more.

--- a/src/daemon_metrics.c
+++ b/src/daemon_metrics.c
@@ -18,6 +18,19 @@
     = { METRICS_COUNTER, "almondvale_answers_total",
         "Answers given to callers and nested calls.", "error" };
 
+static const struct metrics_definition connections_open
+    = { METRICS_GAUGE, "almondvale_connections_open",
+        "Open connections of a listener.", "listener" };
+static const struct metrics_definition connections_accepted
+    = { METRICS_COUNTER, "almondvale_connections_accepted_total",
+        "Connections that a listener has accepted.", "listener" };
+static const struct metrics_definition listeners_waiting
+    = { METRICS_GAUGE, "almondvale_listeners_waiting",
+        "Listeners with a connection that is not accepted yet.", "listener" };
+
+static const struct str listener_names[DAEMON_METRICS_LISTENERS]
+    = { STR_LIT ("caller"), STR_LIT ("local"), STR_LIT ("health") };
+
 #define ROW(type, name, help, member)                                         \
   {                                                                           \
     { METRICS_##type, name, help, NULL },                                     \
@@ -77,7 +90,22 @@
     s->answers[kind] = metrics_register (
         m, &answers,
         str_from_cstr (err_get_answer ((enum err_kind)kind)->name));
+  for (unsigned i = 0; i < DAEMON_METRICS_LISTENERS; i++)
+    {
+      struct str name = listener_names[i];
+
+      s->connections_open[i] = metrics_register (m, &connections_open, name);
+      s->connections_accepted[i]
+          = metrics_register (m, &connections_accepted, name);
+      s->listeners_waiting[i] = metrics_register (m, &listeners_waiting, name);
+    }
   for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
     *(struct metrics_row **)((char *)s + rows[i].offset)
         = metrics_register (m, &rows[i].definition, STR_EMPTY);
 }
+
+struct str
+daemon_metrics_get_listener (unsigned listener)
+{
+  return listener_names[listener];
+}
--- a/src/daemon_metrics.h
+++ b/src/daemon_metrics.h
@@ -6,6 +6,10 @@
 #include "err.h"
 #include "metrics.h"
 
+/* Constants */
+
+#define DAEMON_METRICS_LISTENERS 3u /* caller, local and health port */
+
 /* Types */
 
 struct daemon_metrics
@@ -20,6 +24,10 @@
   struct metrics_row *late_responses;
   struct metrics_row *bad_frames;
   struct metrics_row *calls_open;
+  /* by enum front_source */
+  struct metrics_row *connections_open[DAEMON_METRICS_LISTENERS];
+  struct metrics_row *connections_accepted[DAEMON_METRICS_LISTENERS];
+  struct metrics_row *listeners_waiting[DAEMON_METRICS_LISTENERS];
   struct metrics_row *jobs_open;
   struct metrics_row *jobs_queued;
   struct metrics_row *jobs_running;
@@ -38,5 +46,7 @@
 
 /* Registers all rows of struct daemon_metrics.  */
 void daemon_metrics_init (struct daemon_metrics *s, struct metrics *m);
+/* Returns the label of a listener, an index below DAEMON_METRICS_LISTENERS.  */
+struct str daemon_metrics_get_listener (unsigned listener);
 
 #endif
--- a/src/front.c
+++ b/src/front.c
@@ -20,15 +20,18 @@
    noticed the shutdown.  Later requests are rejected, since the end of the
    process would abort them.  */
 #define FRONT_SHUTDOWN_GRACE_US 800000
-/* Interval of the log lines about requests that were shed (rejected because of
-   the pressure of a service).  It equals the interval of the serve thread's
-   log line about its load.  */
+/* Interval of the reports about listeners and about requests that were shed
+   (rejected because of the pressure of a service).  It equals the interval of
+   the serve thread's log line about its load.  */
 #define FRONT_LOG_US 1000000
 /* Time after the deadline for the serving daemon's response to arrive.  It
    reports at the deadline whether the request ran.  */
 #define FRONT_DEADLINE_GRACE_US 20000
 #define FRONT_ANSWER_HEADERS_MAX (WIRE_HEADERS_MAX + 4)
 
+_Static_assert(FRONT_SOURCE_COUNT == DAEMON_METRICS_LISTENERS,
+               "each listener has its metrics");
+
 /* Internal functions: rows */
 
 static void
@@ -165,7 +168,7 @@
         {
           f->stopped_listening = true;
           f->reject_from_us = clock_now_us () + FRONT_SHUTDOWN_GRACE_US;
-          http_server_stop_listening (f->caller_server);
+          http_server_stop_listening (f->servers[FRONT_CALLER]);
         }
       thread_message_free (message);
     }
@@ -306,16 +309,41 @@
               STR_EMPTY);
 }
 
-/* Logs once a second the pressure and the numbers of requests for each service
-   whose pressure caused rejections at this front.  */
+/* Adds the changes since the last report, since the fronts share the metric
+   rows.  Logs a listener that has left a caller waiting without accepting any
+   since the last report.  */
+static void
+report_listener (struct front *f, enum front_source source)
+{
+  const struct daemon_metrics *rows = &f->shared->metric_rows;
+  struct http_server_stats *old = &f->reported[source];
+  struct http_server_stats now;
+
+  if (f->servers[source] == NULL)
+    return;
+  http_server_get_stats (f->servers[source], &now);
+  metrics_add_to_gauge (rows->connections_open[source],
+                        (int64_t)now.open - old->open);
+  metrics_increment (rows->connections_accepted[source],
+                     now.accepted - old->accepted);
+  metrics_add_to_gauge (rows->listeners_waiting[source],
+                        (int64_t)now.waiting - old->waiting);
+  if (now.waiting && old->waiting && now.accepted == old->accepted)
+    LOGGER_WRITE (
+        LOGGER_WARNING, "listener_stalled",
+        LOGGER_TEXT ("listener", daemon_metrics_get_listener (source)),
+        LOGGER_NUMBER ("connections", now.open),
+        LOGGER_NUMBER ("limit", f->shared->settings->limits.connections));
+  *old = now;
+}
+
+/* Logs the pressure and the numbers of requests for each service whose
+   pressure caused rejections at this front.  */
 static void
 log_shed_requests (struct front *f, int64_t now_us)
 {
   struct pressure_service *service;
 
-  if (now_us < f->next_log_us)
-    return;
-  f->next_log_us = now_us + FRONT_LOG_US;
   for (uint64_t id = pressure_next_service (&f->shedder, 0, &service); id != 0;
        id = pressure_next_service (&f->shedder, id, &service))
     {
@@ -349,8 +377,13 @@
     expire_call (f, call, now_us);
   feedback_expire (&f->feedback, now_us);
   retry_budget_expire_ratio (&f->retry_ratio, now_us);
-  log_shed_requests (f, now_us);
   metrics_set (f->shared->metric_rows.calls_open, f->calls.count);
+  if (now_us < f->next_log_us)
+    return;
+  f->next_log_us = now_us + FRONT_LOG_US;
+  log_shed_requests (f, now_us);
+  for (int i = 0; i < FRONT_SOURCE_COUNT; i++)
+    report_listener (f, (enum front_source)i);
 }
 
 /* Internal functions: answers */
@@ -564,18 +597,26 @@
           .idle_timeout_s
           = (uint32_t)((s->limits.idle_timeout_ms + 999) / CLOCK_US_PER_MS) };
 
-  f->caller_server
-      = http_server_load (f->loop.base, s->address, (uint16_t)s->ports.caller,
-                          &limits, &server_ops, f, FRONT_CALLER);
-  f->local_server = http_server_load (f->loop.base, s->local_address,
-                                      (uint16_t)s->ports.local, &limits,
-                                      &server_ops, f, FRONT_LOCAL);
-  if (s->ports.health > 0)
-    f->health_server = http_server_load (f->loop.base, s->address,
-                                         (uint16_t)s->ports.health, &limits,
-                                         &server_ops, f, FRONT_HEALTH);
-  if (f->caller_server != NULL && f->local_server != NULL
-      && (f->health_server != NULL || s->ports.health == 0))
+  const struct
+  {
+    struct str address;
+    int64_t port;
+  } listeners[FRONT_SOURCE_COUNT]
+      = { [FRONT_CALLER] = { s->address, s->ports.caller },
+          [FRONT_LOCAL] = { s->local_address, s->ports.local },
+          [FRONT_HEALTH] = { s->address, s->ports.health } };
+  bool ok = true;
+
+  for (int i = 0; i < FRONT_SOURCE_COUNT; i++)
+    {
+      if (listeners[i].port == 0)
+        continue;
+      f->servers[i] = http_server_load (f->loop.base, listeners[i].address,
+                                        (uint16_t)listeners[i].port, &limits,
+                                        &server_ops, f, (uint64_t)i);
+      ok = ok && f->servers[i] != NULL;
+    }
+  if (ok)
     return true;
   g_set_error (error, ERR_QUARK, ERR_SETTINGS_INVALID,
                "cannot listen on port %d (caller), %d (local) or %d (health)",
@@ -641,12 +682,9 @@
         answer_error (f, call);
         free_call (f, call);
       }
-  if (f->caller_server != NULL)
-    http_server_unload (f->caller_server);
-  if (f->local_server != NULL)
-    http_server_unload (f->local_server);
-  if (f->health_server != NULL)
-    http_server_unload (f->health_server);
+  for (int i = 0; i < FRONT_SOURCE_COUNT; i++)
+    if (f->servers[i] != NULL)
+      http_server_unload (f->servers[i]);
   backend_close (&f->backend);
   if (f->rand != NULL)
     g_rand_free (f->rand);
--- a/src/front.h
+++ b/src/front.h
@@ -33,7 +33,8 @@
 {
   FRONT_CALLER, /* the caller port */
   FRONT_LOCAL,  /* the local port: nested calls and administration */
-  FRONT_HEALTH  /* the health port */
+  FRONT_HEALTH, /* the health port */
+  FRONT_SOURCE_COUNT
 };
 
 enum front_state
@@ -134,9 +135,9 @@
   struct loop loop;
   struct daemon_context *shared;
   uint32_t index; /* index of this front */
-  struct http_server *caller_server;
-  struct http_server *local_server;
-  struct http_server *health_server; /* NULL without a health port */
+  /* by front_source; the health server is NULL without a health port */
+  struct http_server *servers[FRONT_SOURCE_COUNT];
+  struct http_server_stats reported[FRONT_SOURCE_COUNT]; /* in the metrics */
   struct backend_record backend;
   struct peer_link_set links;
   struct table calls;
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -8,6 +8,7 @@
 #include <event2/util.h>
 #include <glib.h>
 #include <microhttpd.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -40,6 +41,7 @@
   uint64_t source;
   evutil_socket_t listen_fd;
   bool closing; /* connections are closed after their next answer */
+  uint64_t accepted;
   /* struct MHD_Connection -> true while it has a request */
   GHashTable *connections;
 };
@@ -183,7 +185,11 @@
   struct http_server *h = data;
 
   if (what == MHD_CONNECTION_NOTIFY_STARTED)
-    g_hash_table_insert (h->connections, connection, GINT_TO_POINTER (false));
+    {
+      g_hash_table_insert (h->connections, connection,
+                           GINT_TO_POINTER (false));
+      h->accepted++;
+    }
   else
     g_hash_table_remove (h->connections, connection);
 }
@@ -361,6 +367,24 @@
   schedule_timer (h);
 }
 
+/**
+ * http_server_get_stats - reads the state of the listener
+ * @h: listener
+ * @stats: receives it; `waiting` is false after http_server_stop_listening()
+ */
+void
+http_server_get_stats (const struct http_server *h,
+                       struct http_server_stats *stats)
+{
+  struct pollfd listener = { .fd = h->listen_fd, .events = POLLIN };
+
+  *stats = (struct http_server_stats){
+    .open = g_hash_table_size (h->connections),
+    .accepted = h->accepted,
+    .waiting = !h->closing && poll (&listener, 1, 0) == 1
+  };
+}
+
 /**
  * http_server_answer - answers a request
  * @x: exchange; no longer valid afterwards
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -58,6 +58,13 @@
   void (*on_disconnect) (void *owner, struct http_server_exchange *x);
 };
 
+struct http_server_stats
+{
+  uint32_t open;     /* connections */
+  uint64_t accepted; /* connections since the start */
+  bool waiting;      /* a caller has connected and is not accepted yet */
+};
+
 struct http_server;
 
 /* Public functions */
@@ -74,6 +81,9 @@
 /* accepts no new connections; open ones are closed after their answer, or
    within two seconds if they have no request */
 void http_server_stop_listening (struct http_server *h);
+/* sets *stats */
+void http_server_get_stats (const struct http_server *h,
+                            struct http_server_stats *stats);
 /* answers a request; strings are copied */
 void http_server_answer (struct http_server_exchange *x, int status,
                          const struct wire_header *headers,
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -1,4 +1,5 @@
-/* Tests of http_server: open connections after the listener has stopped.  */
+/* Tests of http_server: open connections after the listener has stopped, and
+   callers that connect while no connection can be accepted.  */
 
 #include "clock.h"
 #include "http_server.h"
@@ -11,6 +12,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#define CONNECTIONS_MAX 8
+
 /* Only ends a test that hangs; not a bound on speed.  */
 #define WAIT_US (20 * CLOCK_US_PER_S)
 
@@ -47,7 +50,7 @@
 {
   const struct http_server_limits limits = { .headers_bytes = 4096,
                                              .body_bytes = 4096,
-                                             .connections = 8,
+                                             .connections = CONNECTIONS_MAX,
                                              .idle_timeout_s = 60 };
 
   memset (f, 0, sizeof *f);
@@ -194,12 +197,59 @@
 }
 END_TEST
 
+/* Runs the event loop until the listener is reported to have a caller that is
+   not accepted.  */
+static void
+wait_until_waiting (struct fixture *f, struct http_server_stats *stats)
+{
+  int64_t end_us = clock_now_us () + WAIT_US;
+
+  do
+    {
+      ck_assert_msg (clock_now_us () < end_us, "no caller waits");
+      run_for (f, 1000);
+      http_server_get_stats (f->server, stats);
+    }
+  while (!stats->waiting);
+}
+
+/* Guards against reporting no waiting caller while the listener is at its
+   limit, so that the state looks like one without load.  */
+START_TEST (waiting_caller_is_reported_at_the_limit)
+{
+  struct http_server_stats stats;
+  struct fixture f;
+  int fds[CONNECTIONS_MAX];
+  int last;
+
+  open_fixture (&f);
+  for (int i = 0; i < CONNECTIONS_MAX; i++)
+    {
+      fds[i] = connect_to (&f);
+      send_request (&f, fds[i]);
+      f.open = NULL; /* stays unanswered */
+    }
+  http_server_get_stats (f.server, &stats);
+  ck_assert (!stats.waiting);
+  last = connect_to (&f);
+  wait_until_waiting (&f, &stats);
+  ck_assert_uint_eq (stats.open, CONNECTIONS_MAX);
+  ck_assert_uint_eq (stats.accepted, CONNECTIONS_MAX);
+  close (last);
+  for (int i = 0; i < CONNECTIONS_MAX; i++)
+    close (fds[i]);
+  run_for (&f, 100000);
+  close_fixture (&f);
+}
+END_TEST
+
 int
 main (void)
 {
   const TTest *const cases[]
       = { idle_connection_is_closed_after_listener_stops,
-          open_request_is_answered_and_its_connection_closed };
+          open_request_is_answered_and_its_connection_closed,
+          waiting_caller_is_reported_at_the_limit };
 
   return suite_run ("http_server", cases, G_N_ELEMENTS (cases));
 }
