Show that a full listener stays closed to callers

Three cases of test_http_server fail on this code, each after 20 s without the new caller's request: - at the limit of connections, after one of them has ended; - at the limit, with all connections idle; - after one accept without a free descriptor, with descriptors free again and one kept connection. A daemon in these states still answers the readiness probe, which has a listener of its own: that is what the users' report describes.

--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -6,13 +6,17 @@
 #include "suite.h"
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <glib.h>
 #include <poll.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #define CONNECTIONS_MAX 8
+/* Descriptors that the process may have while a test uses them up.  */
+#define DESCRIPTORS_MAX 256
 
 /* Only ends a test that hangs; not a bound on speed.  */
 #define WAIT_US (20 * CLOCK_US_PER_S)
@@ -197,6 +201,19 @@
 }
 END_TEST
 
+/* Sends a request on a new connection and answers it.  */
+static int
+open_idle_connection (struct fixture *f)
+{
+  char got[4096] = "";
+  int fd = connect_to (f);
+
+  send_request (f, fd);
+  send_answer (f);
+  read_until (f, fd, "done", got);
+  return fd;
+}
+
 /* Runs the event loop until the listener is reported to have a caller that is
    not accepted.  */
 static void
@@ -243,6 +260,109 @@
 }
 END_TEST
 
+/* Guards against callers that are never accepted after the listener was at its
+   limit, although connections have ended since.  */
+START_TEST (caller_is_accepted_after_a_connection_ends_at_the_limit)
+{
+  struct fixture f;
+  struct http_server_exchange *open[CONNECTIONS_MAX];
+  int fds[CONNECTIONS_MAX];
+  int last;
+
+  open_fixture (&f);
+  for (int i = 0; i < CONNECTIONS_MAX; i++)
+    {
+      fds[i] = connect_to (&f);
+      send_request (&f, fds[i]);
+      open[i] = f.open;
+      f.open = NULL;
+    }
+  last = connect_to (&f);
+  run_for (&f, 100000);
+  /* The others are busy and send nothing that wakes the listener.  */
+  http_server_drop (open[0]);
+  send_request (&f, last);
+  close (last);
+  for (int i = 0; i < CONNECTIONS_MAX; i++)
+    close (fds[i]);
+  run_for (&f, 100000);
+  close_fixture (&f);
+}
+END_TEST
+
+/* Guards against turning new callers away for the whole idle timeout because
+   other callers keep connections that they do not use.  */
+START_TEST (idle_connection_makes_room_for_a_new_caller)
+{
+  struct fixture f;
+  char got[4096] = "";
+  int fds[CONNECTIONS_MAX];
+  int last;
+
+  open_fixture (&f);
+  for (int i = 0; i < CONNECTIONS_MAX; i++)
+    fds[i] = open_idle_connection (&f);
+  last = open_idle_connection (&f);
+  /* The connection that was idle for longest has ended, the others are
+     open.  */
+  read_until (&f, fds[0], NULL, got);
+  ck_assert_str_eq (got, "");
+  for (int i = 1; i < CONNECTIONS_MAX; i++)
+    {
+      send_request (&f, fds[i]);
+      send_answer (&f);
+      read_until (&f, fds[i], "done", got);
+    }
+  close (last);
+  for (int i = 0; i < CONNECTIONS_MAX; i++)
+    close (fds[i]);
+  close_fixture (&f);
+}
+END_TEST
+
+/* Uses up the descriptors of the process.  Returns their number.  */
+static int
+take_descriptors (int taken[DESCRIPTORS_MAX])
+{
+  struct rlimit limit;
+  int len = 0;
+
+  getrlimit (RLIMIT_NOFILE, &limit);
+  limit.rlim_cur = DESCRIPTORS_MAX;
+  ck_assert_int_eq (setrlimit (RLIMIT_NOFILE, &limit), 0);
+  while ((taken[len] = open ("/dev/null", O_RDONLY | O_CLOEXEC)) >= 0)
+    len++;
+  return len;
+}
+
+/* Guards against accepting nothing more after one accept failed for lack of
+   descriptors, while the callers that are connected keep their connections:
+   the daemon would say that it is ready and take no new connection.  */
+START_TEST (listener_accepts_again_after_lack_of_descriptors)
+{
+  struct fixture f;
+  char got[4096] = "";
+  int taken[DESCRIPTORS_MAX];
+  int len;
+  int kept;
+  int last;
+
+  open_fixture (&f);
+  kept = open_idle_connection (&f);
+  last = connect_to (&f);
+  len = take_descriptors (taken);
+  run_for (&f, 200000);
+  for (int i = 0; i < len; i++)
+    close (taken[i]);
+  send_request (&f, last);
+  send_answer (&f);
+  read_until (&f, last, "done", got);
+  close (last);
+  close (kept);
+  close_fixture (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -250,6 +370,11 @@
       = { idle_connection_is_closed_after_listener_stops,
           open_request_is_answered_and_its_connection_closed,
           waiting_caller_is_reported_at_the_limit };
+  const TTest *const red[]
+      = { caller_is_accepted_after_a_connection_ends_at_the_limit,
+          idle_connection_makes_room_for_a_new_caller,
+          listener_accepts_again_after_lack_of_descriptors };
 
-  return suite_run ("http_server", cases, G_N_ELEMENTS (cases));
+  return suite_run_tagged ("http_server", cases, G_N_ELEMENTS (cases), red,
+                           G_N_ELEMENTS (red));
 }
