Stop a daemon's links from spinning without descriptors

While a daemon has no free descriptor and another daemon connects, the control or serve thread ran its loop without a pause and printed a line on standard error in each turn, since libevent's listener goes on watching a socket whose connection it cannot accept.

--- a/src/peer_link.c
+++ b/src/peer_link.c
@@ -4,6 +4,7 @@
 
 #include "clock.h"
 #include "frame.h"
+#include "listener.h"
 #include "tcp_socket.h"
 #include "wire.h"
 
@@ -14,7 +15,6 @@
 
 #define PEER_LINK_PENDING_MAX_BYTES ((size_t)64 << 20)
 #define PEER_LINK_ACCEPTED_MAX 65536u
-#define PEER_LINK_BACKLOG 1024
 /* A daemon that is cut off by a network partition does not answer.  The
    timeout is longer than 1 s, after which a lost SYN is retransmitted for the
    first time.  */
@@ -109,11 +109,19 @@
   return row;
 }
 
+/* A daemon above the limit is turned away, so that it does not wait for its
+   connect timeout.  */
+static bool
+make_room (void *owner)
+{
+  return true;
+}
+
 static void
-on_accept (struct evconnlistener *listener, evutil_socket_t fd,
-           struct sockaddr *address, int len, void *data)
+on_accept (void *owner, evutil_socket_t fd, const struct sockaddr *address,
+           socklen_t len)
 {
-  struct peer_link_set *set = data;
+  struct peer_link_set *set = owner;
   struct peer_link_row *row;
 
   if (set->links.count >= set->links_max)
@@ -126,6 +134,9 @@
   row->connected = true;
 }
 
+static const struct listener_ops listener_ops
+    = { .make_room = make_room, .on_accept = on_accept };
+
 /* Public functions */
 
 void
@@ -164,15 +175,8 @@
 bool
 peer_link_listen (struct peer_link_set *set, struct str address, uint16_t port)
 {
-  struct sockaddr_storage storage;
-  int len;
-
-  if (!tcp_socket_parse_address (address, port, &storage, &len))
-    return false;
-  set->listener = evconnlistener_new_bind (
-      set->base, on_accept, set,
-      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
-      PEER_LINK_BACKLOG, (struct sockaddr *)&storage, len);
+  set->listener
+      = listener_load (set->base, address, port, false, &listener_ops, set);
   return set->listener != NULL;
 }
 
@@ -180,7 +184,7 @@
 peer_link_stop_listening (struct peer_link_set *set)
 {
   if (set->listener != NULL)
-    evconnlistener_free (set->listener);
+    listener_unload (set->listener);
   set->listener = NULL;
 }
 
--- a/src/peer_link.h
+++ b/src/peer_link.h
@@ -10,7 +10,6 @@
 #include "table.h"
 
 #include <event2/bufferevent.h>
-#include <event2/listener.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -26,14 +25,16 @@
   void (*on_close) (void *owner, uint64_t link, bool connected);
 };
 
+struct listener;
+
 struct peer_link_set
 {
   struct event_base *base;
   const struct peer_link_ops *ops;
   void *owner;
   struct table links;
-  struct evconnlistener *listener; /* NULL unless listening */
-  uint32_t links_max;       /* largest number of links; connections accepted
+  struct listener *listener; /* NULL unless listening */
+  uint32_t links_max;        /* largest number of links; connections accepted
                                above it are closed */
   size_t pending_max_bytes; /* a link with more bytes not yet sent is closed */
 };
