--- a/src/http_server.c
+++ b/src/http_server.c
@@ -470,6 +470,13 @@
   };
 }
 
+int64_t
+http_server_get_paused_us (const struct http_server *h, int64_t now_us)
+{
+  return h->listener != NULL ? listener_get_paused_us (h->listener, now_us)
+                             : 0;
+}
+
 /**
  * http_server_answer - answers a request
  * @x: exchange; no longer valid afterwards
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -84,6 +84,9 @@
 /* sets *stats */
 void http_server_get_stats (const struct http_server *h,
                             struct http_server_stats *stats);
+/* returns how long callers have been waiting without being accepted, or 0 */
+int64_t http_server_get_paused_us (const struct http_server *h,
+                                   int64_t now_us);
 /* answers a request; strings are copied */
 void http_server_answer (struct http_server_exchange *x, int status,
                          const struct wire_header *headers,
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -229,7 +229,8 @@
 }
 
 /* Guards against reporting no waiting caller while the listener is at its
-   limit, so that the state looks like one without load.  */
+   limit, so that the state looks like one without load and the daemon says
+   that it is ready.  */
 START_TEST (waiting_caller_is_reported_at_the_limit)
 {
   struct http_server_stats stats;
@@ -246,9 +247,13 @@
     }
   http_server_get_stats (f.server, &stats);
   ck_assert (!stats.waiting);
+  ck_assert_int_eq (http_server_get_paused_us (f.server, clock_now_us ()), 0);
   last = connect_to (&f);
   wait_until_waiting (&f, &stats);
   ck_assert_uint_eq (stats.open, CONNECTIONS_MAX);
+  run_for (&f, 100000);
+  ck_assert_int_ge (http_server_get_paused_us (f.server, clock_now_us ()),
+                    50000);
   ck_assert_uint_eq (stats.accepted, CONNECTIONS_MAX);
   close (last);
   for (int i = 0; i < CONNECTIONS_MAX; i++)
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -10,6 +10,7 @@
 #include <sys/stat.h>
 
 #define DAEMONS 3
+#define CALLERS_MAX 4 /* connections of the daemon with a small limit */
 #define HOST_HEADER "Host: h.example"
 #define KEY "aaaaaaaaaaaaaaaaaaaa"
 #define KEY_HEADER "Authorization: Bearer " KEY
@@ -542,6 +543,47 @@
 }
 END_TEST
 
+/* Guards against a daemon that says it is ready while it cannot accept any
+   caller, since each connection that it may have waits for an answer.  */
+START_TEST (daemon_without_room_for_callers_is_not_ready)
+{
+  static const char request[]
+      = "GET /long/hang HTTP/1.1\r\n" HOST_HEADER "\r\n" KEY_HEADER
+        "\r\n" ID_HEADER "\r\nX-Almondvale-Deadline-Ms: 60000\r\n\r\n";
+  struct fixture f = start ();
+  char *path = g_build_filename (f.dir, "small.json", NULL);
+  int before[DAEMONS];
+  int callers[CALLERS_MAX];
+  int waiting;
+
+  process_write_file (
+      f.dir, "small.json",
+      "{\"limits\":{\"connections\":" G_STRINGIFY (CALLERS_MAX) "}}");
+  process_stop (f.daemons[0].pid, SIGKILL);
+  f.daemons[0].settings_path = path;
+  process_start_machine (&f.daemons[0], f.dir);
+  process_wait_for_status (f.daemons[0].ready, "/almondvale/ready", 200);
+  await_status (&f, 0, "/book/x", 200);
+  get_executions (&f, before);
+  for (int i = 0; i < CALLERS_MAX; i++)
+    {
+      callers[i] = connect_to (f.daemons[0].caller);
+      ck_assert_int_eq (write (callers[i], request, sizeof request - 1),
+                        sizeof request - 1);
+    }
+  await_count (&f, "/standin/executions", before[2] + CALLERS_MAX);
+  waiting = connect_to (f.daemons[0].caller);
+  process_wait_for_status (f.daemons[0].ready, "/almondvale/ready", 503);
+  close (callers[0]);
+  process_wait_for_status (f.daemons[0].ready, "/almondvale/ready", 200);
+  close (waiting);
+  for (int i = 1; i < CALLERS_MAX; i++)
+    close (callers[i]);
+  g_free (path);
+  stop (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -559,6 +601,7 @@
     route_timeout_cancels_a_request,
     lost_watch_history_is_read_again,
     daemon_joins_despite_lost_answers,
+    daemon_without_room_for_callers_is_not_ready,
   };
 
   return suite_run ("platform", cases, sizeof cases / sizeof *cases);
