Skip an odd entry instead of ending or losing the list

The text of the store's list, of reports of backend servers, of configurations and of announcements went straight to json-glib, which recurses without a limit: a daemon that reads an entry nested 200,000 deep ends with a segmentation fault in json-glib, at each start. An entry with a byte that is not UTF-8 made the whole list unreadable. Besides, a port that is an array or a fraction was read as another number, and an address that is no IP address was taken.

json_field, now in src/ since the registry and admin use it in place of readers of their own, limits the text first: a value nested more than 32 deep becomes null and invalid bytes U+FFFD, so the entry is skipped and the others hold. A byte that JSON does not have outside of strings is refused, since a comment could hide brackets from the check. Entries need an IP address and a port from 1 to 65535 written as an integer. almondvalectl trace-request reads log lines the same way.

A too large port (65536, 23 digits, 1e400) was rejected before, too.

--- a/src/admin.c
+++ b/src/admin.c
@@ -3,10 +3,9 @@
 
 #include "admin.h"
 
+#include "json_field.h"
 #include "logger.h"
 
-#include <json-glib/json-glib.h>
-
 /* Constants */
 
 #define ADMIN_PREFIX STR_LIT ("/almondvale/")
@@ -60,44 +59,20 @@
 }
 
 static bool
-read_text (JsonObject *o, const char *name, struct str *value)
-{
-  JsonNode *node = json_object_get_member (o, name);
-
-  if (node == NULL || !JSON_NODE_HOLDS_VALUE (node)
-      || json_node_get_value_type (node) != G_TYPE_STRING)
-    return false;
-  *value = str_copy (str_from_cstr (json_node_get_string (node)));
-  return value->len > 0;
-}
-
-static bool
-read_number (JsonObject *o, const char *name, int64_t max, int64_t *value)
-{
-  JsonNode *node = json_object_get_member (o, name);
-
-  if (node == NULL || !JSON_NODE_HOLDS_VALUE (node)
-      || json_node_get_value_type (node) != G_TYPE_INT64)
-    return false;
-  *value = json_node_get_int (node);
-  return *value >= 1 && *value <= max;
-}
-
-static bool
-read_backend (JsonNode *root, struct thread_message_backend *b)
+read_backend (JsonObject *o, struct thread_message_backend *b)
 {
   int64_t port, slots, connections;
-  JsonObject *o;
-
-  if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root))
-    return false;
-  o = json_node_get_object (root);
-  if (!read_text (o, "service", &b->service)
-      || !read_text (o, "address", &b->address)
-      || !read_number (o, "port", ADMIN_PORT_MAX, &port)
-      || !read_number (o, "slots", ADMIN_COUNT_MAX, &slots)
-      || !read_number (o, "connections", ADMIN_COUNT_MAX, &connections))
+  struct str service, address;
+
+  if (!json_field_get_text (o, "service", &service) || service.len == 0
+      || !json_field_get_text (o, "address", &address) || address.len == 0
+      || !json_field_get_number (o, "port", 1, ADMIN_PORT_MAX, &port)
+      || !json_field_get_number (o, "slots", 1, ADMIN_COUNT_MAX, &slots)
+      || !json_field_get_number (o, "connections", 1, ADMIN_COUNT_MAX,
+                                 &connections))
     return false;
+  b->service = str_copy (service);
+  b->address = str_copy (address);
   b->port = (uint16_t)port;
   b->slots = (uint32_t)slots;
   b->connections = (uint32_t)connections;
@@ -109,13 +84,12 @@
 {
   struct thread_message *message
       = thread_message_create (THREAD_MESSAGE_ANNOUNCE);
-  JsonParser *parser = json_parser_new ();
-  bool ok = json_parser_load_from_data (
-                parser, x->body.data != NULL ? x->body.data : "",
-                (gssize)x->body.len, NULL)
-            && read_backend (json_parser_get_root (parser), &message->backend);
+  JsonNode *root = json_field_parse_object (str_view (&x->body));
+  bool ok = root != NULL
+            && read_backend (json_node_get_object (root), &message->backend);
 
-  g_object_unref (parser);
+  if (root != NULL)
+    json_node_unref (root);
   if (!ok)
     {
       thread_message_free (message);
--- a/src/control_registry.c
+++ b/src/control_registry.c
@@ -9,11 +9,11 @@
 
 #include "clock.h"
 #include "deployment.h"
+#include "json_field.h"
 #include "logger.h"
+#include "tcp_socket.h"
 #include "wire_registry.h"
 
-#include <json-glib/json-glib.h>
-
 /* Constants */
 
 #define DAEMONS_PREFIX STR_LIT ("almondvale-daemons/")
@@ -220,32 +220,29 @@
   str_append (out, c->settings->member_id);
 }
 
-/* Parses {"address": TEXT, "port": NUMBER}; returns false if the text is
+/* Parses {"address": IP, "port": NUMBER}; returns false if the text is
    anything else.  */
 static bool
 parse_daemon_object (struct str text, struct str *address, uint16_t *port)
 {
-  JsonParser *parser = json_parser_new ();
-  JsonNode *root;
-  bool ok = false;
-
-  if (json_parser_load_from_data (parser, text.data, (gssize)text.len, NULL)
-      && (root = json_parser_get_root (parser)) != NULL
-      && JSON_NODE_HOLDS_OBJECT (root))
+  JsonNode *root = json_field_parse_object (text);
+  JsonObject *o = root != NULL ? json_node_get_object (root) : NULL;
+  struct sockaddr_storage storage;
+  struct str found;
+  int64_t number;
+  int len;
+  bool ok
+      = o != NULL && json_field_get_text (o, "address", &found)
+        && json_field_get_number (o, "port", 1, UINT16_MAX, &number)
+        && tcp_socket_parse_address (found, (uint16_t)number, &storage, &len);
+
+  if (ok)
     {
-      JsonObject *o = json_node_get_object (root);
-      const char *found
-          = json_object_get_string_member_with_default (o, "address", NULL);
-      gint64 number = json_object_get_int_member_with_default (o, "port", 0);
-
-      ok = found != NULL && number > 0 && number <= UINT16_MAX;
-      if (ok)
-        {
-          *address = str_copy (str_from_cstr (found));
-          *port = (uint16_t)number;
-        }
+      *address = str_copy (found);
+      *port = (uint16_t)number;
     }
-  g_object_unref (parser);
+  if (root != NULL)
+    json_node_unref (root);
   return ok;
 }
 
--- a/src/ctl_trace.c
+++ b/src/ctl_trace.c
@@ -1,6 +1,7 @@
 /* ctl_trace: merges the log lines of several daemons about one request.  */
 
 #include "ctl.h"
+#include "json_field.h"
 
 #include <string.h>
 
@@ -97,11 +98,11 @@
             const char *request)
 {
   *l = (struct log_line){ .file = file,
-                          .root = json_from_string (text, NULL) };
+                          .root
+                          = json_field_parse_object (str_from_cstr (text)) };
   if (l->root == NULL)
     return false;
-  if (!JSON_NODE_HOLDS_OBJECT (l->root)
-      || (l->time = get_string (l, "time")) == NULL
+  if ((l->time = get_string (l, "time")) == NULL
       || (l->event = get_string (l, "event")) == NULL
       || !parse_time (l->time, &l->time_ms))
     {
--- a/src/json_check.c
+++ b/src/json_check.c
@@ -292,6 +292,71 @@
   return s->pos == s->text.len || fail (s, "text after the end of the value");
 }
 
+/* Internal functions: limits */
+
+/* Skips a string, or what there is of it.  */
+static void
+skip_string (struct scanner *s)
+{
+  for (s->pos++; s->pos < s->text.len && peek (s) != '"'; s->pos++)
+    if (peek (s) == '\\')
+      s->pos++;
+  s->pos = MIN (s->pos + 1, s->text.len);
+}
+
+/* Returns true for the bytes of JSON text outside of strings.  Others, such as
+   those of a comment, could hide brackets from a scan.  */
+static bool
+is_json_byte (char c)
+{
+  return g_ascii_isalnum (c)
+         || (c != '\0' && strchr (" \t\r\n{}[]:,+-.", c) != NULL);
+}
+
+/* Appends the text up to the scanner's position, from *start on, if it is not
+   nested too deeply.  */
+static void
+append_scanned (const struct scanner *s, size_t *start, struct str_buf *out)
+{
+  if (s->depth <= JSON_CHECK_DEPTH_MAX)
+    str_append (out, str_slice (s->text, *start, s->pos));
+  *start = s->pos;
+}
+
+static bool
+limit_depth (struct scanner *s, struct str_buf *out)
+{
+  size_t start = 0;
+
+  while (s->pos < s->text.len)
+    {
+      char c = peek (s);
+
+      if (c == '"')
+        {
+          skip_string (s);
+          continue;
+        }
+      if (!is_json_byte (c))
+        return false;
+      if (c == '[' || c == '{')
+        {
+          append_scanned (s, &start, out);
+          if (++s->depth == JSON_CHECK_DEPTH_MAX + 1)
+            str_append (out, STR_LIT ("null"));
+        }
+      s->pos++;
+      if (c == ']' || c == '}')
+        {
+          append_scanned (s, &start, out);
+          if (s->depth-- == 0)
+            return false;
+        }
+    }
+  append_scanned (s, &start, out);
+  return s->depth == 0;
+}
+
 /* Internal functions: positions */
 
 /* Moves the scanner from the beginning of an object to the value of a member;
@@ -412,6 +477,31 @@
   return root;
 }
 
+/**
+ * json_check_limit_text - makes JSON text of another program safe to parse
+ * @text: text
+ * @out: buffer to which the text is appended
+ *
+ * Return: false if brackets do not match or a byte outside of strings cannot
+ * be one of JSON.
+ */
+bool
+json_check_limit_text (struct str text, struct str_buf *out)
+{
+  struct scanner s = { .text = text };
+  const char *end;
+  char *valid;
+  bool ok;
+
+  if (g_utf8_validate_len (text.data, text.len, &end))
+    return limit_depth (&s, out);
+  valid = g_utf8_make_valid (text.data, (gssize)text.len);
+  s.text = str_from_cstr (valid);
+  ok = limit_depth (&s, out);
+  g_free (valid);
+  return ok;
+}
+
 struct json_check_position
 json_check_find_position (struct str text, struct str path)
 {
--- a/src/json_check.h
+++ b/src/json_check.h
@@ -2,8 +2,9 @@
    position of a member for error messages.
 
    json-glib recurses without a limit, keeps the last of two members with the
-   same name, accepts comments and does not report positions.  Text from
-   operators and from the platform is therefore checked here first.  */
+   same name, accepts comments and does not report positions.  Text of
+   operators is therefore checked here first, and text of other programs, of
+   which unknown parts are ignored, is limited in depth.  */
 
 #ifndef ALMONDVALE_JSON_CHECK_H
 #define ALMONDVALE_JSON_CHECK_H
@@ -33,6 +34,11 @@
 /* parses strict JSON; returns the root node, to be freed with json_node_unref,
    or NULL with line and column in the error */
 JsonNode *json_check_parse (struct str text, GError **error);
+/* appends the text with null in place of each value that is nested more than
+   JSON_CHECK_DEPTH_MAX deep, and with U+FFFD in place of bytes that are not
+   UTF-8, so that json-glib can parse it and one bad entry of a list does not
+   hide the others; returns false if the text cannot be JSON */
+bool json_check_limit_text (struct str text, struct str_buf *out);
 /* returns the position of the value at a path such as routes[3].importance; if
    there is none, that of the last value on the path that exists; the text must
    be valid JSON */
--- a/platform/json_field.c
+++ b/src/json_field.c
@@ -1,9 +1,10 @@
-/* json_field: parses JSON of the platform and reads members of its
+/* json_field: parses JSON of other programs and reads members of its
    objects.  */
 
 #include "json_field.h"
 
 #include "clock.h"
+#include "json_check.h"
 
 #include <string.h>
 
@@ -30,14 +31,21 @@
 JsonNode *
 json_field_parse_object (struct str text)
 {
-  JsonParser *parser = json_parser_new ();
+  struct str_buf limited = { 0 };
+  JsonParser *parser;
   JsonNode *root = NULL;
 
-  if (json_parser_load_from_data (parser, text.data, (gssize)text.len, NULL)
+  bool ok = json_check_limit_text (text, &limited) && limited.len > 0;
+
+  parser = json_parser_new ();
+  if (ok
+      && json_parser_load_from_data (parser, limited.data, (gssize)limited.len,
+                                     NULL)
       && json_parser_get_root (parser) != NULL
       && JSON_NODE_HOLDS_OBJECT (json_parser_get_root (parser)))
     root = json_parser_steal_root (parser);
   g_object_unref (parser);
+  str_reset (&limited);
   return root;
 }
 
--- a/platform/json_field.h
+++ b/src/json_field.h
@@ -1,10 +1,10 @@
-/* json_field: parses JSON of the platform and reads members of its objects.
+/* json_field: parses JSON of other programs and reads members of its objects.
 
    Every function that returns a bool returns false, and does not change the
    output, if the member is missing or has another type or form.  */
 
-#ifndef PLATFORM_JSON_FIELD_H
-#define PLATFORM_JSON_FIELD_H
+#ifndef ALMONDVALE_JSON_FIELD_H
+#define ALMONDVALE_JSON_FIELD_H
 
 #include "str.h"
 
@@ -14,8 +14,9 @@
 
 /* Public functions */
 
-/* parses a complete JSON document; returns NULL if it is malformed or not an
-   object; the caller frees the node with json_node_unref */
+/* parses a complete JSON document after json_check_limit_text; returns NULL if
+   it is malformed or not an object; the caller frees the node with
+   json_node_unref */
 JsonNode *json_field_parse_object (struct str text);
 /* reads a string; the view is valid as long as the object */
 bool json_field_get_text (JsonObject *o, const char *name, struct str *value);
--- a/standins/machines.c
+++ b/standins/machines.c
@@ -33,6 +33,8 @@
                               from 0 in the order of --backend, is the body
      PUT /standin/leave       deregisters that backend server
      PUT /standin/return      restarts that backend server with a new id
+     PUT /standin/entry       adds the body, as it is, to the items of lists of
+                              the daemons; an empty body removes it
      GET /standin/executions  returns the number of requests that each backend
                               server has run
      GET /standin/cancelled   returns the number of connections of each backend
@@ -64,6 +66,7 @@
 #define SLOW_ANSWER_US 700000
 #define STORE_DELAY_US 1500000
 #define OBJECTS_PATH "/almondvale/objects/"
+#define DAEMONS_KIND "almondvale-daemons"
 
 /* Types */
 
@@ -119,6 +122,7 @@
 static enum store_mode store_mode;
 /* A watch from an earlier revision is answered with 410.  */
 static uint64_t oldest_watch_revision;
+static char *foreign_entry; /* in lists of the daemons, or NULL */
 static FILE *run_log;
 static struct backend backends[BACKENDS_MAX];
 static int backends_len;
@@ -286,7 +290,9 @@
 {
   GString *out = g_string_new ("{\"items\":[");
 
-  append_changed (out, kind, 0, false);
+  if (append_changed (out, kind, 0, false) > 0 && foreign_entry != NULL
+      && strcmp (kind, DAEMONS_KIND) == 0)
+    g_string_append_printf (out, ",%s", foreign_entry);
   g_string_append_printf (out, "],\"hasMore\":false,\"atRev\":%" PRIu64 "}",
                           revision);
   reply (r, 200, out->str);
@@ -656,6 +662,11 @@
     }
   else if (strcmp (path, "store") == 0)
     set_store_mode (body);
+  else if (strcmp (path, "entry") == 0)
+    {
+      g_free (foreign_entry);
+      foreign_entry = *body != '\0' ? g_strdup (body) : NULL;
+    }
   else if (strcmp (path, "drain") == 0)
     {
       find_backend (body)->draining = true;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -10,6 +10,7 @@
 #include <sys/stat.h>
 
 #define DAEMONS 3
+#define NESTED_DEPTH 200000
 #define CALLERS_MAX 4 /* connections of the daemon with a small limit */
 #define HOST_HEADER "Host: h.example"
 #define KEY "aaaaaaaaaaaaaaaaaaaa"
@@ -582,6 +583,56 @@
 }
 END_TEST
 
+/* Restarts daemon 0, which then reads the list of the daemons, and checks that
+   it finds the others there.  */
+static void
+check_start_with_entry (struct fixture *f, const char *entry)
+{
+  set_standin (f, "entry", entry);
+  process_stop (f->daemons[0].pid, SIGKILL);
+  process_start_machine (&f->daemons[0], f->dir);
+  process_wait_for_status (f->daemons[0].ready, "/almondvale/ready", 200);
+  await_status (f, 0, "/book/x", 200);
+  await_status (f, 1, "/book/x", 200);
+}
+
+/* Guards against a daemon that ends at each start, or that does not find the
+   others, because of one entry that another program has left among theirs.  */
+START_TEST (odd_entry_in_the_list_of_daemons_is_skipped)
+{
+  static const char *const specs[]
+      = { "{\"address\":\"127.0.0.1\",\"port\":65536}",
+          "{\"address\":\"127.0.0.1\",\"port\":99999999999999999999999}",
+          "{\"address\":\"127.0.0.1\",\"port\":1e400}",
+          "{\"address\":\"127.0.0.1\",\"port\":[1]}",
+          "{\"address\":\"nowhere\",\"port\":7001}",
+          "{\"address\":\"\xff\xfe\",\"port\":7001}",
+          "[]",
+          "null" };
+  struct fixture f = start ();
+  char *opening = g_strnfill (NESTED_DEPTH, '[');
+  char *closing = g_strnfill (NESTED_DEPTH, ']');
+  char *entry;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (specs); i++)
+    {
+      entry = g_strdup_printf (
+          "{\"metadata\":{\"name\":\"other\",\"revision\":1},\"spec\":%s}",
+          specs[i]);
+      check_start_with_entry (&f, entry);
+      g_free (entry);
+    }
+  entry = g_strdup_printf ("{\"metadata\":{\"name\":\"other\"},"
+                           "\"spec\":{\"address\":%s%s}}",
+                           opening, closing);
+  check_start_with_entry (&f, entry);
+  g_free (entry);
+  g_free (opening);
+  g_free (closing);
+  stop (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -600,6 +651,7 @@
     lost_watch_history_is_read_again,
     daemon_joins_despite_lost_answers,
     daemon_without_room_for_callers_is_not_ready,
+    odd_entry_in_the_list_of_daemons_is_skipped,
   };
 
   return suite_run ("platform", cases, sizeof cases / sizeof *cases);
