Do not take a repeated refusal for the answer to another request

It happens here if the repeated refusal lacks the id of its request: an answer without an id counted as one to the request in progress. With an id it was dropped before. A repeat with the same id cannot be meant for a second attempt of the same request: an attempt never goes to a daemon that the request has tried, and connections end with the daemon or the boot of the backend server.

http_client now says whether the connection has carried an earlier request.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -40,6 +40,7 @@
   struct http_client_exchange *exchange; /* NULL while idle */
   bool connected;
   bool reusable;           /* can be used for another request */
+  bool reused;             /* has carried an earlier request */
   int64_t idle_since_us;   /* end of the last answer */
   int64_t usable_until_us; /* from the server's Keep-Alive header; INT64_MAX
                               without one */
@@ -127,6 +128,7 @@
       return;
     }
   c->reusable = false;
+  c->reused = true;
   c->idle_since_us = clock_now_us ();
   g_array_append_val (x->pool->idle, c->id);
 }
@@ -308,6 +310,7 @@
   bool keep_alive = http_should_keep_alive (&x->parser) != 0;
   uint64_t keep_alive_s = get_keep_alive_s (&answer);
 
+  answer.on_reused_connection = c->reused;
   if (answer.status < 200)
     {
       start_answer (x);
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -44,6 +44,9 @@
   uint32_t headers_len;                     /* number of headers */
   const struct http_client_header *headers; /* valid during the callback */
   struct str body;                          /* valid during the callback */
+  /* the connection carried an earlier request, whose answer the server could
+     have sent again */
+  bool on_reused_connection;
 };
 
 struct http_client_request
--- a/standins/machines.c
+++ b/standins/machines.c
@@ -15,6 +15,9 @@
      unsigned  answered without a signature
      foreign   answered with the id of another request
      full      not run; answered with 503 and X-Almondvale-Not-Executed
+     again     like "full"; the next request on the connection is run, but
+               before its answer this one is sent once more
+     nameless  with "again": sent once more without the id of its request
      lost      run, but the connection is closed without an answer
 
    The file of --runs gets a line for each request that is run ("run MS ID
@@ -37,6 +40,7 @@
                               the daemons; an empty body removes it
      GET /standin/executions  returns the number of requests that each backend
                               server has run
+     GET /standin/repeated    returns the number of refusals sent once more
      GET /standin/cancelled   returns the number of connections of each backend
                               server that closed while a "hang" was open  */
 
@@ -122,6 +126,10 @@
 static enum store_mode store_mode;
 /* A watch from an earlier revision is answered with 410.  */
 static uint64_t oldest_watch_revision;
+/* The connection on which a refusal is to be sent again, or NULL.  */
+static struct evhttp_connection *refused_connection;
+static char *refusal;
+static int repeated_refusals;
 static char *foreign_entry; /* in lists of the daemons, or NULL */
 static FILE *run_log;
 static struct backend backends[BACKENDS_MAX];
@@ -547,6 +555,45 @@
   event_add (h->closed, NULL);
 }
 
+/* Answers that the request was not run, and remembers the answer if it is to be
+   repeated.  */
+static void
+refuse_request (struct evhttp_request *r)
+{
+  struct evkeyvalq *headers = evhttp_request_get_output_headers (r);
+  const char *target = evhttp_request_get_uri (r);
+  const char *id = get_header (r, "X-Almondvale-Attempt-Id");
+
+  evhttp_add_header (headers, "X-Almondvale-Attempt-Id", id);
+  evhttp_add_header (headers, "X-Almondvale-Not-Executed", "1");
+  if (strstr (target, "again") != NULL)
+    {
+      refused_connection = evhttp_request_get_connection (r);
+      g_free (refusal);
+      refusal = g_strdup_printf (
+          "HTTP/1.1 503 Full\r\nX-Almondvale-Not-Executed: 1\r\n"
+          "%s%s%sContent-Length: 2\r\n\r\n{}",
+          strstr (target, "nameless") == NULL ? "X-Almondvale-Attempt-Id: "
+                                              : "",
+          strstr (target, "nameless") == NULL ? id : "",
+          strstr (target, "nameless") == NULL ? "\r\n" : "");
+    }
+  reply (r, 503, "{}");
+}
+
+static void
+repeat_refusal (struct evhttp_request *r)
+{
+  struct evhttp_connection *c = evhttp_request_get_connection (r);
+
+  if (c != refused_connection)
+    return;
+  refused_connection = NULL;
+  repeated_refusals++;
+  bufferevent_write (evhttp_connection_get_bufferevent (c), refusal,
+                     strlen (refusal));
+}
+
 static void
 on_request (struct evhttp_request *r, void *data)
 {
@@ -561,11 +608,10 @@
       reply (r, 421, "{}");
       return;
     }
-  if (strstr (target, "full") != NULL)
+  repeat_refusal (r);
+  if (strstr (target, "full") != NULL || strstr (target, "again") != NULL)
     {
-      evhttp_add_header (evhttp_request_get_output_headers (r),
-                         "X-Almondvale-Not-Executed", "1");
-      reply (r, 503, "{}");
+      refuse_request (r);
       return;
     }
   b->executions++;
@@ -654,6 +700,15 @@
       g_free (body);
       return;
     }
+  if (strcmp (path, "repeated") == 0)
+    {
+      char *count = g_strdup_printf ("%d", repeated_refusals);
+
+      reply (r, 200, count);
+      g_free (count);
+      g_free (body);
+      return;
+    }
   if (strcmp (path, "config") == 0)
     {
       root = json_from_string (body, NULL);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -221,6 +221,42 @@
 }
 END_TEST
 
+/* Guards against telling a caller that its request was not run because the
+   backend server has sent the refusal of an earlier request once more, with or
+   without that request's id, although it runs this one.  */
+START_TEST (repeated_refusal_is_not_taken_for_another_request)
+{
+  static const char *const refused[]
+      = { "/book/again", "/book/again-nameless" };
+  struct fixture f = start ();
+  int before[DAEMONS], after[DAEMONS];
+
+  for (size_t i = 0; i < G_N_ELEMENTS (refused); i++)
+    {
+      char repeated[8];
+
+      get_executions (&f, before);
+      ck_assert_int_eq (
+          send_with (&f, 0, "POST", refused[i], KEY_HEADER).status, 503);
+      ck_assert_int_eq (
+          process_send (f.daemons[0].caller, "POST", "/book/slow", "",
+                        (const char *[]){ HOST_HEADER,
+                                          "X-Almondvale-Attempt-Id: 9c42",
+                                          TIMEOUT_HEADER, KEY_HEADER, NULL })
+              .status,
+          200);
+      get_executions (&f, after);
+      ck_assert_int_eq (after[2], before[2] + 1);
+      g_snprintf (repeated, sizeof repeated, "%zu", i + 1);
+      ck_assert_str_eq (
+          process_send (f.store_port, "GET", "/standin/repeated", "", NULL)
+              .body,
+          repeated);
+    }
+  stop (&f);
+}
+END_TEST
+
 /* Guards against sending requests to a backend server after its daemon has
    acknowledged the report that it is draining.  */
 START_TEST (drained_backend_gets_no_requests)
@@ -639,6 +675,7 @@
   const TTest *const cases[] = {
     requests_are_routed_and_authenticated,
     invalid_answers_are_not_passed_on,
+    repeated_refusal_is_not_taken_for_another_request,
     drained_backend_gets_no_requests,
     withdrawn_key_is_refused_everywhere,
     daemon_starts_without_the_store,
--- a/tests/test_platform_dialect.c
+++ b/tests/test_platform_dialect.c
@@ -61,6 +61,33 @@
 }
 END_TEST
 
+/* Guards against telling a caller "not run" because of the answer to an earlier
+   request that the backend server sent once more on the same connection, while
+   it runs the caller's request.  */
+START_TEST (answer_without_id_on_reused_connection_is_not_trusted)
+{
+  static const struct http_client_header not_run[] = { NOT_RUN };
+  static const int statuses[] = { 400, 421, 429, 500, 503 };
+
+  for (size_t i = 0; i < sizeof statuses / sizeof *statuses; i++)
+    {
+      struct http_client_answer a = { .result = HTTP_CLIENT_ANSWERED,
+                                      .status = statuses[i],
+                                      .headers_len = 1,
+                                      .headers = not_run,
+                                      .body = STR_EMPTY };
+
+      ck_assert_int_eq (platform_dialect_ops.classify_answer (&a, ID),
+                        HTTP_DIALECT_NOT_RUN);
+      a.on_reused_connection = true;
+      ck_assert_int_eq (platform_dialect_ops.classify_answer (&a, ID),
+                        HTTP_DIALECT_OTHER_REQUEST);
+      ck_assert_int_eq (platform_dialect_ops.classify_answer (&a, STR_EMPTY),
+                        HTTP_DIALECT_INVALID);
+    }
+}
+END_TEST
+
 /* Guards against a status that the platform defines as "not run" (408, 421,
    429 or 503) for a request that may have run, and against a 5xx status other
    than 503 for a request that has not run.  */
@@ -127,6 +154,7 @@
 {
   const TTest *const cases[] = {
     answers_are_classified,
+    answer_without_id_on_reused_connection_is_not_trusted,
     only_not_run_errors_get_a_not_run_status,
     internal_headers_are_not_forwarded,
     retry_after_has_fractions,
