Give up an answer that does not end

Head, status line, trailers, chunk extensions and body were limited, by http-parser and by the limits of http_client. Informational answers and answers to other requests were not: each one started anew, so the serving daemon read them until the deadline of the request, with its thread busy. Chunks with long extensions multiplied the limit on the body.

An exchange now fails after 16 dropped answers, or when it has received eight times the largest body and 256 KiB. The connection is closed and the outcome of the request counts as unknown.

answer_without_end_is_given_up plays 14 endless answers against a raw server.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -29,6 +29,12 @@
 #define KEEP_ALIVE_MARGIN_US 500000
 #define HEADERS_MAX_BYTES 65536
 #define HEADERS_MAX 64
+/* Informational answers and answers to other requests that are dropped before
+   the exchange fails.  */
+#define DROPPED_ANSWERS_MAX 16u
+/* Largest number of bytes of an exchange: a body in chunks of one byte takes
+   six bytes for each of its own; the rest is for headers and framing.  */
+#define RECEIVED_MAX_BYTES(body_max) (8 * (body_max) + 4 * HEADERS_MAX_BYTES)
 
 /* Types */
 
@@ -72,10 +78,12 @@
   uint64_t connection_id;
   struct event *timer; /* timeout of the entire exchange, NULL for none */
   http_parser parser;
-  bool is_head;               /* a HEAD request: its answer has no body */
-  bool complete;              /* a complete answer was parsed */
-  bool too_large;             /* body or headers exceed the limit */
-  bool in_value;              /* the parser is in a header's value */
+  bool is_head;   /* a HEAD request: its answer has no body */
+  bool complete;  /* a complete answer was parsed */
+  bool too_large; /* body or headers exceed the limit */
+  bool in_value;  /* the parser is in a header's value */
+  uint32_t dropped_answers;
+  size_t received;            /* bytes of all answers */
   struct str_buf header_text; /* names and values of the headers */
   uint32_t headers_len;
   struct header_span headers[HEADERS_MAX];
@@ -311,14 +319,11 @@
   uint64_t keep_alive_s = get_keep_alive_s (&answer);
 
   answer.on_reused_connection = c->reused;
-  if (answer.status < 200)
+  if (answer.status < 200
+      || (x->accept != NULL && !x->accept (x->data, &answer)))
     {
-      start_answer (x);
-      return false;
-    }
-  if (x->accept != NULL && !x->accept (x->data, &answer))
-    {
-      if (!keep_alive)
+      if ((answer.status >= 200 && !keep_alive)
+          || x->dropped_answers++ == DROPPED_ANSWERS_MAX)
         {
           fail_exchange (x, HTTP_CLIENT_FAILED);
           return true;
@@ -360,13 +365,15 @@
           = http_parser_execute (&x->parser, &parser_settings, bytes, len);
 
       evbuffer_drain (in, MIN (used, len));
+      x->received += MIN (used, len);
       if (x->complete)
         {
           if (handle_answer (c, x, evbuffer_get_length (in) > 0))
             return;
           continue;
         }
-      if (HTTP_PARSER_ERRNO (&x->parser) != HPE_OK || x->parser.upgrade)
+      if (HTTP_PARSER_ERRNO (&x->parser) != HPE_OK || x->parser.upgrade
+          || x->received > RECEIVED_MAX_BYTES (x->pool->max_body_bytes))
         {
           fail_exchange (x, x->too_large ? HTTP_CLIENT_TOO_LARGE
                                          : HTTP_CLIENT_FAILED);
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -16,6 +16,8 @@
 /* More than the socket buffers of a loopback connection hold.  */
 #define LONG_BODY_BYTES ((size_t)16 << 20)
 #define TIMEOUT_US (10 * 1000 * 1000)
+#define LONG_EXTENSION                                                        \
+  "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"
 
 /* What the server does after it has read a complete request.  */
 enum action
@@ -426,6 +428,117 @@
 }
 END_TEST
 
+/* An answer that does not end: `head` once, then `part` until the client closes
+   the connection.  */
+struct endless_answer
+{
+  const char *head;
+  const char *part;
+};
+
+struct endless_server
+{
+  struct endless_answer answer;
+  struct event_base *base;
+  struct event *writable;
+  size_t bytes_sent;
+  int fd;
+};
+
+static void
+on_endless_writable (evutil_socket_t fd, short what, void *data)
+{
+  struct endless_server *s = data;
+  char buffer[65536];
+  size_t len = strlen (s->answer.part);
+  ssize_t sent;
+
+  for (size_t i = 0; i < sizeof buffer; i++)
+    buffer[i] = s->answer.part[(s->bytes_sent + i) % len];
+  sent = send (fd, buffer, sizeof buffer, MSG_NOSIGNAL);
+  if (sent > 0)
+    s->bytes_sent += (size_t)sent;
+  else
+    event_del (s->writable);
+}
+
+static void
+on_endless_accept (struct evconnlistener *l, evutil_socket_t fd,
+                   struct sockaddr *a, int len, void *data)
+{
+  struct endless_server *s = data;
+
+  s->fd = fd;
+  send (fd, s->answer.head, strlen (s->answer.head), MSG_NOSIGNAL);
+  s->writable
+      = event_new (s->base, fd, EV_WRITE | EV_PERSIST, on_endless_writable, s);
+  event_add (s->writable, NULL);
+}
+
+/* Guards against reading an answer without end until the deadline of its
+   request: a faulty server would take up the thread that serves it and, where
+   the bytes are kept, the memory.  */
+START_TEST (answer_without_end_is_given_up)
+{
+  static const struct endless_answer answers[] = {
+    { "HTTP/1.1 200 ", "x" },
+    { "HTTP/1.1 200 OK\r\nName", "x" },
+    { "HTTP/1.1 200 OK\r\nName: ", "x" },
+    { "HTTP/1.1 200 OK\r\n", "Name: x\r\n" },
+    { "HTTP/1.1 200 OK\r\n", "Name:\r\n" },
+    { "HTTP/1.1 200 OK\r\n\r\n", "x" },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0" },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x" },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+      "1;" LONG_EXTENSION "\r\ny\r\n" },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+      "Name: x\r\n" },
+    { "", "HTTP/1.1 100 Continue\r\n\r\n" },
+    { "", "HTTP/1.1 201 OK\r\nContent-Length: 2\r\n\r\nno" },
+    { "", "\r\n" },
+    { "", "x" },
+  };
+  struct event_base *base = event_base_new ();
+
+  for (size_t i = 0; i < G_N_ELEMENTS (answers); i++)
+    {
+      struct endless_server s = { .answer = answers[i], .base = base };
+      struct sockaddr_in sin = { .sin_family = AF_INET };
+      socklen_t len = sizeof sin;
+      struct result r = { .base = base };
+      struct http_client_request q = { .method = "GET",
+                                       .target = STR_LIT ("/x"),
+                                       .body = STR_EMPTY,
+                                       .timeout_us = TIMEOUT_US,
+                                       .accept = is_expected_answer,
+                                       .done = on_done,
+                                       .data = &r };
+      struct evconnlistener *listener;
+      struct http_client_pool *pool;
+
+      sin.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+      listener = evconnlistener_new_bind (base, on_endless_accept, &s,
+                                          LEV_OPT_CLOSE_ON_FREE, 16,
+                                          (struct sockaddr *)&sin, sizeof sin);
+      getsockname (evconnlistener_get_fd (listener), (struct sockaddr *)&sin,
+                   &len);
+      pool = http_client_load_pool (base, STR_LIT ("127.0.0.1"),
+                                    ntohs (sin.sin_port), 1, 1000);
+      ck_assert_ptr_nonnull (http_client_send (pool, &q));
+      event_base_dispatch (base);
+      ck_assert_msg (
+          r.result == HTTP_CLIENT_FAILED || r.result == HTTP_CLIENT_TOO_LARGE,
+          "answer %zu: result %d after %zu bytes", i, r.result, s.bytes_sent);
+      ck_assert_uint_eq (http_client_get_connection_count (pool), 0);
+      event_free (s.writable);
+      close (s.fd);
+      evconnlistener_free (listener);
+      http_client_unload_pool (pool);
+    }
+  event_base_free (base);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -440,6 +553,8 @@
   tcase_add_test (tc, connections_are_limited_and_cancel_skips_done);
   tcase_add_test (tc, unframed_answer_ends_with_the_stream);
   tcase_add_test (tc, bytes_of_other_requests_are_dropped);
+  tcase_set_timeout (tc, 60);
+  tcase_add_test (tc, answer_without_end_is_given_up);
   tcase_add_test (tc, early_answer_ends_the_connection);
   suite_add_tcase (suite, tc);
   runner = srunner_create (suite);
