Test a request for which no socket can be opened

It does: lack_of_descriptors_means_not_sent passes on the code as it was (the connect timeout of 1 s ends it) and guards it from now on.

--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -1,6 +1,7 @@
 /* Tests of http_client against a raw TCP server in the same event loop.  */
 
 #include "http_client.h"
+#include "scarce.h"
 
 #include <check.h>
 #include <event2/buffer.h>
@@ -284,6 +285,31 @@
 }
 END_TEST
 
+/* Guards against a request that waits for its deadline and then counts as "may
+   have run" although no socket could be opened for it.  */
+START_TEST (lack_of_descriptors_means_not_sent)
+{
+  struct event_base *base = event_base_new ();
+  struct scarce_descriptors taken;
+  struct http_client_pool *pool;
+  struct server s;
+  struct result r;
+
+  start_server (&s, base, NULL, 0);
+  pool = http_client_load_pool (base, STR_LIT ("127.0.0.1"), s.port, 4, 1000);
+  scarce_take (&taken);
+  r = send_one (base, pool, STR_LIT ("x"), TIMEOUT_US);
+  scarce_return (&taken);
+  ck_assert_int_eq (r.result, HTTP_CLIENT_NOT_CONNECTED);
+  ck_assert_uint_eq (http_client_get_connection_count (pool), 0);
+  r = send_one (base, pool, STR_LIT ("x"), TIMEOUT_US);
+  ck_assert_int_eq (r.result, HTTP_CLIENT_ANSWERED);
+  http_client_unload_pool (pool);
+  stop_server (&s);
+  event_base_free (base);
+}
+END_TEST
+
 /* Guards against opening more connections than the pool's limit, and against
    calling done after a cancel.  */
 START_TEST (connections_are_limited_and_cancel_skips_done)
@@ -550,6 +576,7 @@
   tcase_add_test (tc, request_read_then_closed_is_sent_once);
   tcase_add_test (tc, truncated_answer_fails);
   tcase_add_test (tc, failures_before_and_after_connecting_differ);
+  tcase_add_test (tc, lack_of_descriptors_means_not_sent);
   tcase_add_test (tc, connections_are_limited_and_cancel_skips_done);
   tcase_add_test (tc, unframed_answer_ends_with_the_stream);
   tcase_add_test (tc, bytes_of_other_requests_are_dropped);
