Let a leaving daemon own no pool of tokens

Suspected cause, not shown by a run: from the moment it announces that it leaves, the other daemons choose a successor as the owner of its pools, but the leaving daemon went on taking itself for the owner and granted its own callers the whole rate for up to 3 s.

The leaving daemon now finds the same owner as the others.

--- a/src/control_registry.c
+++ b/src/control_registry.c
@@ -430,6 +430,7 @@
     return;
   cr->backend_changes = c->backend_changes;
   cr->leaving_announced = c->shutting_down;
+  cr->registry.self_leaving = c->shutting_down;
   cr->members_changed = true;
   cr->next_state_us = 0;
 }
--- a/src/daemon_registry.c
+++ b/src/daemon_registry.c
@@ -282,6 +282,8 @@
  * @now_us: current time
  *
  * Members are ranked by name, so that a restarted daemon owns the same pools.
+ * One that leaves owns none, itself included: the others have chosen its
+ * successor, and both would grant the whole rate.
  *
  * Return: member id of the owner, or 0 if fewer than half of the members are
  * live.
@@ -290,8 +292,8 @@
 daemon_registry_get_owner (const struct daemon_registry *r,
                            struct str own_name, uint64_t hash, int64_t now_us)
 {
-  uint64_t best = hash_owner (own_name, hash);
-  uint64_t owner = r->self;
+  uint64_t best = r->self_leaving ? 0 : hash_owner (own_name, hash);
+  uint64_t owner = r->self_leaving ? 0 : r->self;
   struct daemon_registry_member *m;
   uint32_t live = 1;
 
@@ -327,7 +329,7 @@
                                    int64_t now_us)
 {
   struct daemon_registry_member *m;
-  uint64_t sum = r->members.count;
+  uint64_t sum = r->members.count + r->self_leaving;
 
   for (uint64_t id = table_next (&r->members, 0, (void **)&m); id != 0;
        id = table_next (&r->members, id, (void **)&m))
--- a/src/daemon_registry.h
+++ b/src/daemon_registry.h
@@ -71,6 +71,7 @@
   GHashTable *by_member; /* member id -> row id */
   GHashTable *retired;   /* set of member ids of replaced processes */
   uint64_t self;         /* member id of this process */
+  bool self_leaving;     /* this daemon has announced that it leaves */
 };
 
 /* Public functions */
--- a/tests/test_daemon_registry.c
+++ b/tests/test_daemon_registry.c
@@ -139,39 +139,92 @@
 }
 END_TEST
 
+#define FLEET 4
+
+/* Registries of a fleet of which each daemon knows all others.  */
+struct fleet
+{
+  struct daemon_registry all[FLEET];
+  char name[FLEET][8];
+};
+
+static void
+send_states (struct fleet *f)
+{
+  for (uint64_t to = 0; to < FLEET; to++)
+    for (uint64_t from = 0; from < FLEET; from++)
+      {
+        struct daemon_registry_state s = make_state (from + 1, f->name[from]);
+
+        s.name = str_from_cstr (f->name[from]);
+        s.leaving = f->all[from].self_leaving;
+        daemon_registry_apply (&f->all[to], &s, 0);
+      }
+}
+
+static void
+open_fleet (struct fleet *f)
+{
+  for (uint64_t i = 0; i < FLEET; i++)
+    {
+      daemon_registry_init (&f->all[i], i + 1);
+      snprintf (f->name[i], sizeof f->name[i], "n%d", (int)i);
+    }
+  send_states (f);
+}
+
+static void
+close_fleet (struct fleet *f)
+{
+  for (uint64_t i = 0; i < FLEET; i++)
+    daemon_registry_close (&f->all[i]);
+}
+
+static uint64_t
+get_owner (const struct fleet *f, int at, uint64_t hash, int64_t now_us)
+{
+  return daemon_registry_get_owner (&f->all[at], str_from_cstr (f->name[at]),
+                                    hash, now_us);
+}
+
 /* Guards against two owners of one pool, a token bucket that the daemons
    share.  Daemons with the same live members find the same owner; a daemon for
    which fewer than half of the members are live finds none.  */
 START_TEST (owner_is_the_same_at_all_members)
 {
-  struct daemon_registry all[4];
-  char name[4][8];
-
-  for (uint64_t i = 0; i < 4; i++)
-    {
-      daemon_registry_init (&all[i], i + 1);
-      snprintf (name[i], sizeof name[i], "n%d", (int)i);
-    }
-  for (uint64_t to = 0; to < 4; to++)
-    for (uint64_t from = 0; from < 4; from++)
-      {
-        struct daemon_registry_state s = make_state (from + 1, name[from]);
+  struct fleet f;
 
-        s.name = str_from_cstr (name[from]);
-        daemon_registry_apply (&all[to], &s, 0);
-      }
+  open_fleet (&f);
   for (uint64_t hash = 0; hash < 100; hash++)
-    for (uint64_t to = 1; to < 4; to++)
-      ck_assert_uint_eq (daemon_registry_get_owner (
-                             &all[to], str_from_cstr (name[to]), hash, S),
-                         daemon_registry_get_owner (
-                             &all[0], str_from_cstr (name[0]), hash, S));
+    for (int to = 1; to < FLEET; to++)
+      ck_assert_uint_eq (get_owner (&f, to, hash, S),
+                         get_owner (&f, 0, hash, S));
   for (uint64_t hash = 0; hash < 100; hash++)
-    ck_assert_uint_eq (daemon_registry_get_owner (
-                           &all[0], str_from_cstr (name[0]), hash, 9 * S),
-                       0);
-  for (uint64_t i = 0; i < 4; i++)
-    daemon_registry_close (&all[i]);
+    ck_assert_uint_eq (get_owner (&f, 0, hash, 9 * S), 0);
+  close_fleet (&f);
+}
+END_TEST
+
+/* Guards against a daemon that goes on granting the rate of its pools while it
+   leaves, although the others have turned to its successor.  */
+START_TEST (leaving_daemon_owns_no_pool)
+{
+  struct fleet f;
+  uint64_t digest;
+
+  open_fleet (&f);
+  digest = daemon_registry_get_owners_digest (&f.all[0], S);
+  f.all[0].self_leaving = true;
+  ck_assert_uint_ne (daemon_registry_get_owners_digest (&f.all[0], S), digest);
+  send_states (&f);
+  for (uint64_t hash = 0; hash < 100; hash++)
+    for (int at = 0; at < FLEET; at++)
+      {
+        ck_assert_uint_ne (get_owner (&f, at, hash, S), 1);
+        ck_assert_uint_eq (get_owner (&f, at, hash, S),
+                           get_owner (&f, 1, hash, S));
+      }
+  close_fleet (&f);
 }
 END_TEST
 
@@ -244,6 +297,7 @@
     listed_member_gets_state_but_is_no_endpoint,
     messages_round_trip,
     owner_is_the_same_at_all_members,
+    leaving_daemon_owns_no_pool,
     owners_digest_follows_the_live_members,
     late_state_of_an_ended_process_is_ignored,
   };
