--- a/src/front.c
+++ b/src/front.c
@@ -596,7 +596,6 @@
           .connections = (uint32_t)s->limits.connections,
           .idle_timeout_s
           = (uint32_t)((s->limits.idle_timeout_ms + 999) / CLOCK_US_PER_MS) };
-
   const struct
   {
     struct str address;
--- a/src/json_check.c
+++ b/src/json_check.c
@@ -7,6 +7,11 @@
 
 #include <string.h>
 
+/* Constants */
+
+#define ESCAPE_LEN 6u          /* of \\uXXXX */
+#define INTEGER_DIGITS_MAX 18u /* fit into 64 bits */
+
 /* Types */
 
 struct scanner
@@ -294,16 +299,77 @@
 
 /* Internal functions: limits */
 
-/* Skips a string, or what there is of it.  */
+/* Returns the code unit of the escape \\uXXXX at a position, or -1.  */
+static int
+get_escaped_unit (const struct scanner *s, size_t pos)
+{
+  int unit = 0;
+
+  if (s->text.len < ESCAPE_LEN || pos > s->text.len - ESCAPE_LEN
+      || s->text.data[pos] != '\\' || s->text.data[pos + 1] != 'u')
+    return -1;
+  for (size_t i = pos + 2; i < pos + ESCAPE_LEN; i++)
+    {
+      int digit = g_ascii_xdigit_value (s->text.data[i]);
+
+      if (digit < 0)
+        return -1;
+      unit = unit * 16 + digit;
+    }
+  return unit;
+}
+
+/* Moves the scanner behind an escape.  A half of a surrogate pair becomes
+   U+FFFD, since json-glib refuses the whole text with it.  */
+static void
+limit_escape (struct scanner *s, char *text)
+{
+  int unit = get_escaped_unit (s, s->pos);
+  int next = get_escaped_unit (s, s->pos + ESCAPE_LEN);
+
+  if (unit >= 0xd800 && unit <= 0xdbff && next >= 0xdc00 && next <= 0xdfff)
+    s->pos += 2 * ESCAPE_LEN;
+  else
+    {
+      if (unit >= 0xd800 && unit <= 0xdfff)
+        memcpy (text + s->pos + 2, "fffd", 4);
+      s->pos += 2;
+    }
+}
+
+/* Moves the scanner behind a string, or what there is of it.  */
 static void
-skip_string (struct scanner *s)
+limit_string (struct scanner *s, char *text)
 {
-  for (s->pos++; s->pos < s->text.len && peek (s) != '"'; s->pos++)
+  s->pos++;
+  while (s->pos < s->text.len && peek (s) != '"')
     if (peek (s) == '\\')
+      limit_escape (s, text);
+    else
       s->pos++;
   s->pos = MIN (s->pos + 1, s->text.len);
 }
 
+/* Moves the scanner behind a number.  An integer that may not fit into 64 bits
+   becomes null, since json-glib reads another number.  */
+static void
+limit_number (struct scanner *s, char *text)
+{
+  size_t start = s->pos;
+  bool is_integer = true;
+
+  for (; g_ascii_isalnum (peek (s)) || peek (s) == '.' || peek (s) == '+'
+         || peek (s) == '-';
+       s->pos++)
+    is_integer = is_integer && g_ascii_isdigit (peek (s));
+  if (!is_integer || s->pos - start <= INTEGER_DIGITS_MAX)
+    return;
+  if (start > 0 && text[start - 1] == '-')
+    text[start - 1] = ' ';
+  memset (text + start, ' ', s->pos - start);
+  memcpy (text + start, "null", 4);
+}
+
 /* Returns true for the bytes of JSON text outside of strings.  Others, such as
    those of a comment, could hide brackets from a scan.  */
 static bool
@@ -324,7 +390,7 @@
 }
 
 static bool
-limit_depth (struct scanner *s, struct str_buf *out)
+limit_text (struct scanner *s, char *text, struct str_buf *out)
 {
   size_t start = 0;
 
@@ -334,7 +400,12 @@
 
       if (c == '"')
         {
-          skip_string (s);
+          limit_string (s, text);
+          continue;
+        }
+      if (g_ascii_isdigit (c))
+        {
+          limit_number (s, text);
           continue;
         }
       if (!is_json_byte (c))
@@ -488,17 +559,11 @@
 bool
 json_check_limit_text (struct str text, struct str_buf *out)
 {
-  struct scanner s = { .text = text };
-  const char *end;
-  char *valid;
-  bool ok;
-
-  if (g_utf8_validate_len (text.data, text.len, &end))
-    return limit_depth (&s, out);
-  valid = g_utf8_make_valid (text.data, (gssize)text.len);
-  s.text = str_from_cstr (valid);
-  ok = limit_depth (&s, out);
-  g_free (valid);
+  char *copy = g_utf8_make_valid (text.data, (gssize)text.len);
+  struct scanner s = { .text = str_from_cstr (copy) };
+  bool ok = limit_text (&s, copy, out);
+
+  g_free (copy);
   return ok;
 }
 
--- a/src/json_check.h
+++ b/src/json_check.h
@@ -35,8 +35,9 @@
    or NULL with line and column in the error */
 JsonNode *json_check_parse (struct str text, GError **error);
 /* appends the text with null in place of each value that is nested more than
-   JSON_CHECK_DEPTH_MAX deep, and with U+FFFD in place of bytes that are not
-   UTF-8, so that json-glib can parse it and one bad entry of a list does not
+   JSON_CHECK_DEPTH_MAX deep and of each integer of more than 18 digits, and
+   with U+FFFD in place of bytes that are not UTF-8 and halves of surrogate
+   pairs, so that json-glib can parse it and one bad entry of a list does not
    hide the others; returns false if the text cannot be JSON */
 bool json_check_limit_text (struct str text, struct str_buf *out);
 /* returns the position of the value at a path such as routes[3].importance; if
--- a/tests/test_json_field.c
+++ b/tests/test_json_field.c
@@ -6,6 +6,7 @@
 #include "suite.h"
 
 #include <glib.h>
+#include <string.h>
 
 static char *
 nest (const char *before, uint32_t depth, const char *after)
@@ -107,13 +108,60 @@
 }
 END_TEST
 
+/* Guards against the same because of half of a surrogate pair, as which some
+   programs write a byte that is not UTF-8, and against spoiling a pair.  */
+START_TEST (half_of_a_surrogate_pair_spoils_one_string)
+{
+  static const char *const halves[]
+      = { "\\ud800",        "\\udc00", "\\ud800A", "\\ud800\\u0041",
+          "\\udbff\\ud800", "x\\ud8",  "\\" };
+  struct str value;
+  JsonNode *root;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (halves) - 2; i++)
+    {
+      char *text
+          = g_strdup_printf ("{\"bad\":\"%s\",\"good\":\"x\"}", halves[i]);
+
+      root = json_field_parse_object (str_from_cstr (text));
+      ck_assert_msg (root != NULL, "%s", halves[i]);
+      ck_assert (
+          json_field_get_text (json_node_get_object (root), "good", &value));
+      json_node_unref (root);
+      g_free (text);
+    }
+  for (size_t i = G_N_ELEMENTS (halves) - 2; i < G_N_ELEMENTS (halves); i++)
+    {
+      char *text = g_strdup_printf ("{\"cut\":\"%s", halves[i]);
+
+      ck_assert_ptr_null (json_field_parse_object (str_from_cstr (text)));
+      g_free (text);
+    }
+  root = json_field_parse_object (
+      STR_LIT ("{\"a\":\"\\ud83d\\ude00 \\\\ud800\"}"));
+  ck_assert (json_field_get_text (json_node_get_object (root), "a", &value));
+  ck_assert (str_equal (value, STR_LIT ("\xf0\x9f\x98\x80 \\ud800")));
+  json_node_unref (root);
+}
+END_TEST
+
 /* Guards against a number that does not fit and is taken for another one.  */
 START_TEST (numbers_out_of_range_are_refused)
 {
-  static const char *const numbers[]
-      = { "65536", "0",    "-1",     "99999999999999999999999",
-          "1e400", "80.5", "\"80\"", "[80]",
-          "{}",    "null", "true",   "18446744073709551617" };
+  static const char *const numbers[] = { "65536",
+                                         "0",
+                                         "-1",
+                                         "99999999999999999999999",
+                                         "1e400",
+                                         "80.5",
+                                         "\"80\"",
+                                         "[80]",
+                                         "{}",
+                                         "null",
+                                         "true",
+                                         "18446744073709551617",
+                                         "-9223372036854775809",
+                                         "99999999999999999999" };
 
   for (size_t i = 0; i < G_N_ELEMENTS (numbers); i++)
     {
@@ -126,6 +174,10 @@
                                              "port", 1, 65535, &port),
                      "%s", numbers[i]);
       ck_assert_int_eq (port, 7);
+      ck_assert (strlen (numbers[i]) < 19
+                 || !json_field_get_number (json_node_get_object (root),
+                                            "port", INT64_MIN, INT64_MAX,
+                                            &port));
       json_node_unref (root);
       g_free (text);
     }
@@ -135,11 +187,12 @@
 int
 main (void)
 {
-  const TTest *const cases[]
-      = { deep_value_does_not_hide_its_neighbours,
-          text_within_the_limit_is_unchanged, text_that_is_no_json_is_refused,
-          bytes_that_are_not_utf8_spoil_one_string,
-          numbers_out_of_range_are_refused };
+  const TTest *const cases[] = { deep_value_does_not_hide_its_neighbours,
+                                 text_within_the_limit_is_unchanged,
+                                 text_that_is_no_json_is_refused,
+                                 bytes_that_are_not_utf8_spoil_one_string,
+                                 half_of_a_surrogate_pair_spoils_one_string,
+                                 numbers_out_of_range_are_refused };
 
   return suite_run ("json_field", cases, G_N_ELEMENTS (cases));
 }
