--- a/src/http_client.c
+++ b/src/http_client.c
@@ -34,7 +34,8 @@
 #define DROPPED_ANSWERS_MAX 16u
 /* Largest number of bytes of an exchange: a body in chunks of one byte takes
    six bytes for each of its own; the rest is for headers and framing.  */
-#define RECEIVED_MAX_BYTES(body_max) (8 * (body_max) + 4 * HEADERS_MAX_BYTES)
+#define RECEIVED_MAX_BYTES(body_max)                                          \
+  (8 * (body_max) + (size_t)4 * HEADERS_MAX_BYTES)
 
 /* Types */
 
--- a/src/json_check.c
+++ b/src/json_check.c
@@ -9,7 +9,7 @@
 
 /* Constants */
 
-#define ESCAPE_LEN 6u          /* of \\uXXXX */
+#define ESCAPE_LEN ((size_t)6) /* of \uXXXX */
 #define INTEGER_DIGITS_MAX 18u /* fit into 64 bits */
 
 /* Types */
@@ -299,7 +299,13 @@
 
 /* Internal functions: limits */
 
-/* Returns the code unit of the escape \\uXXXX at a position, or -1.  */
+static void
+overwrite (char *text, struct str replacement)
+{
+  memcpy (text, replacement.data, replacement.len);
+}
+
+/* Returns the code unit of the escape \uXXXX at a position, or -1.  */
 static int
 get_escaped_unit (const struct scanner *s, size_t pos)
 {
@@ -332,7 +338,7 @@
   else
     {
       if (unit >= 0xd800 && unit <= 0xdfff)
-        memcpy (text + s->pos + 2, "fffd", 4);
+        overwrite (text + s->pos + 2, STR_LIT ("fffd"));
       s->pos += 2;
     }
 }
@@ -367,7 +373,7 @@
   if (start > 0 && text[start - 1] == '-')
     text[start - 1] = ' ';
   memset (text + start, ' ', s->pos - start);
-  memcpy (text + start, "null", 4);
+  overwrite (text + start, STR_LIT ("null"));
 }
 
 /* Returns true for the bytes of JSON text outside of strings.  Others, such as
