--- a/src/json_check.c
+++ b/src/json_check.c
@@ -297,7 +297,8 @@
   return s->pos == s->text.len || fail (s, "text after the end of the value");
 }
 
-/* Internal functions: limits */
+/* Internal functions: limits; `text` is the scanner's text, which they
+   overwrite without changing its length.  */
 
 static void
 overwrite (char *text, struct str replacement)
@@ -395,6 +396,8 @@
   *start = s->pos;
 }
 
+/* Appends the text with its limits applied.  Returns false if it cannot be
+   JSON.  */
 static bool
 limit_text (struct scanner *s, char *text, struct str_buf *out)
 {
