Send a registration as soon as the shard's holder is known

Cause: p90 of the demo's bookings was 290 ms beside a p50 of 22 ms. A daemon that does not know a shard's holder asks for it and tries the registration again after 250 ms, although the reply comes within milliseconds.

Change: a reply that names a holder which was not known makes the registrations of its shard due at once.

--- a/src/control_shard.c
+++ b/src/control_shard.c
@@ -119,7 +119,8 @@
       shard_link_answer_holder (c, link, m->u.holder_request.shard, now_us);
       break;
     case WIRE_HOLDER:
-      shard_link_handle_holder (cs, &m->u.holder);
+      if (shard_link_handle_holder (cs, &m->u.holder))
+        shard_key_retry (cs, m->u.holder.shard);
       break;
     }
 }
--- a/src/shard_key.c
+++ b/src/shard_key.c
@@ -136,6 +136,21 @@
     table_remove (&cs->registrations, id);
 }
 
+void
+shard_key_retry (struct control_shard *cs, uint32_t shard)
+{
+  void *row;
+
+  for (uint64_t id = table_next (&cs->registrations, 0, &row); id != 0;
+       id = table_next (&cs->registrations, id, &row))
+    {
+      struct control_shard_registration *e = row;
+
+      if (e->shard == shard)
+        e->next_try_us = 0;
+    }
+}
+
 void
 shard_key_run (struct control *c, int64_t now_us)
 {
--- a/src/shard_key.h
+++ b/src/shard_key.h
@@ -17,6 +17,9 @@
 /* System: sends registrations, repeats those without an answer and ends them
    after a timeout.  */
 void shard_key_run (struct control *c, int64_t now_us);
+/* Makes the unanswered registrations of a shard due at once.  Called when the
+   shard's holder has become known.  */
+void shard_key_retry (struct control_shard *cs, uint32_t shard);
 /* Registers the key of a front thread's call.  */
 void shard_key_register (struct control *c,
                          const struct thread_message *message);
--- a/src/shard_link.c
+++ b/src/shard_link.c
@@ -128,19 +128,22 @@
   shard_link_reply (c, link, &m);
 }
 
-void
+bool
 shard_link_handle_holder (struct control_shard *cs,
                           const struct wire_holder *h)
 {
   struct control_shard_holder *state;
+  bool found;
 
   if (h->shard >= cs->shards || h->holder.id == 0)
-    return;
+    return false;
   state = &cs->holders[h->shard];
   if (h->epoch < state->epoch)
-    return;
+    return false;
+  found = state->member != h->holder.id;
   state->epoch = h->epoch;
   state->member = h->holder.id;
+  return found;
 }
 
 bool
--- a/src/shard_link.h
+++ b/src/shard_link.h
@@ -29,8 +29,9 @@
 /* Replies to a WIRE_HOLDER_REQUEST message.  */
 void shard_link_answer_holder (struct control *c, uint64_t link,
                                uint32_t shard, int64_t now_us);
-/* Handles a WIRE_HOLDER message.  */
-void shard_link_handle_holder (struct control_shard *cs,
+/* Handles a WIRE_HOLDER message.  Returns true if it names a holder that was
+   not known.  */
+bool shard_link_handle_holder (struct control_shard *cs,
                                const struct wire_holder *h);
 /* Sends a message to the holder of a shard.  Returns false if the holder is
    not known yet or the message cannot be sent.  */
--- a/tests/test_control_shard.c
+++ b/tests/test_control_shard.c
@@ -5,7 +5,9 @@
 #include "clock.h"
 #include "control_shard.h"
 #include "deployment.h"
+#include "frame.h"
 #include "process.h"
+#include "shard_key.h"
 #include "suite.h"
 
 #include <apr_general.h>
@@ -265,7 +267,7 @@
 };
 
 static struct member_entry
-make_entry (const struct peer *peers, int i)
+make_entry (uint16_t control_port, int i)
 {
   struct member_entry e = { .id = (uint64_t)i + 1,
                             .incarnation = 1u << MEMBER_RUN_SHIFT,
@@ -274,8 +276,7 @@
 
   memcpy (e.address.ip, "\0\0\0\0\0\0\0\0\0\0\xff\xff\x7f\0\0\1",
           MEMBER_IP_BYTES);
-  e.address.ports[MEMBER_PORT_CONTROL]
-      = (uint16_t)peers[i].settings.ports.control;
+  e.address.ports[MEMBER_PORT_CONTROL] = control_port;
   return e;
 }
 
@@ -367,12 +368,14 @@
     init_peer (&peers[i], i, dir);
   for (int i = 0; i < PEERS; i++)
     {
-      struct member_entry self = make_entry (peers, i);
+      struct member_entry self
+          = make_entry ((uint16_t)peers[i].settings.ports.control, i);
 
       member_init_table (&peers[i].members, &self, 1, clock_now_us ());
       for (int k = 0; k < PEERS; k++)
         {
-          struct member_entry other = make_entry (peers, k);
+          struct member_entry other
+              = make_entry ((uint16_t)peers[k].settings.ports.control, k);
 
           if (k != i)
             member_merge_entry (&peers[i].members, &other, clock_now_us ());
@@ -408,12 +411,60 @@
 }
 END_TEST
 
+/* Guards against a registration that waits for its next try although the
+   holder has become known meanwhile: after a start, each shard's first bookings
+   took 250 ms longer.  */
+START_TEST (registration_is_sent_when_the_holder_becomes_known)
+{
+  static struct peer p;
+  char *dir = process_make_dir (), *key = make_key (1);
+  struct thread_message registration
+      = { .key = str_slice (str_from_cstr (key), strlen ("Idempotency-Key: "),
+                            strlen (key)) };
+  struct wire_shard_message m = { .type = WIRE_HOLDER };
+  struct str_buf frame = { 0 };
+  int64_t now_us = clock_now_us ();
+  struct member_entry entry;
+  struct control_shard *cs;
+  void *row;
+
+  process_write_file (dir, "inventory.json", "{}");
+  init_peer (&p, 0, dir);
+  entry = make_entry ((uint16_t)p.settings.ports.control, 0);
+  member_init_table (&p.members, &entry, 1, now_us);
+  for (int i = 1; i < PEERS; i++)
+    {
+      entry = make_entry (process_get_port (), i);
+      member_merge_entry (&p.members, &entry, now_us);
+    }
+  control_shard_connect (&p.control, &p.members, &p.store.store);
+  cs = p.control.control_shard;
+  shard_key_register (&p.control, &registration);
+  ck_assert_uint_ne (table_next (&cs->registrations, 0, &row), 0);
+  m.u.holder.shard = ((struct control_shard_registration *)row)->shard;
+  m.u.holder.holder.id = 2;
+  m.u.holder.epoch = 1;
+  wire_shard_append_message (&frame, &m);
+  shard_key_run (&p.control, now_us);
+  ck_assert_int_eq (cs->holders[m.u.holder.shard].unanswered_since_us, 0);
+  ck_assert (control_shard_ops.on_frame (
+      &p.control, 0, WIRE_HOLDER,
+      str_slice (str_view (&frame), FRAME_HEADER_BYTES, frame.len)));
+  shard_key_run (&p.control, now_us);
+  ck_assert_int_eq (cs->holders[m.u.holder.shard].unanswered_since_us, now_us);
+  str_reset (&frame);
+  g_free (key);
+  g_free (dir);
+}
+END_TEST
+
 int
 main (void)
 {
   const TTest *const cases[]
       = { rate_is_enforced, request_with_key_runs_once,
-          tokens_come_from_the_holder_and_its_successor };
+          tokens_come_from_the_holder_and_its_successor,
+          registration_is_sent_when_the_holder_becomes_known };
 
   return suite_run ("control_shard", cases, G_N_ELEMENTS (cases));
 }
