--- a/src/control_registry.c
+++ b/src/control_registry.c
@@ -1,9 +1,7 @@
 /* control_registry: the component that connects daemon_registry, rate_share
    and object_store to the control thread.
 
-   The store is the platform's object store.  The deployment defines the key
-   and the format of the configuration object in it.  An endpoint is a daemon
-   to whose backend server requests may be sent.  */
+   An endpoint is a daemon to whose backend server requests may be sent.  */
 
 #include "control_registry.h"
 
@@ -11,198 +9,18 @@
 #include "deployment.h"
 #include "json_field.h"
 #include "logger.h"
+#include "registry_config.h"
 #include "tcp_socket.h"
-#include "wire_registry.h"
 
 /* Constants */
 
 #define DAEMONS_PREFIX STR_LIT ("almondvale-daemons/")
 #define CALL_TIMEOUT_US (INT64_C (1) * CLOCK_US_PER_S)
-/* A watch is one call, however long it waits, and the TCP keep-alive probes of
-   its connection detect a peer that no longer answers.  */
-#define WATCH_WAIT_US (INT64_C (20) * CLOCK_US_PER_S)
-#define WATCH_TIMEOUT_US (WATCH_WAIT_US + INT64_C (2) * CLOCK_US_PER_S)
-/* Delay after failed calls, doubled up to the maximum: a daemon that the store
-   rejects calls it at most once a second.  */
-#define RETRY_MIN_US (INT64_C (100) * CLOCK_US_PER_MS)
-#define RETRY_MAX_US (INT64_C (1) * CLOCK_US_PER_S)
-#define RETRY_DOUBLINGS_MAX 4u
-/* A new configuration is requested from a peer only after this time, in which
-   the daemon's own watch normally delivers it.  */
-#define PEER_CONFIG_DELAY_US (INT64_C (150) * CLOCK_US_PER_MS)
-#define PEER_CONFIG_RETRY_US (INT64_C (500) * CLOCK_US_PER_MS)
-
+#define JOIN_RETRY_US (INT64_C (500) * CLOCK_US_PER_MS)
 /* Members are checked for timeouts at this interval, one tick of the control
    thread; the timeout is 3 s or more.  */
 #define CHECK_INTERVAL_US (INT64_C (50) * CLOCK_US_PER_MS)
 
-/* Internal functions: configuration */
-
-/* Sets the rate limits of the workspaces.  From the first configuration on,
-   keyed routes, those that require an API key, are served without a time
-   limit: unlike control_gossip, this component needs no evidence that the
-   configuration is current.  */
-static void
-apply_limits (struct control *c, int64_t now_us)
-{
-  const struct table *t = &c->inventory.tables[INVENTORY_WORKSPACE];
-  struct daemon_context *shared = c->shared;
-  struct inventory_workspace *w;
-
-  g_mutex_lock (&shared->quota_mutex);
-  rate_share_begin_update (&shared->rate_shares);
-  for (uint64_t id = table_next (t, 0, (void **)&w); id != 0;
-       id = table_next (t, id, (void **)&w))
-    rate_share_set_limit (&shared->rate_shares, w->name, w->rate_per_s,
-                          w->burst, now_us);
-  rate_share_end_update (&shared->rate_shares);
-  g_mutex_unlock (&shared->quota_mutex);
-  c->control_registry->owners_digest = 0;
-  atomic_store (&shared->rate_limited, true);
-  atomic_store (&shared->keyed_routes_until_us, INT64_MAX);
-}
-
-/* Applies a configuration if it is newer than the one in effect.  */
-static void
-apply_config (struct control *c, struct str bytes, const char *source)
-{
-  struct control_registry *cr = c->control_registry;
-  struct inventory loaded;
-  GError *error = NULL;
-
-  if (!c->shared->deployment->load_config (&loaded, bytes, &error))
-    {
-      LOGGER_WRITE (LOGGER_ERROR, "configuration_invalid",
-                    LOGGER_TEXT ("source", str_from_cstr (source)),
-                    LOGGER_TEXT ("reason", str_from_cstr (error->message)));
-      g_error_free (error);
-      return;
-    }
-  if (cr->config.len > 0 && loaded.revision <= c->inventory.revision)
-    {
-      inventory_close (&loaded);
-      return;
-    }
-  inventory_close (&c->inventory);
-  c->inventory = loaded;
-  str_free (&cr->config);
-  cr->config = str_copy (bytes);
-  apply_limits (c, clock_now_us ());
-  control_set_config_changed (c);
-  cr->next_state_us = 0;
-  LOGGER_WRITE (LOGGER_INFO, "configuration_applied",
-                LOGGER_NUMBER ("revision", (int64_t)c->inventory.revision),
-                LOGGER_TEXT ("source", str_from_cstr (source)));
-}
-
-static int64_t
-get_retry_us (uint32_t failures)
-{
-  uint32_t doublings = MIN (failures, RETRY_DOUBLINGS_MAX);
-
-  return MIN (RETRY_MIN_US << doublings, RETRY_MAX_US);
-}
-
-static void
-record_config_failure (struct control *c, enum err_kind error)
-{
-  struct control_registry *cr = c->control_registry;
-
-  if (cr->config_failures++ == 0)
-    LOGGER_WRITE (
-        LOGGER_WARNING, "store_lost",
-        LOGGER_TEXT ("error", str_from_cstr (err_get_answer (error)->name)));
-  cr->config_retry_us = clock_now_us () + get_retry_us (cr->config_failures);
-}
-
-static void
-record_config_success (struct control_registry *cr)
-{
-  if (cr->config_failures > 0)
-    LOGGER_WRITE (LOGGER_INFO, "store_regained",
-                  LOGGER_NUMBER ("failures", cr->config_failures));
-  cr->config_failures = 0;
-}
-
-static void
-apply_objects (struct control *c, const struct object_store_answer *a)
-{
-  for (uint32_t i = 0; i < a->objects_len; i++)
-    if (!a->objects[i].deleted
-        && str_equal (a->objects[i].key, c->shared->deployment->config_key))
-      apply_config (c, a->objects[i].value, "store");
-}
-
-/* The object is read by a list call, since a watch has to start at the version
-   of a list: the store has possibly dropped the history since the version of
-   the object itself.  */
-static void
-on_config_got (void *data, const struct object_store_answer *a)
-{
-  struct control *c = data;
-  struct control_registry *cr = c->control_registry;
-
-  cr->read_pending = false;
-  if (a->error != ERR_NONE)
-    {
-      record_config_failure (c, a->error);
-      return;
-    }
-  record_config_success (cr);
-  cr->needs_read = false;
-  cr->store_version = a->version;
-  apply_objects (c, a);
-}
-
-static void
-on_config_watched (void *data, const struct object_store_answer *a)
-{
-  struct control *c = data;
-  struct control_registry *cr = c->control_registry;
-
-  cr->read_pending = false;
-  if (a->error == ERR_STORE_CONFLICT)
-    {
-      /* The store no longer has the history since that version.  */
-      cr->needs_read = true;
-      return;
-    }
-  if (a->error != ERR_NONE)
-    {
-      /* An interrupted watch does no harm.  The object is read again, since
-         the store has possibly dropped the changes made meanwhile.  */
-      cr->needs_read = true;
-      record_config_failure (c, a->error);
-      return;
-    }
-  record_config_success (cr);
-  cr->store_version = MAX (cr->store_version, a->version);
-  apply_objects (c, a);
-}
-
-static void
-read_config (struct control *c, int64_t now_us)
-{
-  struct control_registry *cr = c->control_registry;
-  struct str key = c->shared->deployment->config_key;
-  struct object_store_call call
-      = { .timeout_us = CALL_TIMEOUT_US, .done = on_config_got, .data = c };
-
-  if (cr->store == NULL || cr->read_pending || now_us < cr->config_retry_us
-      || c->shutting_down)
-    return;
-  cr->read_pending = true;
-  if (cr->needs_read)
-    {
-      cr->store->ops->list (cr->store, key, STR_EMPTY, true, &call);
-      return;
-    }
-  call.timeout_us = WATCH_TIMEOUT_US;
-  call.done = on_config_watched;
-  cr->store->ops->watch (cr->store, key, cr->store_version, WATCH_WAIT_US,
-                         true, &call);
-}
-
 /* Internal functions: joining the fleet */
 
 static void
@@ -271,7 +89,7 @@
 static void
 record_join_failure (struct control *c, enum err_kind error)
 {
-  c->control_registry->join_retry_us = clock_now_us () + RETRY_MAX_US / 2;
+  c->control_registry->join_retry_us = clock_now_us () + JOIN_RETRY_US;
   LOGGER_WRITE (
       LOGGER_WARNING, "entering_failed",
       LOGGER_TEXT ("error", str_from_cstr (err_get_answer (error)->name)));
@@ -457,62 +275,6 @@
   g_mutex_unlock (&c->shared->quota_mutex);
 }
 
-static void
-record_newer_config (struct control *c,
-                     const struct daemon_registry_state *state)
-{
-  struct control_registry *cr = c->control_registry;
-  uint64_t own = cr->config.len > 0 ? c->inventory.revision : 0;
-
-  if (state->revision <= own || state->revision <= cr->newer_revision)
-    return;
-  cr->newer_revision = state->revision;
-  cr->newer_member = state->member;
-  cr->newer_request_us
-      = clock_now_us () + (own > 0 ? PEER_CONFIG_DELAY_US : 0);
-}
-
-static void
-request_newer_config (struct control *c, int64_t now_us)
-{
-  struct control_registry *cr = c->control_registry;
-  uint64_t own = cr->config.len > 0 ? c->inventory.revision : 0;
-  const struct daemon_registry_member *m;
-  struct wire_registry_message message
-      = { .type = WIRE_REGISTRY_CONFIG_REQUEST };
-  struct str_buf out = { 0 };
-
-  if (cr->newer_revision <= own || now_us < cr->newer_request_us)
-    return;
-  m = daemon_registry_find (&cr->registry, cr->newer_member);
-  cr->newer_request_us = now_us + PEER_CONFIG_RETRY_US;
-  if (m == NULL)
-    {
-      cr->newer_revision = 0;
-      return;
-    }
-  wire_registry_append (&out, &message);
-  control_send (c, m->state.member, m->state.address, m->state.control_port,
-                str_view (&out));
-  str_reset (&out);
-}
-
-static void
-send_config (struct control *c, uint64_t link)
-{
-  struct control_registry *cr = c->control_registry;
-  struct wire_registry_message m = { .type = WIRE_REGISTRY_CONFIG };
-  struct str_buf out = { 0 };
-
-  if (cr->config.len == 0)
-    return;
-  m.u.config.revision = c->inventory.revision;
-  m.u.config.bytes = cr->config;
-  wire_registry_append (&out, &m);
-  control_reply (c, link, str_view (&out));
-  str_reset (&out);
-}
-
 static void
 publish_endpoints (struct control *c, int64_t now_us)
 {
@@ -757,13 +519,13 @@
       if (!known
           && daemon_registry_find (&cr->registry, m.u.state.member) != NULL)
         send_state_to (c, &m.u.state);
-      record_newer_config (c, &m.u.state);
+      registry_config_record (c, &m.u.state);
       break;
     case WIRE_REGISTRY_CONFIG_REQUEST:
-      send_config (c, link);
+      registry_config_send (c, link);
       break;
     case WIRE_REGISTRY_CONFIG:
-      apply_config (c, m.u.config.bytes, "peer");
+      registry_config_apply (c, m.u.config.bytes, "peer");
       break;
     case WIRE_REGISTRY_TOKEN_REQUEST:
       answer_token_request (c, link, &m.u.token_request);
@@ -785,8 +547,8 @@
   bool check;
 
   join_fleet (c, now_us);
-  read_config (c, now_us);
-  request_newer_config (c, now_us);
+  registry_config_read (c, now_us);
+  registry_config_request (c, now_us);
   announce_own_changes (c);
   check = cr->members_changed || now_us >= cr->next_check_us;
   if (check)
