--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -421,15 +421,27 @@
 }
 END_TEST
 
-/* Connects to a port of a daemon as a caller does.  */
+/* Connects to a port of a daemon as a caller does.  Returns -1 if the daemon
+   does not listen.  */
 static int
-connect_to (uint16_t port)
+try_connect (uint16_t port)
 {
   struct sockaddr_in at = { .sin_family = AF_INET, .sin_port = htons (port) };
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
   at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  ck_assert_int_eq (connect (fd, (struct sockaddr *)&at, sizeof at), 0);
+  if (connect (fd, (struct sockaddr *)&at, sizeof at) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+static int
+connect_to (uint16_t port)
+{
+  int fd = try_connect (port);
+
+  ck_assert_int_ge (fd, 0);
   return fd;
 }
 
@@ -518,6 +530,86 @@
 }
 END_TEST
 
+#define GRACE_US 6000000
+#define GRACE_PARTS 10
+
+static const char brief_request[]
+    = "GET /book/x HTTP/1.1\r\n" HOST_HEADER "\r\n" KEY_HEADER "\r\n" ID_HEADER
+      "\r\n" TIMEOUT_HEADER "\r\n\r\n";
+
+/* Sends `count` requests in one write and returns how many were answered with
+   200.  All others must have been refused, or the connection must have been
+   closed before the daemon read them.  */
+static int
+send_pipelined (int fd, int count)
+{
+  char answer[4096];
+  int served = 0;
+
+  for (int i = 0; i < count; i++)
+    if (write (fd, brief_request, sizeof brief_request - 1) < 0)
+      return 0;
+  for (int i = 0; i < count; i++)
+    {
+      read_answer (fd, answer);
+      if (strstr (answer, "200 OK") != NULL)
+        served++;
+      else if (answer[0] == '\0')
+        break;
+      else
+        ck_assert_msg (strstr (answer, " 503 ") != NULL, "answer %s", answer);
+    }
+  return served;
+}
+
+/* Guards against requests that a stopping daemon passes on and then cuts off:
+   in each tenth of the grace period, one is sent on a connection that is open
+   from before, and one on a new connection.  The backend server must have run
+   exactly those that were answered.  Another request keeps the daemon running
+   until its shutdown time is over.  */
+START_TEST (no_request_is_cut_off_in_the_grace_period)
+{
+  struct fixture f = start ();
+  int open[GRACE_PARTS], fresh, served = 0;
+  GThread *thread = g_thread_new ("hang", send_hang, &f);
+  int before[DAEMONS], after[DAEMONS];
+  int64_t begun_us;
+
+  /* The hanging request is one of the executions.  */
+  get_executions (&f, before);
+  for (int i = 0; i < GRACE_PARTS; i++)
+    {
+      open[i] = connect_to (f.daemons[0].caller);
+      served += send_pipelined (open[i], 1);
+    }
+  await_count (&f, "/standin/executions", before[2] + GRACE_PARTS);
+  kill (f.daemons[0].pid, SIGTERM);
+  begun_us = clock_now_us ();
+  for (int i = 0; i < GRACE_PARTS; i++)
+    {
+      int64_t due_us = begun_us + (2 * i + 1) * GRACE_US / GRACE_PARTS / 2;
+
+      g_usleep ((gulong)MAX (due_us - clock_now_us (), 0));
+      served += send_pipelined (open[i], 1);
+      close (open[i]);
+      fresh = try_connect (f.daemons[0].caller);
+      if (fresh >= 0)
+        {
+          served += send_pipelined (fresh, 1);
+          close (fresh);
+        }
+    }
+  process_wait (f.daemons[0].pid);
+  f.daemons[0].pid = 0;
+  g_thread_join (thread);
+  get_executions (&f, after);
+  ck_assert_int_ge (served, GRACE_PARTS + 2);
+  ck_assert_int_le (after[2] - before[2], served + 1);
+  ck_assert_int_ge (after[2] - before[2], served);
+  stop (&f);
+}
+END_TEST
+
 /* Guards against a caller that waits longer than the route's timeout, and
    against a backend server that works on the request after this timeout.  Also
    guards against the retry of an unsafe request whose first attempt was not
@@ -684,6 +776,7 @@
     hangup_during_startup_is_ignored,
     caller_disconnect_cancels_the_request,
     late_request_is_refused_during_shutdown,
+    no_request_is_cut_off_in_the_grace_period,
     route_timeout_cancels_a_request,
     lost_watch_history_is_read_again,
     daemon_joins_despite_lost_answers,
