Let 24 daemons watch the configuration instead of all

Change: the 24 daemons that rank highest by rendezvous hashing among those heard lately watch; fleets up to that size behave as before. The others get a new configuration from a random member that announces it, first in their failure domain. Watchers that the store rejects announce it and are replaced; while it rejects all, at most 72 daemons call it. A daemon without an answer for 1 s reads the store. At the fleet's first start daemons write before they list, and a watch waits 30 s instead of 20.

New cases in test_daemon_registry: replacement, an outage, spread requests.

--- a/src/control_registry.c
+++ b/src/control_registry.c
@@ -89,7 +89,11 @@
 static void
 record_join_failure (struct control *c, enum err_kind error)
 {
-  c->control_registry->join_retry_us = clock_now_us () + JOIN_RETRY_US;
+  struct control_registry *cr = c->control_registry;
+
+  cr->join_retry_us = clock_now_us () + JOIN_RETRY_US;
+  cr->members_changed = !cr->join_failed || cr->members_changed;
+  cr->join_failed = true;
   LOGGER_WRITE (
       LOGGER_WARNING, "entering_failed",
       LOGGER_TEXT ("error", str_from_cstr (err_get_answer (error)->name)));
@@ -109,6 +113,7 @@
     }
   for (uint32_t i = 0; i < a->objects_len; i++)
     add_listed_daemon (c, &a->objects[i]);
+  cr->join_failed = false;
   cr->listed = true;
   cr->members_changed = true;
   cr->next_state_us = 0;
@@ -190,6 +195,7 @@
     .service = c->backend.service,
     .serving = c->backend_state == CONTROL_BACKEND_SERVING,
     .leaving = c->shutting_down,
+    .store_failed = c->control_registry->config_failures > 0,
     .revision
     = c->control_registry->config.len > 0 ? c->inventory.revision : 0,
     .demands_len = MIN (demands->len, WIRE_REGISTRY_DEMANDS_MAX),
@@ -478,6 +484,10 @@
   c->control_registry = cr;
   cr->config = STR_EMPTY;
   cr->needs_read = true;
+  /* Daemons that start together write first, so that each list has those that
+     wrote before.  */
+  if (c->settings->first_start)
+    cr->phase = CONTROL_REGISTRY_WRITING;
   daemon_registry_init (&cr->registry, c->shared->member);
   cr->store = c->shared->deployment->load_store (c->loop.base, c->settings);
   return true;
@@ -552,7 +562,10 @@
   announce_own_changes (c);
   check = cr->members_changed || now_us >= cr->next_check_us;
   if (check)
-    daemon_registry_run (&cr->registry, now_us);
+    {
+      daemon_registry_run (&cr->registry, now_us);
+      registry_config_choose_watchers (c, now_us);
+    }
   g_mutex_lock (&c->shared->quota_mutex);
   measured = rate_share_run (&c->shared->rate_shares, now_us);
   if (check || measured)
@@ -580,6 +593,8 @@
 
   json_builder_set_member_name (b, "members");
   json_builder_add_int_value (b, (gint64)cr->registry.members.count + 1);
+  json_builder_set_member_name (b, "watching");
+  json_builder_add_boolean_value (b, cr->watching);
   json_builder_set_member_name (b, "store_failures");
   json_builder_add_int_value (b, cr->config_failures);
 }
--- a/src/control_registry.h
+++ b/src/control_registry.h
@@ -4,9 +4,8 @@
    When a daemon starts, it reads the list of the other daemons from the store
    (the platform's object store).  From then on it sends them its state, so
    that they learn of it without reading the store again.  The configuration is
-   one object of the store, which each daemon watches.  A daemon whose
-   configuration is older than a peer's requests the newer one from that
-   peer.  */
+   one object of the store, which some daemons watch.  A daemon whose
+   configuration is older than a peer's requests the newer one from a peer.  */
 
 #ifndef ALMONDVALE_CONTROL_REGISTRY_H
 #define ALMONDVALE_CONTROL_REGISTRY_H
@@ -31,6 +30,7 @@
   struct object_store *store;
   enum control_registry_phase phase;
   bool listed;             /* the daemons were listed once */
+  bool join_failed;        /* the last call for joining failed */
   bool own_object_current; /* the store has this daemon's address */
   bool call_pending;       /* a store call for joining is pending */
   int64_t join_retry_us;   /* earliest time of the next such call */
@@ -41,8 +41,9 @@
   int64_t config_retry_us;  /* earliest time of the next read */
   uint32_t config_failures; /* consecutive failures */
   struct str config;        /* owned; bytes of the configuration in effect */
-  uint64_t newer_member;    /* member with a newer configuration */
-  uint64_t newer_revision;  /* its revision */
+  bool watching;            /* this daemon watches the configuration */
+  uint64_t newer_revision;  /* newest revision that a member has */
+  int64_t newer_seen_us;    /* when its first state arrived */
   int64_t newer_request_us; /* when that configuration is requested */
   /* state messages and members */
   int64_t next_state_us;    /* time of the next state to all members */
--- a/src/daemon_registry.c
+++ b/src/daemon_registry.c
@@ -9,6 +9,12 @@
 #include <string.h>
 #include <xxhash.h>
 
+/* Constants */
+
+/* Hashed with the name of a daemon for its rank as a watcher; pools use the
+   hash of their workspace.  */
+#define WATCHER_HASH 1u
+
 /* Internal functions */
 
 static void
@@ -338,6 +344,97 @@
   return MAX (sum, 1);
 }
 
+/* Returns true if the member can be expected to tell this daemon of a new
+   configuration.  The time without a state is shorter than that of an
+   endpoint, because a daemon has only some seconds to notice a change.  */
+static bool
+can_watch (const struct daemon_registry *r,
+           const struct daemon_registry_member *m, int64_t now_us)
+{
+  int64_t age_us = now_us - m->last_state_us;
+
+  if (!m->state_received)
+    return age_us < DAEMON_REGISTRY_FIRST_STATE_US;
+  return !m->state.leaving
+         && age_us < daemon_registry_get_interval (r) * 5 / 4;
+}
+
+/**
+ * daemon_registry_is_watcher - ranks this daemon by rendezvous hashing
+ * @r: registry
+ * @own_name: name of this daemon
+ * @now_us: current time
+ *
+ * Each daemon decides alone.  When daemons know different members, more of
+ * them watch for a while, which does no harm.  Daemons that the store rejects
+ * are replaced, but while it rejects all, only some try: a fleet that called
+ * the store at once after an outage would exceed its rate.
+ *
+ * Return: true if fewer than %DAEMON_REGISTRY_WATCHERS members that reach the
+ * store rank higher, and fewer than %DAEMON_REGISTRY_WATCHERS_MAX members.
+ */
+bool
+daemon_registry_is_watcher (const struct daemon_registry *r,
+                            struct str own_name, int64_t now_us)
+{
+  uint64_t own = hash_owner (own_name, WATCHER_HASH);
+  struct daemon_registry_member *m;
+  uint32_t higher = 0;
+  uint32_t failed = 0;
+
+  if (r->members.count < DAEMON_REGISTRY_WATCHERS)
+    return true;
+  for (uint64_t id = table_next (&r->members, 0, (void **)&m); id != 0;
+       id = table_next (&r->members, id, (void **)&m))
+    if (can_watch (r, m, now_us)
+        && hash_owner (m->state.name, WATCHER_HASH) > own)
+      {
+        higher++;
+        failed += m->state.store_failed;
+      }
+  return higher - failed < DAEMON_REGISTRY_WATCHERS
+         && higher < DAEMON_REGISTRY_WATCHERS_MAX;
+}
+
+/**
+ * daemon_registry_find_revision - chooses a member to get a configuration from
+ * @r: registry
+ * @revision: revision that the member has to have at least
+ * @domain: failure domain whose members are preferred
+ * @random: random number
+ * @now_us: current time
+ *
+ * Many daemons look for the same revision at the same time; the random choice
+ * spreads their requests.
+ *
+ * Return: the member, or %NULL if no live one has the revision.
+ */
+struct daemon_registry_member *
+daemon_registry_find_revision (const struct daemon_registry *r,
+                               uint64_t revision, struct str domain,
+                               uint32_t random, int64_t now_us)
+{
+  struct daemon_registry_member *m, *best = NULL;
+  uint64_t best_rank = 0;
+
+  for (uint64_t id = table_next (&r->members, 0, (void **)&m); id != 0;
+       id = table_next (&r->members, id, (void **)&m))
+    {
+      uint64_t rank = XXH64 (&m->state.member, sizeof m->state.member, random);
+
+      if (m->state.revision < revision
+          || !daemon_registry_is_live (r, m, now_us))
+        continue;
+      /* The highest bit puts members of the domain first.  */
+      rank = rank >> 1 | (uint64_t)str_equal (m->state.domain, domain) << 63;
+      if (best != NULL && rank < best_rank)
+        continue;
+      best = m;
+      best_rank = rank;
+    }
+  return best;
+}
+
 void
 daemon_registry_append_endpoints (const struct daemon_registry *r,
                                   GArray *endpoints, int64_t now_us)
--- a/src/daemon_registry.h
+++ b/src/daemon_registry.h
@@ -32,6 +32,15 @@
 #define DAEMON_REGISTRY_INTERVAL_US 1000000
 /* Intervals without a state after which a member is no endpoint.  */
 #define DAEMON_REGISTRY_TIMEOUT_INTERVALS 3
+/* Number of daemons that read the configuration from the store; all daemons of
+   a smaller fleet do.  Some may be cut off from the store, or from the others,
+   without being noticed for some seconds, so there are several in each failure
+   domain.  */
+#define DAEMON_REGISTRY_WATCHERS 24u
+/* Largest number of daemons that call the store while it rejects them.  */
+#define DAEMON_REGISTRY_WATCHERS_MAX (3 * DAEMON_REGISTRY_WATCHERS)
+/* Time in which a daemon that the store lists should send its first state.  */
+#define DAEMON_REGISTRY_FIRST_STATE_US 500000
 /* Time without a state after which a member is removed.  */
 #define DAEMON_REGISTRY_EXPIRE_US 60000000
 
@@ -50,6 +59,7 @@
   struct str service; /* of its backend server, or empty */
   bool serving;       /* the backend server accepts requests */
   bool leaving;       /* the daemon is shutting down */
+  bool store_failed;  /* its last call to the store failed */
   uint64_t revision;  /* of the configuration in effect; 0: none */
   uint32_t demands_len;
   struct rate_share_demand *demands; /* one for each workspace */
@@ -115,6 +125,16 @@
    the same owners */
 uint64_t daemon_registry_get_owners_digest (const struct daemon_registry *r,
                                             int64_t now_us);
+/* returns true if this daemon is one of the DAEMON_REGISTRY_WATCHERS that read
+   the configuration from the store */
+bool daemon_registry_is_watcher (const struct daemon_registry *r,
+                                 struct str own_name, int64_t now_us);
+/* returns a member that has a configuration of this revision or a later one,
+   preferably in a failure domain, or NULL; `random` chooses among several */
+struct daemon_registry_member *
+daemon_registry_find_revision (const struct daemon_registry *r,
+                               uint64_t revision, struct str domain,
+                               uint32_t random, int64_t now_us);
 /* appends a struct snapshot_endpoint for each endpoint; their strings are
    views */
 void daemon_registry_append_endpoints (const struct daemon_registry *r,
--- a/src/registry_config.c
+++ b/src/registry_config.c
@@ -15,17 +15,23 @@
 #define CALL_TIMEOUT_US (INT64_C (1) * CLOCK_US_PER_S)
 /* A watch is one call, however long it waits, and the TCP keep-alive probes of
    its connection detect a peer that no longer answers.  */
-#define WATCH_WAIT_US (INT64_C (20) * CLOCK_US_PER_S)
+#define WATCH_WAIT_US (INT64_C (30) * CLOCK_US_PER_S)
 #define WATCH_TIMEOUT_US (WATCH_WAIT_US + INT64_C (2) * CLOCK_US_PER_S)
 /* Delay after failed calls, doubled up to the maximum: a daemon that the store
    rejects calls it at most once a second.  */
 #define RETRY_MIN_US (INT64_C (100) * CLOCK_US_PER_MS)
 #define RETRY_MAX_US (INT64_C (1) * CLOCK_US_PER_S)
 #define RETRY_DOUBLINGS_MAX 4u
-/* A new configuration is requested from a peer only after this time, in which
-   the daemon's own watch normally delivers it.  */
-#define PEER_CONFIG_DELAY_US (INT64_C (150) * CLOCK_US_PER_MS)
-#define PEER_CONFIG_RETRY_US (INT64_C (500) * CLOCK_US_PER_MS)
+/* A watcher requests a new configuration from a peer only after this time, in
+   which its own watch normally delivers it.  */
+#define WATCHER_DELAY_US (INT64_C (150) * CLOCK_US_PER_MS)
+/* Other daemons wait only until several members have announced the new
+   configuration, so that their requests are spread.  */
+#define PEER_CONFIG_DELAY_US (INT64_C (10) * CLOCK_US_PER_MS)
+#define PEER_CONFIG_RETRY_US (INT64_C (300) * CLOCK_US_PER_MS)
+/* If no peer delivers a newer configuration within this time, it is read from
+   the store.  */
+#define PEER_CONFIG_TIMEOUT_US (INT64_C (1) * CLOCK_US_PER_S)
 
 /* Internal functions */
 
@@ -67,9 +73,13 @@
   struct control_registry *cr = c->control_registry;
 
   if (cr->config_failures++ == 0)
-    LOGGER_WRITE (
-        LOGGER_WARNING, "store_lost",
-        LOGGER_TEXT ("error", str_from_cstr (err_get_answer (error)->name)));
+    {
+      /* The others choose another watcher by the next state.  */
+      cr->next_state_us = 0;
+      LOGGER_WRITE (
+          LOGGER_WARNING, "store_lost",
+          LOGGER_TEXT ("error", str_from_cstr (err_get_answer (error)->name)));
+    }
   cr->config_retry_us = clock_now_us () + get_retry_us (cr->config_failures);
 }
 
@@ -138,8 +148,43 @@
   apply_objects (c, a);
 }
 
+static uint64_t
+get_own_revision (const struct control *c)
+{
+  return c->control_registry->config.len > 0 ? c->inventory.revision : 0;
+}
+
+/* Returns true if no peer has delivered the newest known configuration in
+   time.  */
+static bool
+is_peer_late (const struct control *c, int64_t now_us)
+{
+  const struct control_registry *cr = c->control_registry;
+
+  return cr->newer_revision > get_own_revision (c)
+         && now_us - cr->newer_seen_us > PEER_CONFIG_TIMEOUT_US;
+}
+
 /* Public functions */
 
+void
+registry_config_choose_watchers (struct control *c, int64_t now_us)
+{
+  struct control_registry *cr = c->control_registry;
+  bool watching = cr->join_failed;
+
+  /* Before the daemons were listed, this one does not know its rank.  */
+  if (cr->listed)
+    watching = daemon_registry_is_watcher (&cr->registry,
+                                           c->settings->member_id, now_us);
+  if (watching == cr->watching)
+    return;
+  cr->watching = watching;
+  LOGGER_WRITE (LOGGER_INFO, "watching_changed",
+                LOGGER_NUMBER ("watching", watching),
+                LOGGER_NUMBER ("members", cr->registry.members.count + 1));
+}
+
 void
 registry_config_apply (struct control *c, struct str bytes, const char *source)
 {
@@ -183,6 +228,10 @@
   if (cr->store == NULL || cr->read_pending || now_us < cr->config_retry_us
       || c->shutting_down)
     return;
+  if (is_peer_late (c, now_us))
+    cr->needs_read = true;
+  else if (!cr->watching)
+    return;
   cr->read_pending = true;
   if (cr->needs_read)
     {
@@ -200,29 +249,33 @@
                         const struct daemon_registry_state *state)
 {
   struct control_registry *cr = c->control_registry;
-  uint64_t own = cr->config.len > 0 ? c->inventory.revision : 0;
+  uint64_t own = get_own_revision (c);
 
   if (state->revision <= own || state->revision <= cr->newer_revision)
     return;
   cr->newer_revision = state->revision;
-  cr->newer_member = state->member;
-  cr->newer_request_us
-      = clock_now_us () + (own > 0 ? PEER_CONFIG_DELAY_US : 0);
+  cr->newer_seen_us = clock_now_us ();
+  cr->newer_request_us = cr->newer_seen_us;
+  if (own > 0)
+    cr->newer_request_us
+        += cr->watching ? WATCHER_DELAY_US : PEER_CONFIG_DELAY_US;
 }
 
 void
 registry_config_request (struct control *c, int64_t now_us)
 {
   struct control_registry *cr = c->control_registry;
-  uint64_t own = cr->config.len > 0 ? c->inventory.revision : 0;
   const struct daemon_registry_member *m;
   struct wire_registry_message message
       = { .type = WIRE_REGISTRY_CONFIG_REQUEST };
   struct str_buf out = { 0 };
 
-  if (cr->newer_revision <= own || now_us < cr->newer_request_us)
+  if (cr->newer_revision <= get_own_revision (c)
+      || now_us < cr->newer_request_us)
     return;
-  m = daemon_registry_find (&cr->registry, cr->newer_member);
+  m = daemon_registry_find_revision (
+      &cr->registry, cr->newer_revision, c->settings->failure_domain,
+      (uint32_t)(c->shared->member ^ (uint64_t)now_us), now_us);
   cr->newer_request_us = now_us + PEER_CONFIG_RETRY_US;
   if (m == NULL)
     {
--- a/src/registry_config.h
+++ b/src/registry_config.h
@@ -13,12 +13,16 @@
    names its origin in the log.  */
 void registry_config_apply (struct control *c, struct str bytes,
                             const char *source);
-/* System: reads or watches the configuration in the store.  */
+/* System: decides whether this daemon watches the configuration in the store.
+   Other daemons get new configurations from peers.  */
+void registry_config_choose_watchers (struct control *c, int64_t now_us);
+/* System: reads or watches the configuration in the store, if this daemon is a
+   watcher or no peer delivers it.  */
 void registry_config_read (struct control *c, int64_t now_us);
-/* Records the revision that a member reports.  */
+/* Records the revision in a member's state.  */
 void registry_config_record (struct control *c,
                              const struct daemon_registry_state *state);
-/* System: requests a newer configuration from the member that has it.  */
+/* System: requests a newer configuration from a member that has it.  */
 void registry_config_request (struct control *c, int64_t now_us);
 /* Sends the configuration in effect on a link.  */
 void registry_config_send (struct control *c, uint64_t link);
--- a/src/settings.h
+++ b/src/settings.h
@@ -127,6 +127,9 @@
   /* time from the announcement that the daemon leaves until it refuses
      requests */
   int64_t leave_notice_ms;
+  /* the whole fleet starts for the first time, so that the store lists no
+     daemon yet; set by the deployment */
+  bool first_start;
 };
 
 /* Public functions */
--- a/src/wire_registry.c
+++ b/src/wire_registry.c
@@ -16,7 +16,7 @@
 
 /* Array members of the messages, the type included; TOKENS_MEMBERS is that of
    a token request and of a grant.  */
-#define STATE_MEMBERS 13
+#define STATE_MEMBERS 14
 #define CONFIG_MEMBERS 3
 #define TOKENS_MEMBERS 5
 /* Largest number of tokens accepted in a decoded message.  */
@@ -39,6 +39,7 @@
   wire_writer_add_str (p, s->service);
   wire_writer_add_bool (p, s->serving);
   wire_writer_add_bool (p, s->leaving);
+  wire_writer_add_bool (p, s->store_failed);
   msgpack_pack_uint64 (p, s->revision);
   msgpack_pack_array (p, (size_t)s->demands_len * 2);
   for (uint32_t i = 0; i < s->demands_len; i++)
@@ -123,6 +124,7 @@
   s->service = wire_reader_read_str (r);
   s->serving = wire_reader_read_bool (r);
   s->leaving = wire_reader_read_bool (r);
+  s->store_failed = wire_reader_read_bool (r);
   s->revision = wire_reader_read_u64 (r);
   read_demands (r, s);
 }
--- a/tests/test_daemon_registry.c
+++ b/tests/test_daemon_registry.c
@@ -112,6 +112,7 @@
   m.u.state = make_state (9, "10.0.0.9");
   m.u.state.revision = 12;
   m.u.state.leaving = true;
+  m.u.state.store_failed = true;
   m.u.state.demands_len = 2;
   m.u.state.demands = demands;
   wire_registry_append (&out, &m);
@@ -120,6 +121,7 @@
   ck_assert_uint_eq (got.u.state.member, 9);
   ck_assert_uint_eq (got.u.state.revision, 12);
   ck_assert (got.u.state.serving && got.u.state.leaving);
+  ck_assert (got.u.state.store_failed);
   ck_assert (str_equal (got.u.state.service, STR_LIT ("s")));
   ck_assert_uint_eq (got.u.state.demands_len, 2);
   ck_assert_uint_eq (got.u.state.demands[1].hash, 8);
@@ -228,6 +230,153 @@
 }
 END_TEST
 
+#define LARGE_FLEET 95
+#define LARGE_DOMAINS 6
+
+/* A fleet of the size of the users' large deployment.  */
+struct large_fleet
+{
+  struct daemon_registry all[LARGE_FLEET];
+  struct daemon_registry_state states[LARGE_FLEET];
+  char name[LARGE_FLEET][8];
+  char address[LARGE_FLEET][16];
+  char domain[LARGE_FLEET][8];
+  bool silent[LARGE_FLEET];
+};
+
+static void
+exchange_states (struct large_fleet *f, int64_t now_us)
+{
+  for (int to = 0; to < LARGE_FLEET; to++)
+    for (int from = 0; from < LARGE_FLEET; from++)
+      if (!f->silent[from])
+        daemon_registry_apply (&f->all[to], &f->states[from], now_us);
+}
+
+static struct large_fleet *
+open_large_fleet (void)
+{
+  struct large_fleet *f = g_new0 (struct large_fleet, 1);
+
+  for (int i = 0; i < LARGE_FLEET; i++)
+    {
+      daemon_registry_init (&f->all[i], (uint64_t)i + 1);
+      snprintf (f->name[i], sizeof f->name[i], "n%d", i);
+      snprintf (f->address[i], sizeof f->address[i], "10.0.0.%d", i);
+      snprintf (f->domain[i], sizeof f->domain[i], "d%d", i % LARGE_DOMAINS);
+      f->states[i] = make_state ((uint64_t)i + 1, f->address[i]);
+      f->states[i].name = str_from_cstr (f->name[i]);
+      f->states[i].domain = str_from_cstr (f->domain[i]);
+    }
+  exchange_states (f, 0);
+  return f;
+}
+
+static void
+close_large_fleet (struct large_fleet *f)
+{
+  for (int i = 0; i < LARGE_FLEET; i++)
+    daemon_registry_close (&f->all[i]);
+  g_free (f);
+}
+
+/* Counts the daemons that watch, and sets `reaching` to how many of them reach
+   the store.  */
+static uint32_t
+count_watchers (const struct large_fleet *f, int64_t now_us,
+                uint32_t *reaching)
+{
+  uint32_t watching = 0;
+
+  *reaching = 0;
+  for (int i = 0; i < LARGE_FLEET; i++)
+    if (!f->silent[i]
+        && daemon_registry_is_watcher (&f->all[i], f->states[i].name, now_us))
+      {
+        watching++;
+        *reaching += !f->states[i].store_failed;
+      }
+  return watching;
+}
+
+/* Guards against store calls that grow with the fleet, and against a fleet that
+   no longer hears of configurations: watchers that the store rejects are
+   replaced at once, silent ones before their members time out.  */
+START_TEST (few_daemons_watch_and_lost_ones_are_replaced)
+{
+  struct large_fleet *f = open_large_fleet ();
+  uint32_t reaching;
+
+  ck_assert_uint_eq (count_watchers (f, S, &reaching),
+                     DAEMON_REGISTRY_WATCHERS);
+  for (int i = 0; i < LARGE_FLEET; i++)
+    f->states[i].store_failed
+        = i % 2 == 0
+          && daemon_registry_is_watcher (&f->all[i], f->states[i].name, S);
+  exchange_states (f, S);
+  count_watchers (f, S, &reaching);
+  ck_assert_uint_eq (reaching, DAEMON_REGISTRY_WATCHERS);
+  for (int i = 0; i < LARGE_FLEET; i++)
+    f->silent[i]
+        = daemon_registry_is_watcher (&f->all[i], f->states[i].name, S);
+  exchange_states (f, 3 * S);
+  count_watchers (f, 4 * S, &reaching);
+  ck_assert_uint_ge (reaching, DAEMON_REGISTRY_WATCHERS);
+  close_large_fleet (f);
+}
+END_TEST
+
+/* Guards against a whole fleet that calls the store at once while it is down,
+   and against one of which no daemon tries.  */
+START_TEST (few_daemons_call_a_store_that_rejects_all)
+{
+  struct large_fleet *f = open_large_fleet ();
+  uint32_t reaching, watching = 0;
+
+  /* Each round, the daemons that watch find that the store is down.  */
+  for (int round = 0; round < 8; round++)
+    {
+      for (int i = 0; i < LARGE_FLEET; i++)
+        if (daemon_registry_is_watcher (&f->all[i], f->states[i].name, S))
+          f->states[i].store_failed = true;
+      exchange_states (f, S);
+      watching = count_watchers (f, S, &reaching);
+    }
+  ck_assert_uint_ge (watching, DAEMON_REGISTRY_WATCHERS);
+  ck_assert_uint_le (watching, DAEMON_REGISTRY_WATCHERS_MAX);
+  close_large_fleet (f);
+}
+END_TEST
+
+/* Guards against a watcher that sends a new configuration to the whole fleet:
+   when four in each domain have it, a daemon asks one in its domain, and none
+   is asked by more than half of the daemons there.  */
+START_TEST (requests_for_a_configuration_are_spread)
+{
+  struct large_fleet *f = open_large_fleet ();
+  uint32_t asked[LARGE_FLEET + 1] = { 0 };
+
+  ck_assert_ptr_null (daemon_registry_find_revision (
+      &f->all[0], 7, f->states[0].domain, 1, S));
+  for (int i = 0; i < 4 * LARGE_DOMAINS; i++)
+    f->states[i].revision = 7;
+  exchange_states (f, S);
+  for (int i = 4 * LARGE_DOMAINS; i < LARGE_FLEET; i++)
+    {
+      struct daemon_registry_member *m = daemon_registry_find_revision (
+          &f->all[i], 7, f->states[i].domain, (uint32_t)i, S);
+
+      ck_assert_ptr_nonnull (m);
+      ck_assert_uint_eq (m->state.revision, 7);
+      ck_assert (str_equal (m->state.domain, f->states[i].domain));
+      asked[m->state.member]++;
+    }
+  for (int i = 0; i <= LARGE_FLEET; i++)
+    ck_assert_uint_le (asked[i], LARGE_FLEET / LARGE_DOMAINS / 2);
+  close_large_fleet (f);
+}
+END_TEST
+
 /* Guards against a state that a partition delayed: sent by a process that has
    ended, it arrives after the states of the next process, which must remain
    known.  */
@@ -298,6 +447,9 @@
     messages_round_trip,
     owner_is_the_same_at_all_members,
     leaving_daemon_owns_no_pool,
+    few_daemons_watch_and_lost_ones_are_replaced,
+    few_daemons_call_a_store_that_rejects_all,
+    requests_for_a_configuration_are_spread,
     owners_digest_follows_the_live_members,
     late_state_of_an_ended_process_is_ignored,
   };
