Move the responses of the serve thread to a file of their own

The code is the same: serve_response sends answers and errors with their load reports. test_serve passes.

--- a/src/serve.c
+++ b/src/serve.c
@@ -6,6 +6,7 @@
 
 #include "clock.h"
 #include "logger.h"
+#include "serve_response.h"
 #include "trace.h"
 
 #include <glib.h>
@@ -27,133 +28,6 @@
 /* Weight of one request in the moving average of the service time.  */
 #define SERVE_MEAN_GAIN 0.02
 
-/* Internal functions: responses */
-
-/* Returns true for response headers that apply to one connection only or that
-   the front sets again.  */
-static bool
-is_connection_header (struct str name)
-{
-  static const struct str names[]
-      = { STR_LIT ("connection"),        STR_LIT ("keep-alive"),
-          STR_LIT ("transfer-encoding"), STR_LIT ("content-length"),
-          STR_LIT ("upgrade"),           STR_LIT ("te"),
-          STR_LIT ("trailer"),           STR_LIT ("proxy-connection") };
-
-  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
-    if (str_equal_nocase (name, names[i]))
-      return true;
-  return false;
-}
-
-/* Adds reports of the pressure of this service and of the services that the
-   backend server calls.  */
-static void
-add_pressure_reports (struct serve *s, struct wire_response *r,
-                      struct pressure_report *reports,
-                      struct pressure_downstream_service *services)
-{
-  uint32_t len = pressure_copy_downstream (
-      &s->shared->downstream_pressures, services,
-      PRESSURE_PATH_SERVICES_MAX - 1, clock_now_us ());
-
-  r->pressures = reports;
-  r->pressures_len = 0;
-  /* Before the first announcement of a backend server there is no service to
-     report.  */
-  if (s->backend.service.len > 0)
-    reports[r->pressures_len++] = (struct pressure_report){
-      s->backend.service, pressure_get_permille (&s->pressure), PRESSURE_SCALE
-    };
-  for (uint32_t i = 0; i < len; i++)
-    reports[r->pressures_len++] = (struct pressure_report){
-      { services[i].name_len, services[i].name },
-      (uint32_t)(services[i].value * PRESSURE_SCALE),
-      (uint32_t)MIN (services[i].calls * PRESSURE_SCALE, PRESSURE_CALLS_MAX)
-    };
-}
-
-static void
-send_response (struct serve *s, const struct serve_job *job,
-               struct wire_response *r)
-{
-  const struct wire_request *q = &job->message.u.request;
-  struct wire_message m = { .type = WIRE_RESPONSE };
-  struct pressure_report reports[PRESSURE_PATH_SERVICES_MAX];
-  struct pressure_downstream_service services[PRESSURE_PATH_SERVICES_MAX];
-  struct str_buf out = { 0 };
-  struct str body = r->body;
-
-  r->request_id = q->request_id;
-  r->attempt = q->attempt;
-  r->in_flight
-      = s->running_jobs + s->admit_ops->get_length (s->admission_queue);
-  r->limit = s->limit_ops->get (&s->limit, clock_now_us ());
-  r->last_part = body.len <= WIRE_BODY_PART_MAX_BYTES;
-  r->body = str_slice (body, 0, WIRE_BODY_PART_MAX_BYTES);
-  add_pressure_reports (s, r, reports, services);
-  m.u.response = *r;
-  wire_append_message (&out, &m);
-  wire_append_body_parts (&out,
-                          &(struct wire_body){ .request_id = q->request_id,
-                                               .attempt = q->attempt },
-                          body);
-  peer_link_send (&s->links, job->link, str_view (&out));
-  str_reset (&out);
-  r->pressures = NULL;
-  r->pressures_len = 0;
-}
-
-/* Collects the admission threshold (the lowest importance accepted) of this
-   service and those in the responses to nested calls.  Returns their
-   number.  */
-static uint32_t
-collect_thresholds (struct serve *s, const struct hop_token_usage *usage,
-                    struct wire_threshold *out)
-{
-  uint32_t len = 0;
-
-  out[len++] = (struct wire_threshold){
-    s->backend.service, s->admit_ops->get_threshold (s->admission_queue)
-  };
-  if (usage == NULL)
-    return len;
-  for (uint32_t i = 0; i < usage->thresholds_len && len < WIRE_THRESHOLDS_MAX;
-       i++)
-    out[len++] = (struct wire_threshold){ hop_token_view_text (
-                                              &usage->thresholds[i].service),
-                                          usage->thresholds[i].level };
-  return len;
-}
-
-static void
-finish_job (struct serve *s, struct serve_job *job)
-{
-  if (job->state == SERVE_FINISHED)
-    return;
-  job->state = SERVE_FINISHED;
-  g_array_append_val (s->finished, job->id);
-}
-
-/* Sends an error response for a job that did not run or got no valid response
-   from the backend server.  */
-static void
-fail_job (struct serve *s, struct serve_job *job, enum err_kind error,
-          const struct hop_token_usage *usage)
-{
-  struct wire_threshold thresholds[WIRE_THRESHOLDS_MAX];
-  struct wire_response r
-      = { .error = error, .thresholds = thresholds, .body = STR_EMPTY };
-
-  r.thresholds_len = collect_thresholds (s, usage, thresholds);
-  r.unused_budget = usage != NULL ? usage->unused_budget
-                                  : job->message.u.request.retry_budget;
-  if (err_is_not_run (error))
-    attempt_void (&s->attempts, job->message.u.request.attempt);
-  send_response (s, job, &r);
-  finish_job (s, job);
-}
-
 /* Internal functions: the backend server */
 
 static void
@@ -232,32 +106,6 @@
     }
 }
 
-static void
-answer_job (struct serve *s, struct serve_job *job,
-            const struct http_client_answer *answer,
-            const struct hop_token_usage *usage)
-{
-  struct wire_header headers[WIRE_HEADERS_MAX];
-  struct wire_threshold thresholds[WIRE_THRESHOLDS_MAX];
-  struct wire_response r = { .error = ERR_NONE,
-                             .status = (uint32_t)answer->status,
-                             .headers = headers,
-                             .thresholds = thresholds,
-                             .unused_budget = usage->unused_budget,
-                             .body = answer->body };
-
-  for (uint32_t i = 0;
-       i < answer->headers_len && r.headers_len < WIRE_HEADERS_MAX; i++)
-    if (!is_connection_header (answer->headers[i].name))
-      headers[r.headers_len++]
-          = (struct wire_header){ answer->headers[i].name,
-                                  answer->headers[i].value };
-  r.thresholds_len = collect_thresholds (s, usage, thresholds);
-  attempt_finish (&s->attempts, job->message.u.request.attempt);
-  send_response (s, job, &r);
-  finish_job (s, job);
-}
-
 /* Releases the concurrency slot and revokes the hop token of a job that ran,
    and records its service time.  */
 static void
@@ -308,9 +156,9 @@
     service_time_record (&s->service_times, job->message.u.request.route,
                          now_us - job->started_us);
   if (error == ERR_NONE)
-    answer_job (s, job, answer, &usage);
+    serve_response_send (s, job, answer, &usage);
   else
-    fail_job (s, job, error, &usage);
+    serve_response_fail (s, job, error, &usage);
 }
 
 static bool
@@ -349,7 +197,7 @@
 
   if (!issue_hop_token (s, job, token))
     {
-      fail_job (s, job, ERR_OVERLOADED, NULL);
+      serve_response_fail (s, job, ERR_OVERLOADED, NULL);
       return;
     }
   for (uint32_t i = 0; i < q->headers_len; i++)
@@ -389,7 +237,7 @@
   s->running_jobs--;
   hop_token_revoke (&s->shared->hop_tokens, job->hop_row, now_us,
                     &(struct hop_token_usage){ 0 });
-  fail_job (s, job, ERR_OVERLOADED, NULL);
+  serve_response_fail (s, job, ERR_OVERLOADED, NULL);
 }
 
 /* Internal functions: messages from fronts */
@@ -435,10 +283,10 @@
     case ATTEMPT_ACCEPTED:
       break;
     case ATTEMPT_FULL:
-      fail_job (s, job, ERR_OVERLOADED, NULL);
+      serve_response_fail (s, job, ERR_OVERLOADED, NULL);
       return;
     default: /* received before, or voided: must not run */
-      finish_job (s, job);
+      serve_response_finish (s, job);
       return;
     }
   if (!job->message.u.request.last_part)
@@ -462,7 +310,7 @@
   if (job->body.len + b->bytes.len
       > (size_t)s->shared->settings->limits.body_bytes)
     {
-      fail_job (s, job, ERR_BODY_TOO_LARGE, NULL);
+      serve_response_fail (s, job, ERR_BODY_TOO_LARGE, NULL);
       return;
     }
   str_append (&job->body, b->bytes);
@@ -484,12 +332,12 @@
     case SERVE_RECEIVING:
     case SERVE_ARRIVED:
       attempt_void (&s->attempts, job->message.u.request.attempt);
-      finish_job (s, job);
+      serve_response_finish (s, job);
       return;
     case SERVE_QUEUED:
       s->admit_ops->remove (s->admission_queue, job->admission_entry);
       attempt_void (&s->attempts, job->message.u.request.attempt);
-      finish_job (s, job);
+      serve_response_finish (s, job);
       return;
     case SERVE_RUNNING:
       if (!job->message.u.request.idempotent)
@@ -498,7 +346,7 @@
       job->exchange = NULL;
       release_slot (s, job, false, &usage, clock_now_us ());
       attempt_finish (&s->attempts, job->message.u.request.attempt);
-      finish_job (s, job);
+      serve_response_finish (s, job);
       return;
     case SERVE_FINISHED:
       return;
@@ -607,7 +455,7 @@
             http_client_cancel (job->exchange);
             job->exchange = NULL;
             release_slot (s, job, true, &usage, now_us);
-            fail_job (s, job, ERR_BACKEND_FAILED, &usage);
+            serve_response_fail (s, job, ERR_BACKEND_FAILED, &usage);
           }
       http_client_unload_pool (s->http_pool);
       s->http_pool = NULL;
@@ -641,7 +489,7 @@
     if (job->state == SERVE_QUEUED)
       {
         s->admit_ops->remove (s->admission_queue, job->admission_entry);
-        fail_job (s, job, ERR_BACKEND_LEAVING, NULL);
+        serve_response_fail (s, job, ERR_BACKEND_LEAVING, NULL);
       }
 }
 
@@ -733,7 +581,7 @@
     error = s->admit_ops->offer (s->admission_queue, &item, now_us,
                                  &job->admission_entry);
   if (error != ERR_NONE)
-    fail_job (s, job, error, NULL);
+    serve_response_fail (s, job, error, NULL);
   else
     job->state = SERVE_QUEUED;
 }
@@ -765,7 +613,7 @@
       struct serve_job *job = table_get (&s->jobs, drop.job);
 
       if (job != NULL && job->state == SERVE_QUEUED)
-        fail_job (s, job, drop.error, NULL);
+        serve_response_fail (s, job, drop.error, NULL);
     }
 }
 
@@ -787,7 +635,7 @@
       if (attempt_start (&s->attempts, job->message.u.request.attempt))
         send_to_backend (s, job, now_us);
       else
-        finish_job (s, job);
+        serve_response_finish (s, job);
     }
   fail_dropped (s);
 }
