Avoid endpoints that fail far more than others

Cause: a backend server that loses its answers, or garbles them, answers soon and never looks busy, so it got a full share of the calls; each failed call ends the request that made it.

Change: a serving daemon reports the success rate of its backend server in the last second with the load (success_rate). Entry daemons use an endpoint whose rate is below three quarters of the best only while the others are loaded above half of their limit. Without a report for 1 s it is tried again. Server errors count only for services that call no others.

--- a/bench/bench_overload.c
+++ b/bench/bench_overload.c
@@ -12,6 +12,7 @@
 #include "feedback.h"
 #include "retry_budget.h"
 #include "route.h"
+#include "success_rate.h"
 
 #include <math.h>
 #include <stdio.h>
@@ -707,7 +708,7 @@
   route_record_response (&sender->pool, c->server + 1,
                          v->running + s->policy->admit->get_length (v->admit),
                          s->policy->limit->get (&v->limit, s->now_us),
-                         c->sent_us, s->now_us);
+                         SUCCESS_RATE_SCALE, c->sent_us, s->now_us);
   record_thresholds (s, c, sender, p);
   /* Returns the retries that the nested calls did not use, or all of them if
      there were no nested calls.  */
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -270,7 +270,8 @@
     return;
   if (answered && !is_endpoint_unavailable (r->error))
     route_record_response (&service->pool, call->member, r->in_flight,
-                           r->limit, call->sent_us, now_us);
+                           r->limit, r->success_permille, call->sent_us,
+                           now_us);
   else
     route_record_failure (&service->pool, call->member, now_us);
 }
--- a/src/route.c
+++ b/src/route.c
@@ -5,6 +5,8 @@
 
 #include "route.h"
 
+#include "success_rate.h"
+
 #include <string.h>
 #include <xxhash.h>
 
@@ -29,6 +31,11 @@
 #define LOCAL_LOAD_MAX 0.5
 #define REMOTE_LOAD_FACTOR 0.8
 
+/* An endpoint whose success rate is below this fraction of the best one is
+   used only while the others are loaded above FAILING_LOAD_MIN.  */
+#define SUCCESS_FACTOR 0.75
+#define FAILING_LOAD_MIN 0.5
+
 /* An endpoint with outstanding requests that has sent no response for this
    many mean response times is unresponsive: its backend server hangs, or the
    network path is cut.  Where service times vary threefold, a response rarely
@@ -44,7 +51,7 @@
 /* Candidates for one request.  */
 struct candidates
 {
-  /* neither in backoff nor unresponsive */
+  /* neither in backoff, unresponsive nor failing */
   struct route_endpoint *available[ROUTE_SUBSET_MAX];
   uint32_t available_len;
   /* those of `available` in this daemon's failure domain */
@@ -53,6 +60,10 @@
   /* endpoint whose backoff ends first, or NULL; used only if there is no other
      candidate */
   struct route_endpoint *earliest_retry;
+  uint32_t best_success; /* largest success rate of those not in backoff */
+  /* used only if those in `available` are busy */
+  struct route_endpoint *failing[ROUTE_SUBSET_MAX];
+  uint32_t failing_len;
   /* used only if `available` is empty */
   struct route_endpoint *unresponsive[ROUTE_SUBSET_MAX];
   uint32_t unresponsive_len;
@@ -260,6 +271,12 @@
                 1.0);
 }
 
+static bool
+has_recent_report (const struct route_endpoint *e, int64_t now_us)
+{
+  return now_us - e->reported_us <= ROUTE_REPORT_MAX_AGE_US;
+}
+
 /* Returns the load that an endpoint would have with the next request: its
    requests divided by its concurrency limit, which the slow start reduces.
    The report includes requests of this daemon, so the larger of the reported
@@ -271,7 +288,7 @@
   double limit = e->limit > 0 ? e->limit : ROUTE_LIMIT_DEFAULT;
   double busy = e->outstanding;
 
-  if (now_us - e->reported_us <= ROUTE_REPORT_MAX_AGE_US)
+  if (has_recent_report (e, now_us))
     busy = MAX (busy, e->in_flight);
   return (busy + 1) / (limit * get_slow_start_weight (p, e, now_us));
 }
@@ -290,11 +307,30 @@
          && !is_disabled (p, ROUTE_RULE_UNRESPONSIVE);
 }
 
+static bool
+is_in_backoff (const struct route_pool *p, const struct route_endpoint *e,
+               int64_t now_us)
+{
+  return now_us < e->backoff_until_us && !is_disabled (p, ROUTE_RULE_BACKOFF);
+}
+
+/* Returns true if the endpoint fails far more often than the best one.  One
+   without a recent report is tried, so that the end of its failures is
+   noticed.  */
+static bool
+is_failing (const struct route_pool *p, const struct candidates *c,
+            const struct route_endpoint *e, int64_t now_us)
+{
+  return has_recent_report (e, now_us)
+         && e->success_permille < c->best_success * SUCCESS_FACTOR
+         && !is_disabled (p, ROUTE_RULE_SUCCESS);
+}
+
 static void
 add_candidate (const struct route_pool *p, struct candidates *c,
                struct route_endpoint *e, int64_t now_us)
 {
-  if (now_us < e->backoff_until_us && !is_disabled (p, ROUTE_RULE_BACKOFF))
+  if (is_in_backoff (p, e, now_us))
     {
       if (c->earliest_retry == NULL
           || e->backoff_until_us < c->earliest_retry->backoff_until_us)
@@ -306,6 +342,11 @@
       c->unresponsive[c->unresponsive_len++] = e;
       return;
     }
+  if (is_failing (p, c, e, now_us))
+    {
+      c->failing[c->failing_len++] = e;
+      return;
+    }
   c->available[c->available_len++] = e;
   if (e->domain == p->domain && !is_disabled (p, ROUTE_RULE_DOMAIN))
     c->local[c->local_len++] = e;
@@ -322,6 +363,15 @@
     {
       struct route_endpoint *e = table_get (&p->endpoints, p->subset[i]);
 
+      if (!is_tried (e->member, tried, tried_len)
+          && has_recent_report (e, now_us) && !is_in_backoff (p, e, now_us)
+          && !is_unresponsive (p, e, now_us))
+        c.best_success = MAX (c.best_success, e->success_permille);
+    }
+  for (uint32_t i = 0; i < p->subset_len; i++)
+    {
+      struct route_endpoint *e = table_get (&p->endpoints, p->subset[i]);
+
       if (!is_tried (e->member, tried, tried_len))
         add_candidate (p, &c, e, now_us);
     }
@@ -386,9 +436,22 @@
                      uint32_t tried_len, int64_t now_us)
 {
   struct candidates c = collect_candidates (p, tried, tried_len, now_us);
+  struct route_endpoint *chosen = NULL;
 
   if (c.available_len > 0)
-    return pick_of_two (p, &c, now_us)->member;
+    chosen = pick_of_two (p, &c, now_us);
+  /* Half of the work of a failing endpoint is better than none if the others
+     are full.  */
+  if (chosen != NULL && c.failing_len > 0
+      && get_load (p, chosen, now_us) > FAILING_LOAD_MIN)
+    {
+      struct route_endpoint *failing = pick (p, c.failing, c.failing_len);
+
+      if (get_load (p, failing, now_us) < get_load (p, chosen, now_us))
+        chosen = failing;
+    }
+  if (chosen != NULL)
+    return chosen->member;
   if (c.unresponsive_len > 0)
     return pick (p, c.unresponsive, c.unresponsive_len)->member;
   return c.earliest_retry != NULL ? c.earliest_retry->member : 0;
@@ -676,7 +739,8 @@
 
 void
 route_record_response (struct route_pool *p, uint64_t member,
-                       uint32_t in_flight, uint32_t limit, int64_t sent_us,
+                       uint32_t in_flight, uint32_t limit,
+                       uint32_t success_permille, int64_t sent_us,
                        int64_t now_us)
 {
   struct route_endpoint *e = find_endpoint (p, member);
@@ -696,6 +760,7 @@
     return;
   e->in_flight = in_flight;
   e->limit = limit;
+  e->success_permille = success_permille;
   e->reported_us = now_us;
 }
 
--- a/src/route.h
+++ b/src/route.h
@@ -60,11 +60,12 @@
 /* Rules of the least_loaded policy.  Tests can disable each of them.  */
 enum route_rule
 {
-  ROUTE_RULE_LOAD = 1,         /* choose the less loaded of two endpoints */
-  ROUTE_RULE_DOMAIN = 2,       /* prefer the daemon's failure domain */
-  ROUTE_RULE_BACKOFF = 4,      /* skip endpoints that failed recently */
-  ROUTE_RULE_SLOW_START = 8,   /* send fewer requests to new endpoints */
-  ROUTE_RULE_UNRESPONSIVE = 16 /* skip endpoints that stopped responding */
+  ROUTE_RULE_LOAD = 1,          /* choose the less loaded of two endpoints */
+  ROUTE_RULE_DOMAIN = 2,        /* prefer the daemon's failure domain */
+  ROUTE_RULE_BACKOFF = 4,       /* skip endpoints that failed recently */
+  ROUTE_RULE_SLOW_START = 8,    /* send fewer requests to new endpoints */
+  ROUTE_RULE_UNRESPONSIVE = 16, /* skip endpoints that stopped responding */
+  ROUTE_RULE_SUCCESS = 32       /* skip endpoints that fail more than others */
 };
 
 struct route_endpoint
@@ -78,7 +79,8 @@
   uint32_t in_flight;
   /* concurrency limit of the endpoint in that report; 0: no report yet */
   uint32_t limit;
-  int64_t reported_us; /* time of that report */
+  uint32_t success_permille; /* share of its requests that succeed */
+  int64_t reported_us;       /* time of that report */
   /* time of the last response, or of the first outstanding request if that is
      later */
   int64_t no_response_since_us;
@@ -148,7 +150,8 @@
    limit is 0, the response carries no load report.  */
 void route_record_response (struct route_pool *p, uint64_t member,
                             uint32_t in_flight, uint32_t limit,
-                            int64_t sent_us, int64_t now_us);
+                            uint32_t success_permille, int64_t sent_us,
+                            int64_t now_us);
 /* Records a failed connect, a broken link or an endpoint that accepts no new
    requests.  */
 void route_record_failure (struct route_pool *p, uint64_t member,
--- a/src/serve.c
+++ b/src/serve.c
@@ -140,6 +140,24 @@
          || (answer->result == HTTP_CLIENT_ANSWERED && answer->status == 503);
 }
 
+/* Returns true for results that speak against this backend server, compared to
+   others of its service.  A server error counts only if the backend server
+   calls no other services, since the fault is probably in those otherwise; a
+   timeout does not, as above.  */
+static bool
+is_failure (struct serve *s, enum err_kind error, int status, int64_t now_us)
+{
+  struct pressure_downstream_service services[PRESSURE_PATH_SERVICES_MAX];
+
+  if (error != ERR_NONE)
+    return error == ERR_BACKEND_FAILED || error == ERR_BACKEND_REFUSED;
+  return status >= 500 && status != 504
+         && pressure_copy_downstream (&s->shared->downstream_pressures,
+                                      services, PRESSURE_PATH_SERVICES_MAX,
+                                      now_us)
+                == 0;
+}
+
 static void
 on_backend_done (void *data, const struct http_client_answer *answer)
 {
@@ -150,6 +168,8 @@
   struct hop_token_usage usage = { 0 };
 
   job->exchange = NULL;
+  success_rate_record (&s->success,
+                       is_failure (s, error, answer->status, now_us), now_us);
   release_slot (s, job, is_backend_fault (answer), &usage, now_us);
   record_span (s, job, error, answer->status, now_us);
   if (error == ERR_NONE && answer->status < 500)
@@ -459,6 +479,7 @@
           }
       http_client_unload_pool (s->http_pool);
       s->http_pool = NULL;
+      s->success = (struct success_rate){ 0 };
     }
   if (s->http_pool == NULL)
     s->http_pool = http_client_load_pool (
--- a/src/serve.h
+++ b/src/serve.h
@@ -16,6 +16,7 @@
 #include "loop.h"
 #include "peer_link.h"
 #include "service_time.h"
+#include "success_rate.h"
 #include "thread_message.h"
 
 #include <stdbool.h>
@@ -80,6 +81,7 @@
   const struct concurrency_limit_ops *limit_ops;
   struct concurrency_limit limit;
   struct service_time service_times;
+  struct success_rate success;
   struct pressure_controller pressure;
   uint32_t arrivals_since_tick; /* requests */
   uint32_t arrivals_since_log;  /* requests */
--- a/src/serve_response.c
+++ b/src/serve_response.c
@@ -67,6 +67,8 @@
   r->in_flight
       = s->running_jobs + s->admit_ops->get_length (s->admission_queue);
   r->limit = s->limit_ops->get (&s->limit, clock_now_us ());
+  r->success_permille
+      = success_rate_get_permille (&s->success, clock_now_us ());
   r->last_part = body.len <= WIRE_BODY_PART_MAX_BYTES;
   r->body = str_slice (body, 0, WIRE_BODY_PART_MAX_BYTES);
   add_pressure_reports (s, r, reports, services);
--- a/src/wire.c
+++ b/src/wire.c
@@ -68,7 +68,7 @@
 static void
 pack_response (msgpack_packer *p, const struct wire_response *r)
 {
-  msgpack_pack_array (p, 14);
+  msgpack_pack_array (p, 15);
   msgpack_pack_int (p, WIRE_RESPONSE);
   msgpack_pack_uint64 (p, r->request_id);
   pack_attempt (p, r->attempt);
@@ -91,6 +91,7 @@
     }
   msgpack_pack_uint32 (p, r->in_flight);
   msgpack_pack_uint32 (p, r->limit);
+  msgpack_pack_uint32 (p, r->success_permille);
   wire_writer_add_bool (p, r->last_part);
   wire_writer_add_bin (p, r->body);
 }
@@ -271,6 +272,7 @@
   q->pressures = read_pressures (r, &q->pressures_len);
   q->in_flight = wire_reader_read_u32 (r, UINT32_MAX);
   q->limit = wire_reader_read_u32 (r, UINT32_MAX);
+  q->success_permille = wire_reader_read_u32 (r, SUCCESS_RATE_SCALE);
   q->last_part = wire_reader_read_bool (r);
   q->body = wire_reader_read_bin (r);
 }
--- a/src/wire.h
+++ b/src/wire.h
@@ -14,6 +14,7 @@
 #include "err.h"
 #include "pressure.h"
 #include "str.h"
+#include "success_rate.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -106,7 +107,9 @@
   uint32_t in_flight; /* requests running or queued at the serving daemon */
   uint32_t limit;     /* largest number of requests that the serving daemon
                          runs concurrently */
-  bool last_part;     /* no WIRE_BODY message follows */
+  uint32_t success_permille; /* share of requests that its backend server did
+                                lately; see success_rate.h */
+  bool last_part;            /* no WIRE_BODY message follows */
   struct str body;
 };
 
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -2,6 +2,7 @@
    disable a rule of least_loaded to show that the check detects the fault.  */
 
 #include "route.h"
+#include "success_rate.h"
 #include "suite.h"
 
 #define SEED 31
@@ -106,7 +107,8 @@
       for (uint64_t e = 1; e <= 4; e++)
         for (uint32_t n = busy[e]; n > 0; n--)
           if (g_rand_double (rand) < (e == 1 ? 1.0 / slowness : 1.0) / 40)
-            route_record_response (&p, e, --busy[e], 100, NOW_US, NOW_US);
+            route_record_response (&p, e, --busy[e], 100, SUCCESS_RATE_SCALE,
+                                   NOW_US, NOW_US);
     }
   route_close_pool (&p);
   g_rand_free (rand);
@@ -129,8 +131,8 @@
 {
   struct route_pool p = make_pool (9, 2, ROUTE_RULE_DOMAIN);
 
-  route_record_response (&p, 1, 500, 40, NOW_US, NOW_US);
-  route_record_response (&p, 2, 30, 40, NOW_US, NOW_US);
+  route_record_response (&p, 1, 500, 40, SUCCESS_RATE_SCALE, NOW_US, NOW_US);
+  route_record_response (&p, 2, 30, 40, SUCCESS_RATE_SCALE, NOW_US, NOW_US);
   for (int i = 0; i < 100; i++)
     ck_assert_uint_eq (least_loaded ()->choose (&p, NULL, 0, NOW_US), 2);
   route_remove_endpoint (&p, 2);
@@ -160,7 +162,7 @@
 
       if (answered >= 0
           && (to[answered] != 1 || NOW_US + answered * step_us < stopped_us))
-        route_record_response (&p, to[answered], 30, 40,
+        route_record_response (&p, to[answered], 30, 40, SUCCESS_RATE_SCALE,
                                NOW_US + answered * step_us, now_us);
       if (cancelled >= 0 && to[cancelled] == 1
           && NOW_US + cancelled * step_us >= stopped_us)
@@ -193,7 +195,8 @@
   for (uint64_t m = 1; m <= 2; m++)
     {
       route_record_send (&p, m, NOW_US);
-      route_record_response (&p, m, 1, 40, NOW_US, NOW_US + 1000);
+      route_record_response (&p, m, 1, 40, SUCCESS_RATE_SCALE, NOW_US,
+                             NOW_US + 1000);
       route_record_send (&p, m, NOW_US + 1000);
     }
   ck_assert_uint_ne (least_loaded ()->choose (&p, NULL, 0, NOW_US + 2000000),
@@ -228,7 +231,8 @@
   ck_assert_int_gt (count_first_chosen (&p, NOW_US + 1000000), 0);
   route_record_send (&p, 1, NOW_US + 1000000);
   ck_assert_int_eq (count_first_chosen (&p, NOW_US + 1000000), 0);
-  route_record_response (&p, 1, 0, 100, NOW_US, NOW_US + 1000000);
+  route_record_response (&p, 1, 0, 100, SUCCESS_RATE_SCALE, NOW_US,
+                         NOW_US + 1000000);
   ck_assert_int_gt (count_first_chosen (&p, NOW_US + 1000000), 0);
   for (uint64_t m = 1; m <= 3; m++)
     route_record_failure (&p, m, NOW_US + (int64_t)m);
@@ -333,7 +337,7 @@
 
   route_record_send (&p, 1, NOW_US);
   route_remove_endpoint (&p, 1);
-  route_record_response (&p, 1, 1, 100, NOW_US, NOW_US);
+  route_record_response (&p, 1, 1, 100, SUCCESS_RATE_SCALE, NOW_US, NOW_US);
   route_record_failure (&p, 1, NOW_US);
   route_record_cancel (&p, 1, NOW_US, NOW_US);
   route_record_cancel (&p, 2, NOW_US, NOW_US);
@@ -347,6 +351,94 @@
 }
 END_TEST
 
+#define FAULTY_MEMBER 1
+#define SERVERS 4
+#define CALLS_OF_REQUEST 8
+#define REQUEST_INTERVAL_US 20000
+
+/* Plays requests that make eight calls in turn from one pool.  Until
+   fault_end_us, three in five calls to one of four backend servers fail.
+   Returns the share of the requests of which no call failed, and sets `share`
+   to the faulty server's part of the calls.  */
+static double
+play_faulty_endpoint (struct route_pool *p, int64_t from_us, int64_t to_us,
+                      int64_t fault_end_us, double *share)
+{
+  struct success_rate rates[SERVERS + 1] = { 0 };
+  uint32_t requests = 0, whole = 0, calls = 0, faulty = 0;
+  GRand *rand = g_rand_new_with_seed (1);
+
+  for (int64_t now_us = from_us; now_us < to_us; now_us += REQUEST_INTERVAL_US)
+    {
+      bool failed = false;
+
+      for (int i = 0; i < CALLS_OF_REQUEST && !failed; i++)
+        {
+          uint64_t m = least_loaded ()->choose (p, NULL, 0, now_us);
+
+          failed = m == FAULTY_MEMBER && now_us < fault_end_us
+                   && g_rand_double (rand) < 0.6;
+          success_rate_record (&rates[m], failed, now_us);
+          route_record_send (p, m, now_us);
+          route_record_response (p, m, 1, 50,
+                                 success_rate_get_permille (&rates[m], now_us),
+                                 now_us, now_us);
+          calls++;
+          faulty += m == FAULTY_MEMBER;
+        }
+      requests++;
+      whole += !failed;
+    }
+  g_rand_free (rand);
+  *share = (double)faulty / calls;
+  return (double)whole / requests;
+}
+
+/* Guards against a backend server that loses its answers and gets a full share
+   of the calls since it never looks busy: on a day of the further deployment
+   one request in three ended because one of its calls went there.  At least
+   four in five have to end whole, fewer than half do without the rule.  When
+   the fault has ended, the server must be used again.  */
+START_TEST (endpoint_that_fails_more_than_others_is_avoided)
+{
+  struct route_pool p = make_pool (9, SERVERS, ROUTE_RULE_DOMAIN);
+  struct route_pool without
+      = make_pool (9, SERVERS, ROUTE_RULE_DOMAIN | ROUTE_RULE_SUCCESS);
+  int64_t fault_end_us = NOW_US + 4000000;
+  double share;
+
+  ck_assert_double_ge (
+      play_faulty_endpoint (&p, NOW_US, fault_end_us, fault_end_us, &share),
+      0.8);
+  ck_assert_double_lt (play_faulty_endpoint (&without, NOW_US, fault_end_us,
+                                             fault_end_us, &share),
+                       0.5);
+  play_faulty_endpoint (&p, fault_end_us + 1000000, fault_end_us + 3000000,
+                        fault_end_us, &share);
+  ck_assert_double_ge (share, 0.15);
+  route_close_pool (&p);
+  route_close_pool (&without);
+}
+END_TEST
+
+/* Guards against a service of which only some backend servers are used because
+   all fail alike, and against requests that find no endpoint.  */
+START_TEST (endpoints_that_fail_alike_are_all_used)
+{
+  struct route_pool p = make_pool (9, 3, ROUTE_RULE_DOMAIN);
+  uint32_t used[4] = { 0 };
+
+  for (uint64_t m = 1; m <= 3; m++)
+    route_record_response (&p, m, 1, 50, 400 + 10 * (uint32_t)m, NOW_US,
+                           NOW_US);
+  for (int i = 0; i < 300; i++)
+    used[least_loaded ()->choose (&p, NULL, 0, NOW_US)]++;
+  for (int m = 1; m <= 3; m++)
+    ck_assert_uint_ge (used[m], 30);
+  route_close_pool (&p);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -361,6 +453,8 @@
           late_responses_are_ignored,
           full_endpoint_of_two_gets_no_request,
           unresponsive_endpoint_is_avoided,
+          endpoint_that_fails_more_than_others_is_avoided,
+          endpoints_that_fail_alike_are_all_used,
           unresponsive_endpoints_are_used_as_last_resort };
 
   return suite_run ("route", cases, G_N_ELEMENTS (cases));
