Read all pages of the list of daemons

Cause: a daemon that joins applied only the first page of the list (about 500 entries); in a larger fleet it never sent its state to the others, and those that also missed it were no endpoints for each other.

--- a/src/control_registry.c
+++ b/src/control_registry.c
@@ -94,25 +94,35 @@
   cr->join_retry_us = clock_now_us () + JOIN_RETRY_US;
   cr->members_changed = !cr->join_failed || cr->members_changed;
   cr->join_failed = true;
+  str_free (&cr->listed_to);
+  cr->listed_pages = 0;
   LOGGER_WRITE (
       LOGGER_WARNING, "entering_failed",
       LOGGER_TEXT ("error", str_from_cstr (err_get_answer (error)->name)));
 }
 
+/* Applies one page of the list.  A large fleet has several; daemons that join
+   between two pages list this one, since its object is written first.  */
 static void
 on_listed (void *data, const struct object_store_answer *a)
 {
   struct control *c = data;
   struct control_registry *cr = c->control_registry;
+  bool repeated = a->next.len > 0 && str_compare (a->next, cr->listed_to) <= 0;
 
   cr->call_pending = false;
-  if (a->error != ERR_NONE)
+  if (a->error != ERR_NONE || repeated)
     {
-      record_join_failure (c, a->error);
+      record_join_failure (c, repeated ? ERR_PROTOCOL : a->error);
       return;
     }
   for (uint32_t i = 0; i < a->objects_len; i++)
     add_listed_daemon (c, &a->objects[i]);
+  cr->listed_pages++;
+  str_free (&cr->listed_to);
+  cr->listed_to = str_copy (a->next);
+  if (a->next.len > 0)
+    return;
   cr->join_failed = false;
   cr->listed = true;
   cr->members_changed = true;
@@ -120,7 +130,9 @@
   cr->phase = cr->own_object_current ? CONTROL_REGISTRY_JOINED
                                      : CONTROL_REGISTRY_WRITING;
   LOGGER_WRITE (LOGGER_INFO, "fleet_listed",
-                LOGGER_NUMBER ("daemons", a->objects_len));
+                LOGGER_NUMBER ("daemons", cr->registry.members.count),
+                LOGGER_NUMBER ("pages", cr->listed_pages));
+  cr->listed_pages = 0;
 }
 
 /* The daemons are listed again after the own object was written, so that of
@@ -156,7 +168,8 @@
   cr->call_pending = true;
   if (cr->phase == CONTROL_REGISTRY_LISTING)
     {
-      cr->store->ops->list (cr->store, DAEMONS_PREFIX, STR_EMPTY, true, &call);
+      cr->store->ops->list (cr->store, DAEMONS_PREFIX, cr->listed_to, true,
+                            &call);
       return;
     }
   call.done = on_written;
@@ -483,6 +496,7 @@
 
   c->control_registry = cr;
   cr->config = STR_EMPTY;
+  cr->listed_to = STR_EMPTY;
   cr->needs_read = true;
   /* Daemons that start together write first, so that each list has those that
      wrote before.  */
@@ -504,6 +518,7 @@
     cr->store->ops->unload (cr->store);
   daemon_registry_close (&cr->registry);
   str_free (&cr->config);
+  str_free (&cr->listed_to);
   g_free (cr);
   c->control_registry = NULL;
 }
--- a/src/control_registry.h
+++ b/src/control_registry.h
@@ -30,6 +30,8 @@
   struct object_store *store;
   enum control_registry_phase phase;
   bool listed;             /* the daemons were listed once */
+  struct str listed_to;    /* owned; last key of the pages listed so far */
+  uint32_t listed_pages;   /* number of them */
   bool join_failed;        /* the last call for joining failed */
   bool own_object_current; /* the store has this daemon's address */
   bool call_pending;       /* a store call for joining is pending */
