Do not read the store without pause for a revision that it lacks

Cause: a daemon that no peer delivers an announced revision to reads the store. If the store does not have that revision, or it cannot be applied, the next read followed at once: 100 reads in 100 rounds of the loop.

Change: a read restarts the time in which a peer may deliver. test_control_registry unknown_revision_is_looked_for_once_in_a_while failed before.

--- a/src/registry_config.c
+++ b/src/registry_config.c
@@ -120,6 +120,9 @@
   cr->needs_read = false;
   cr->store_version = a->version;
   apply_objects (c, a);
+  /* A revision that the store does not have, or that cannot be applied, must
+     not cause one read after the other.  */
+  cr->newer_seen_us = clock_now_us ();
 }
 
 static void
--- a/tests/test_control_registry.c
+++ b/tests/test_control_registry.c
@@ -6,6 +6,7 @@
 #include "deployment.h"
 #include "logger.h"
 #include "process.h"
+#include "registry_config.h"
 #include "suite.h"
 
 #include <glib.h>
@@ -26,6 +27,7 @@
   struct object_store store;
   bool repeats; /* each page is the first one */
   uint32_t lists;
+  uint32_t config_reads;
   uint32_t writes;
 } fake;
 
@@ -44,6 +46,7 @@
 
   if (!str_equal (prefix, STR_LIT (DAEMONS_KEY)))
     {
+      fake.config_reads++;
       call->done (call->data, &a);
       return;
     }
@@ -217,12 +220,38 @@
 }
 END_TEST
 
+/* Guards against a daemon that reads the store without end because a peer
+   announces a revision that the store does not have.  */
+START_TEST (unknown_revision_is_looked_for_once_in_a_while)
+{
+  struct daemon_registry_state state = { .member = 7,
+                                         .name = STR_LIT ("n7"),
+                                         .address = STR_LIT ("127.0.0.1"),
+                                         .control_port = process_get_port (),
+                                         .domain = STR_LIT ("fd"),
+                                         .service = STR_EMPTY,
+                                         .revision = 9 };
+  struct fixture f;
+
+  start (&f, true, false);
+  daemon_registry_apply (&f.control.control_registry->registry, &state,
+                         clock_now_us ());
+  registry_config_record (&f.control, &state);
+  f.control.control_registry->newer_seen_us -= 2 * (int64_t)CLOCK_US_PER_S;
+  run (&f, 100);
+  ck_assert_uint_eq (fake.config_reads, 1);
+  stop (&f);
+}
+END_TEST
+
 int
 main (void)
 {
-  const TTest *const cases[] = { all_pages_of_the_fleet_are_read,
-                                 repeated_page_ends_the_list_with_an_error,
-                                 first_start_writes_before_it_lists };
+  const TTest *const cases[]
+      = { all_pages_of_the_fleet_are_read,
+          repeated_page_ends_the_list_with_an_error,
+          first_start_writes_before_it_lists,
+          unknown_revision_is_looked_for_once_in_a_while };
 
   return suite_run ("control_registry", cases, G_N_ELEMENTS (cases));
 }
