--- a/tests/test_control_registry.c
+++ b/tests/test_control_registry.c
@@ -168,6 +168,10 @@
 stop (struct fixture *f)
 {
   control_close (&f->control);
+  snapshot_close_publisher (&f->shared.snapshots);
+  quota_close_set (&f->shared.quotas);
+  rate_share_close (&f->shared.rate_shares);
+  metrics_close (&f->shared.metrics);
   settings_unload (&f->settings);
   g_free (f->dir);
 }
