--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -97,6 +97,23 @@
 static int processes_len;
 static char work_dir[64];
 
+/* Removes the temporary folder, unless KEEP is set.  */
+static inline void
+remove_work_dir (void)
+{
+  pid_t pid;
+
+  if (work_dir[0] == '\0' || getenv ("KEEP") != NULL)
+    return;
+  pid = fork ();
+  if (pid == 0)
+    {
+      execlp ("rm", "rm", "-rf", work_dir, (char *)NULL);
+      _exit (127);
+    }
+  waitpid (pid, NULL, 0);
+}
+
 __attribute__ ((noreturn)) static inline void
 end_case (int code)
 {
@@ -109,6 +126,7 @@
   record ("result: %s", code == CASE_BROKEN ? "the rule was broken"
                         : code == CASE_HELD ? "the rule held"
                                             : "the case could not run");
+  remove_work_dir ();
   _exit (code);
 }
 
