--- a/review/2/case.c
+++ b/review/2/case.c
@@ -1,7 +1,7 @@
 /* Case: a daemon that is killed and started again has forgotten that its
    backend server has left.  */
 
-#include "../common/harness.h"
+#include "../harness.h"
 
 #define DRAIN_MS 2000
 #define STABLE_MS 3000
