Reserve ports for each case of the review

Two cases that started together could choose the same ports: one run of case 1 beside case 4 could not start its daemons. Each case now holds a block of ports.

--- a/review/harness.h
+++ b/review/harness.h
@@ -186,24 +186,52 @@
   return a;
 }
 
-/* Returns the first of `count` consecutive free ports below the range of
-   outgoing connections.  */
+#define PORTS_FIRST 10000u
+#define PORTS_PER_BLOCK 500u
+#define PORT_BLOCKS 44u
+
+/* Reserves a block of ports below the range of outgoing connections, so that
+   cases can run beside each other: the case that holds the first port of a
+   block has the block.  */
+static inline uint32_t
+reserve_ports (void)
+{
+  for (uint32_t i = 0; i < PORT_BLOCKS; i++)
+    {
+      uint32_t block = ((uint32_t)getpid () + i) % PORT_BLOCKS;
+      uint32_t first = PORTS_FIRST + block * PORTS_PER_BLOCK;
+      struct sockaddr_in a = make_address ((uint16_t)first);
+      int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+      /* The socket stays open until the case ends.  */
+      if (bind (fd, (struct sockaddr *)&a, sizeof a) == 0)
+        return first;
+      close (fd);
+    }
+  give_up ("no free block of ports");
+}
+
+/* Returns the first of `count` consecutive free ports.  */
 static inline uint16_t
 get_ports (int count)
 {
+  static uint32_t first;
   static uint32_t next;
 
-  if (next == 0)
-    next = (uint32_t)(getpid () * 37);
-  for (int tries = 0; tries < 20000; tries++)
+  if (first == 0)
     {
-      uint16_t first = (uint16_t)(10000 + next % 22000);
+      first = reserve_ports ();
+      next = first + 1;
+    }
+  while (next + (uint32_t)count <= first + PORTS_PER_BLOCK)
+    {
+      uint16_t port = (uint16_t)next;
       int i;
 
       next += (uint32_t)count;
       for (i = 0; i < count; i++)
         {
-          struct sockaddr_in a = make_address ((uint16_t)(first + i));
+          struct sockaddr_in a = make_address ((uint16_t)(port + i));
           int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
           bool ok = bind (fd, (struct sockaddr *)&a, sizeof a) == 0;
 
@@ -212,7 +240,7 @@
             break;
         }
       if (i == count)
-        return first;
+        return port;
     }
   give_up ("no free port");
 }
