--- a/review/harness.h
+++ b/review/harness.h
@@ -187,8 +187,8 @@
 }
 
 #define PORTS_FIRST 10000u
-#define PORTS_PER_BLOCK 500u
-#define PORT_BLOCKS 44u
+#define PORTS_PER_BLOCK 1000u
+#define PORT_BLOCKS 22u
 
 /* Reserves a block of ports below the range of outgoing connections, so that
    cases can run beside each other: the case that holds the first port of a
@@ -233,7 +233,12 @@
         {
           struct sockaddr_in a = make_address ((uint16_t)(port + i));
           int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-          bool ok = bind (fd, (struct sockaddr *)&a, sizeof a) == 0;
+          int one = 1;
+          bool ok;
+
+          /* Connections of an earlier run that have ended do not matter.  */
+          setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+          ok = bind (fd, (struct sockaddr *)&a, sizeof a) == 0;
 
           close (fd);
           if (!ok)
