--- a/src/control_registry.c
+++ b/src/control_registry.c
@@ -10,6 +10,7 @@
 #include "json_field.h"
 #include "logger.h"
 #include "registry_config.h"
+#include "registry_stops.h"
 #include "tcp_socket.h"
 
 /* Constants */
@@ -17,6 +18,11 @@
 #define DAEMONS_PREFIX STR_LIT ("almondvale-daemons/")
 #define CALL_TIMEOUT_US (INT64_C (1) * CLOCK_US_PER_S)
 #define JOIN_RETRY_US (INT64_C (500) * CLOCK_US_PER_MS)
+/* The first write after a success is tried again sooner, so that a stop whose
+   first answer is lost is confirmed while its reporter waits.  The store
+   answers within some milliseconds, and slow ones within 0.2 s.  */
+#define FIRST_WRITE_TIMEOUT_US (INT64_C (300) * CLOCK_US_PER_MS)
+#define FIRST_WRITE_RETRY_US (INT64_C (50) * CLOCK_US_PER_MS)
 /* Members are checked for timeouts at this interval, one tick of the control
    thread; the timeout is 3 s or more.  */
 #define CHECK_INTERVAL_US (INT64_C (50) * CLOCK_US_PER_MS)
@@ -26,9 +32,11 @@
 static void
 append_own_object (const struct control *c, struct str_buf *out)
 {
-  str_append_format (out, "{\"address\":\"%.*s\",\"port\":%d}",
+  str_append_format (out, "{\"address\":\"%.*s\",\"port\":%d,\"stops\":",
                      STR_ARG (c->settings->address),
                      (int)settings_get_control_port (c->settings));
+  backend_stops_append_json (&c->control_registry->stops, out);
+  str_append_char (out, '}');
 }
 
 static void
@@ -64,6 +72,24 @@
   return ok;
 }
 
+/* Reads this daemon's own object, whose address may be an earlier one.  */
+static void
+load_own_object (struct control *c, const struct object_store_object *o)
+{
+  struct control_registry *cr = c->control_registry;
+  struct str address;
+  uint16_t port;
+
+  cr->own_version = o->version;
+  cr->own_object_current = false;
+  registry_stops_load_object (c, o->value);
+  if (!parse_daemon_object (o->value, &address, &port))
+    return;
+  cr->own_object_current = str_equal (address, c->settings->address)
+                           && port == settings_get_control_port (c->settings);
+  str_free (&address);
+}
+
 static void
 add_listed_daemon (struct control *c, const struct object_store_object *o)
 {
@@ -72,17 +98,18 @@
   struct str address;
   uint16_t port;
 
+  if (str_equal (name, c->settings->member_id))
+    {
+      load_own_object (c, o);
+      return;
+    }
   if (!parse_daemon_object (o->value, &address, &port))
     {
       LOGGER_WRITE (LOGGER_WARNING, "daemon_object_invalid",
                     LOGGER_TEXT ("key", o->key));
       return;
     }
-  if (!str_equal (name, c->settings->member_id))
-    daemon_registry_add (&cr->registry, name, address, port, clock_now_us ());
-  else if (str_equal (address, c->settings->address)
-           && port == settings_get_control_port (c->settings))
-    cr->own_object_current = true;
+  daemon_registry_add (&cr->registry, name, address, port, clock_now_us ());
   str_free (&address);
 }
 
@@ -127,30 +154,85 @@
   cr->listed = true;
   cr->members_changed = true;
   cr->next_state_us = 0;
-  cr->phase = cr->own_object_current ? CONTROL_REGISTRY_JOINED
-                                     : CONTROL_REGISTRY_WRITING;
+  registry_stops_publish (c);
+  cr->phase = cr->own_object_current && !cr->stops_unsaved
+                  ? CONTROL_REGISTRY_JOINED
+                  : CONTROL_REGISTRY_WRITING;
   LOGGER_WRITE (LOGGER_INFO, "fleet_listed",
                 LOGGER_NUMBER ("daemons", cr->registry.members.count),
                 LOGGER_NUMBER ("pages", cr->listed_pages));
   cr->listed_pages = 0;
 }
 
-/* The daemons are listed again after the own object was written, so that of
-   two daemons that join at the same time at least one sees the other.  */
+/* The store has possibly applied the write: the object is read again.  */
+static void
+record_write_failure (struct control *c, enum err_kind error)
+{
+  struct control_registry *cr = c->control_registry;
+
+  record_join_failure (c, error);
+  if (cr->write_failures++ == 0)
+    cr->join_retry_us = clock_now_us () + FIRST_WRITE_RETRY_US;
+  if (error == ERR_STORE_OUTCOME_UNKNOWN)
+    cr->phase = CONTROL_REGISTRY_LISTING;
+}
+
+/* After the first write of its address a daemon lists the others again, so
+   that of two daemons that join at the same time at least one sees the other.
+   A conflict shows that an earlier write was applied whose answer was lost, so
+   the object is read again.  */
 static void
 on_written (void *data, const struct object_store_answer *a)
 {
   struct control *c = data;
   struct control_registry *cr = c->control_registry;
+  bool listed = cr->own_object_current;
 
   cr->call_pending = false;
-  if (a->error != ERR_NONE)
+  switch (a->error)
     {
-      record_join_failure (c, a->error);
+    case ERR_NONE:
+      cr->own_version = a->version;
+      cr->own_object_current = true;
+      registry_stops_end_put (c);
+      cr->phase = listed ? CONTROL_REGISTRY_JOINED : CONTROL_REGISTRY_LISTING;
+      break;
+    case ERR_NOT_FOUND: /* the object was removed */
+      cr->own_version = 0;
+      cr->own_object_current = false;
+      break;
+    case ERR_STORE_CONFLICT:
+      cr->phase = CONTROL_REGISTRY_LISTING;
+      break;
+    default:
+      record_write_failure (c, a->error);
       return;
     }
-  cr->own_object_current = true;
-  cr->phase = CONTROL_REGISTRY_LISTING;
+  cr->write_failures = 0;
+  if (cr->phase != CONTROL_REGISTRY_JOINED)
+    return;
+  cr->join_failed = false;
+  registry_stops_publish (c);
+}
+
+/* The write is conditional: one whose answer was lost may still be applied
+   later, and must not replace a later list of stops.  */
+static void
+write_own_object (struct control *c, const struct object_store_call *call)
+{
+  struct control_registry *cr = c->control_registry;
+  struct str_buf key = { 0 };
+  struct str_buf value = { 0 };
+
+  make_own_key (c, &key);
+  append_own_object (c, &value);
+  registry_stops_begin_put (c);
+  cr->store->ops->put (cr->store, str_view (&key), str_view (&value),
+                       cr->own_version > 0 ? OBJECT_STORE_IF_VERSION
+                                           : OBJECT_STORE_IF_ABSENT,
+                       cr->own_version, call);
+  str_reset (&key);
+  str_reset (&value);
 }
 
 static void
@@ -159,11 +241,12 @@
   struct control_registry *cr = c->control_registry;
   struct object_store_call call
       = { .timeout_us = CALL_TIMEOUT_US, .done = on_listed, .data = c };
-  struct str_buf key = { 0 };
-  struct str_buf value = { 0 };
 
+  if (cr->phase == CONTROL_REGISTRY_JOINED && cr->stops_unsaved)
+    cr->phase = CONTROL_REGISTRY_WRITING;
   if (cr->store == NULL || cr->call_pending || now_us < cr->join_retry_us
-      || cr->phase == CONTROL_REGISTRY_JOINED || c->shutting_down)
+      || cr->phase == CONTROL_REGISTRY_JOINED
+      || (c->shutting_down && !cr->stops_unsaved))
     return;
   cr->call_pending = true;
   if (cr->phase == CONTROL_REGISTRY_LISTING)
@@ -173,12 +256,9 @@
       return;
     }
   call.done = on_written;
-  make_own_key (c, &key);
-  append_own_object (c, &value);
-  cr->store->ops->put (cr->store, str_view (&key), str_view (&value),
-                       OBJECT_STORE_ANY, 0, &call);
-  str_reset (&key);
-  str_reset (&value);
+  if (cr->write_failures == 0)
+    call.timeout_us = FIRST_WRITE_TIMEOUT_US;
+  write_own_object (c, &call);
 }
 
 /* Internal functions: state messages */
@@ -211,6 +291,8 @@
     .store_failed = c->control_registry->config_failures > 0,
     .revision
     = c->control_registry->config.len > 0 ? c->inventory.revision : 0,
+    .stops_known = c->control_registry->stops_known,
+    .stops = c->control_registry->stops,
     .demands_len = MIN (demands->len, WIRE_REGISTRY_DEMANDS_MAX),
     .demands = (struct rate_share_demand *)demands->data
   };
@@ -517,6 +599,9 @@
   if (cr->store != NULL)
     cr->store->ops->unload (cr->store);
   daemon_registry_close (&cr->registry);
+  backend_stops_close (&cr->stops);
+  backend_stops_close (&cr->stored);
+  backend_stops_close (&cr->written);
   str_free (&cr->config);
   str_free (&cr->listed_to);
   g_free (cr);
@@ -530,7 +615,7 @@
   struct wire_registry_message m;
   bool known;
 
-  if (type < WIRE_REGISTRY_STATE || type > WIRE_REGISTRY_GRANT
+  if (type < WIRE_REGISTRY_STATE || type > WIRE_REGISTRY_STOPS
       || !wire_registry_load (&m, frame))
     return false;
   switch (m.type)
@@ -544,6 +629,7 @@
       if (!known
           && daemon_registry_find (&cr->registry, m.u.state.member) != NULL)
         send_state_to (c, &m.u.state);
+      registry_stops_tell (c, &m.u.state);
       registry_config_record (c, &m.u.state);
       break;
     case WIRE_REGISTRY_CONFIG_REQUEST:
@@ -558,11 +644,21 @@
     case WIRE_REGISTRY_GRANT:
       apply_grant (c, &m.u.grant);
       break;
+    case WIRE_REGISTRY_STOPS:
+      registry_stops_hear (c, &m.u.stops);
+      break;
     }
   wire_registry_unload (&m);
   return true;
 }
 
+static void
+on_message (struct control *c, const struct thread_message *message)
+{
+  if (message->kind == THREAD_MESSAGE_STOP)
+    registry_stops_record (c, message);
+}
+
 static void
 run_component (struct control *c, int64_t now_us)
 {
@@ -572,6 +668,7 @@
   bool check;
 
   join_fleet (c, now_us);
+  registry_stops_run (c, now_us);
   registry_config_read (c, now_us);
   registry_config_request (c, now_us);
   announce_own_changes (c);
@@ -621,5 +718,6 @@
         .init = init_component,
         .close = close_component,
         .on_frame = on_frame,
+        .on_message = on_message,
         .run = run_component,
         .append_status = append_status };
--- a/src/control_registry.h
+++ b/src/control_registry.h
@@ -20,7 +20,8 @@
 enum control_registry_phase
 {
   CONTROL_REGISTRY_LISTING, /* lists the objects of all daemons */
-  CONTROL_REGISTRY_WRITING, /* writes the object with this daemon's address */
+  CONTROL_REGISTRY_WRITING, /* writes this daemon's object: its address and
+                               the stops of its backend server */
   CONTROL_REGISTRY_JOINED
 };
 
@@ -36,6 +37,16 @@
   bool own_object_current; /* the store has this daemon's address */
   bool call_pending;       /* a store call for joining is pending */
   int64_t join_retry_us;   /* earliest time of the next such call */
+  uint64_t own_version;    /* of this daemon's object; 0: there is none */
+  uint32_t write_failures; /* consecutive failed writes of it */
+  /* stops of the backend server, see registry_stops.h */
+  struct backend_stops stops;   /* owned */
+  struct backend_stops stored;  /* owned; in the object in the store */
+  struct backend_stops written; /* owned; in the value of the pending put */
+  bool stops_known;             /* those of earlier processes are in `stops` */
+  bool stops_unsaved;           /* the store lacks one of `stops` */
+  int64_t stops_heard_us;       /* when another daemon first told them; 0:
+                                   none did */
   /* configuration */
   bool read_pending;        /* a read or watch is pending */
   bool needs_read;          /* read the object before watching */
--- a/src/daemon_registry.c
+++ b/src/daemon_registry.c
@@ -24,6 +24,7 @@
   str_free (&s->address);
   str_free (&s->domain);
   str_free (&s->service);
+  backend_stops_close (&s->stops);
   g_free (s->demands);
 }
 
@@ -36,10 +37,20 @@
   to->address = str_copy (from->address);
   to->domain = str_copy (from->domain);
   to->service = str_copy (from->service);
+  to->stops = backend_stops_copy (&from->stops);
   to->demands
       = g_memdup2 (from->demands, from->demands_len * sizeof *from->demands);
 }
 
+/* Adds the stops that `from` knows to those of a state of the same daemon.  */
+static void
+keep_stops (struct daemon_registry_state *to,
+            const struct daemon_registry_state *from)
+{
+  backend_stops_merge (&to->stops, &from->stops);
+  to->stops_known = to->stops_known || from->stops_known;
+}
+
 static struct daemon_registry_member *
 add_member (struct daemon_registry *r,
             const struct daemon_registry_state *state, int64_t now_us)
@@ -82,6 +93,19 @@
          && str_equal (a->address, b->address);
 }
 
+/* Adds the stops that earlier processes of the daemon reported.  */
+static void
+keep_stops_of_name (const struct daemon_registry *r,
+                    struct daemon_registry_state *to)
+{
+  struct daemon_registry_member *m;
+
+  for (uint64_t id = table_next (&r->members, 0, (void **)&m); id != 0;
+       id = table_next (&r->members, id, (void **)&m))
+    if (m->state_received && str_equal (m->state.name, to->name))
+      keep_stops (to, &m->state);
+}
+
 /* Returns true if another process at the same address, with a later start
    time, is live.  */
 static bool
@@ -167,6 +191,7 @@
                        const struct daemon_registry_state *state,
                        int64_t now_us)
 {
+  struct daemon_registry_state next;
   struct daemon_registry_member *m;
   bool changed;
 
@@ -176,11 +201,14 @@
   m = daemon_registry_find (r, state->member);
   if (m == NULL && is_superseded (r, state, now_us))
     return false;
+  copy_state (&next, state);
   if (m == NULL)
     {
+      keep_stops_of_name (r, &next);
       remove_others_at_address (r, state);
-      m = add_member (r, state, now_us);
+      m = add_member (r, &next, now_us);
       m->state_received = true;
+      close_state (&next);
       return true;
     }
   changed = !daemon_registry_is_endpoint (r, m, now_us)
@@ -190,8 +218,9 @@
   if (state->serving
       && (!m->state.serving || !str_equal (m->state.service, state->service)))
     m->announced_us = now_us;
+  keep_stops (&next, &m->state);
   close_state (&m->state);
-  copy_state (&m->state, state);
+  m->state = next;
   m->state_received = true;
   m->last_state_us = now_us;
   return changed;
--- a/src/daemon_registry.h
+++ b/src/daemon_registry.h
@@ -9,12 +9,16 @@
    daemon retires the old id at the same address.  A late state of the earlier
    process is recognized by its start time and ignored.  It is accepted only if
    the later process has timed out: the wall clock was then probably set back,
-   and the start times are in the wrong order.  The registry is used by the
-   control thread only.  */
+   and the start times are in the wrong order.
+
+   A member keeps the stops of its backend server (see backend_stops.h) for the
+   next process of the same daemon, which asks for them while the store does
+   not answer.  The registry is used by the control thread only.  */
 
 #ifndef ALMONDVALE_DAEMON_REGISTRY_H
 #define ALMONDVALE_DAEMON_REGISTRY_H
 
+#include "backend_stops.h"
 #include "rate_share.h"
 #include "snapshot.h"
 #include "str.h"
@@ -55,23 +59,27 @@
   struct str address; /* IP address */
   uint16_t peer_port; /* TCP port for requests of other daemons */
   uint16_t control_port;
-  struct str domain;  /* failure domain */
-  struct str service; /* of its backend server, or empty */
-  bool serving;       /* the backend server accepts requests */
-  bool leaving;       /* the daemon is shutting down */
-  bool store_failed;  /* its last call to the store failed */
-  uint64_t revision;  /* of the configuration in effect; 0: none */
+  struct str domain;          /* failure domain */
+  struct str service;         /* of its backend server, or empty */
+  bool serving;               /* the backend server accepts requests */
+  bool leaving;               /* the daemon is shutting down */
+  bool store_failed;          /* its last call to the store failed */
+  uint64_t revision;          /* of the configuration in effect; 0: none */
+  bool stops_known;           /* `stops` has those of earlier processes too */
+  struct backend_stops stops; /* of its backend server */
   uint32_t demands_len;
   struct rate_share_demand *demands; /* one for each workspace */
 };
 
 struct daemon_registry_member
 {
-  struct daemon_registry_state state; /* owns its strings and demands */
-  bool state_received;                /* false: known from the store only */
-  int64_t last_state_us;              /* when the last state arrived, or when
+  /* owns its strings, stops and demands; the stops are those of an earlier
+     process until the member knows them itself */
+  struct daemon_registry_state state;
+  bool state_received;   /* false: known from the store only */
+  int64_t last_state_us; /* when the last state arrived, or when
                                          the row was added */
-  int64_t announced_us;               /* when its backend server was last
+  int64_t announced_us;  /* when its backend server was last
                                          announced as serving */
 };
 
--- a/src/front.c
+++ b/src/front.c
@@ -7,6 +7,7 @@
 #include "admin.h"
 #include "clock.h"
 #include "dispatch.h"
+#include "front_report.h"
 #include "request_check.h"
 
 #include <glib.h>
@@ -104,7 +105,7 @@
 
   if (call == NULL)
     return;
-  if (call->state == FRONT_STATE_COUNT) /* a status request */
+  if (call->state == FRONT_STATE_COUNT) /* a status request or a report */
     {
       admin_cancel (f, x);
       return;
@@ -162,6 +163,8 @@
     {
       if (message->kind == THREAD_MESSAGE_STATUS)
         admin_handle_reply (f, message);
+      if (message->kind == THREAD_MESSAGE_STOPS)
+        front_report_apply_stops (f, message);
       if (message->kind == THREAD_MESSAGE_REGISTERED)
         apply_registry_reply (f, message);
       if (message->kind == THREAD_MESSAGE_SHUTDOWN && !f->stopped_listening)
@@ -577,11 +580,18 @@
   loop_set_tick (&f->loop, f->calls.count > 0 ? FRONT_TICK_US : 0);
 }
 
+static void
+run_reports (void *owner, int64_t now_us)
+{
+  front_report_run (owner, now_us);
+}
+
 static const struct system systems[] = {
-  { "notes", run_messages },       { "snapshot", run_snapshot },
-  { "intake", request_check_run }, { "tokens", run_tokens },
-  { "register", run_register },    { "dispatch", dispatch_run },
-  { "expiry", run_expiry },        { "answers", run_answers },
+  { "notes", run_messages },    { "reports", run_reports },
+  { "snapshot", run_snapshot }, { "intake", request_check_run },
+  { "tokens", run_tokens },     { "register", run_register },
+  { "dispatch", dispatch_run }, { "expiry", run_expiry },
+  { "answers", run_answers },
 };
 
 /* Public functions */
@@ -655,6 +665,7 @@
       return false;
     }
   table_init (&f->calls, sizeof (struct front_call));
+  table_init (&f->confirmations, sizeof (struct front_confirmation));
   for (int i = 0; i < FRONT_STATE_COUNT; i++)
     f->queues[i] = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   dispatch_init (f, rand);
@@ -671,6 +682,7 @@
 void
 front_close (struct front *f)
 {
+  struct front_confirmation *confirmation;
   struct front_call *call;
 
   for (uint64_t id = table_next (&f->calls, 0, (void **)&call); id != 0;
@@ -684,6 +696,12 @@
   for (int i = 0; i < FRONT_SOURCE_COUNT; i++)
     if (f->servers[i] != NULL)
       http_server_unload (f->servers[i]);
+  for (uint64_t id = table_next (&f->confirmations, 0, (void **)&confirmation);
+       id != 0;
+       id = table_next (&f->confirmations, id, (void **)&confirmation))
+    str_free (&confirmation->id);
+  table_close (&f->confirmations);
+  backend_stops_close (&f->stored_stops);
   backend_close (&f->backend);
   if (f->rand != NULL)
     g_rand_free (f->rand);
@@ -697,51 +715,6 @@
   loop_close (&f->loop);
 }
 
-/**
- * front_apply_backend_report - applies a report of the backend server
- * @f: front
- * @report: decoded report
- *
- * A drain or leave is in the mailbox of the serve thread when this returns, so
- * that the caller can acknowledge the report.
- *
- * Return: false if the report is out of date.
- */
-bool
-front_apply_backend_report (struct front *f,
-                            const struct backend_report *report)
-{
-  struct thread_message *message;
-
-  switch (backend_apply (&f->backend, report, clock_now_us ()))
-    {
-    case BACKEND_CHANGE_STALE:
-      return false;
-    case BACKEND_CHANGE_NONE:
-      return true;
-    case BACKEND_CHANGE_ANNOUNCED:
-      message = thread_message_create (THREAD_MESSAGE_ANNOUNCE);
-      message->backend.service = str_copy (report->service);
-      message->backend.address = str_copy (report->address);
-      message->backend.id = str_copy (report->id);
-      message->backend.boot_ms = report->boot_ms;
-      message->backend.port = report->port;
-      message->backend.slots = report->slots;
-      message->backend.connections = report->connections;
-      message->backend.cold_us = report->cold_us;
-      break;
-    case BACKEND_CHANGE_DRAINED:
-      message = thread_message_create (THREAD_MESSAGE_DRAIN);
-      break;
-    default:
-      message = thread_message_create (THREAD_MESSAGE_LEAVE);
-      break;
-    }
-  mailbox_send (f->shared->serve, thread_message_copy (message));
-  mailbox_send (f->shared->control, message);
-  return true;
-}
-
 void
 front_set_state (struct front *f, struct front_call *call,
                  enum front_state state)
--- a/src/front.h
+++ b/src/front.h
@@ -48,8 +48,8 @@
   FRONT_SENT,        /* waits for the response to an attempt */
   FRONT_QUERYING,    /* waits for the reply to a WIRE_QUERY */
   FRONT_COMPLETED,   /* response or error is to be sent */
-  /* number of queues; also the state of admin's status requests, which no
-     system processes */
+  /* number of queues; also the state of admin's status requests and of
+     reports of the backend server, which no system processes */
   FRONT_STATE_COUNT
 };
 
@@ -130,6 +130,15 @@
   struct route_pool pool;
 };
 
+/* An exchange that waits until the store has a drain or leave.  */
+struct front_confirmation
+{
+  uint64_t call; /* row of the exchange */
+  struct str id; /* owned; of the boot that has stopped */
+  int64_t boot_ms;
+  int64_t deadline_us;
+};
+
 struct front
 {
   struct loop loop;
@@ -139,6 +148,8 @@
   struct http_server *servers[FRONT_SOURCE_COUNT];
   struct http_server_stats reported[FRONT_SOURCE_COUNT]; /* in the metrics */
   struct backend_record backend;
+  struct backend_stops stored_stops; /* owned; in the store */
+  struct table confirmations;
   struct peer_link_set links;
   struct table calls;
   /* ids of the calls that entered each state */
@@ -180,11 +191,6 @@
 
 /* Functions for the modules of the front thread */
 
-/* Applies a report of the backend server and notifies the serve and control
-   threads of a change.  Returns false if the report is out of date.  */
-bool front_apply_backend_report (struct front *f,
-                                 const struct backend_report *report);
-
 /* Moves a call to a state and queues it for the system of that state.  */
 void front_set_state (struct front *f, struct front_call *call,
                       enum front_state state);
--- a/src/http_dialect.h
+++ b/src/http_dialect.h
@@ -72,6 +72,9 @@
      port.  Returns false if it is a call to a service.  */
   bool (*handle_daemon_request) (struct front *f,
                                  struct http_server_exchange *x);
+  /* Answers a report of the backend server.  A drain or leave that is not
+     confirmed is reported again.  NULL if the dialect has no reports.  */
+  void (*answer_report) (struct http_server_exchange *x, bool confirmed);
   /* Reads the headers of a request.  */
   void (*read_caller_headers) (const struct http_server_exchange *x,
                                struct http_dialect_caller_headers *out);
--- /dev/null
+++ b/src/registry_stops.c
@@ -0,0 +1,167 @@
+/* registry_stops: keeps the stops of this daemon's backend server where the
+   next process of the daemon finds them.  */
+
+#include "registry_stops.h"
+
+#include "clock.h"
+#include "logger.h"
+
+/* Constants */
+
+/* Member of the daemon's object in the store.  */
+#define STOPS_MEMBER "stops"
+/* Time after the first answer of another daemon in which the others are
+   expected to answer too: one that was cut off may have missed a stop.  */
+#define HEARING_US (INT64_C (500) * CLOCK_US_PER_MS)
+
+/* Internal functions */
+
+static void
+send_to_fronts (struct control *c, const struct backend_stops *stops,
+                bool stored)
+{
+  for (uint32_t i = 0; i < c->shared->fronts_len; i++)
+    {
+      struct thread_message *message
+          = thread_message_create (THREAD_MESSAGE_STOPS);
+
+      message->stops = backend_stops_copy (stops);
+      message->stops_stored = stored;
+      mailbox_send (c->shared->fronts[i], message);
+    }
+}
+
+/* From now on reports of boots that serve are applied.  */
+static void
+set_known (struct control *c, const char *source)
+{
+  struct control_registry *cr = c->control_registry;
+
+  if (cr->stops_known)
+    return;
+  cr->stops_known = true;
+  LOGGER_WRITE (LOGGER_INFO, "stops_known",
+                LOGGER_TEXT ("source", str_from_cstr (source)),
+                LOGGER_NUMBER ("stops", cr->stops.len));
+}
+
+static bool
+has_all (const struct backend_stops *s, const struct backend_stops *part)
+{
+  for (uint32_t i = 0; i < part->len; i++)
+    if (!backend_stops_contains (s, part->rows[i].id, part->rows[i].boot_ms))
+      return false;
+  return true;
+}
+
+/* Public functions */
+
+void
+registry_stops_record (struct control *c, const struct thread_message *message)
+{
+  struct control_registry *cr = c->control_registry;
+  const struct thread_message_backend *b = &message->backend;
+
+  if (backend_stops_add (&cr->stops, b->id, b->boot_ms))
+    {
+      cr->stops_unsaved = true;
+      cr->next_state_us = 0;
+    }
+  else if (!cr->stops_unsaved && cr->stops_known)
+    send_to_fronts (c, &cr->stops, true);
+}
+
+void
+registry_stops_load_object (struct control *c, struct str value)
+{
+  struct control_registry *cr = c->control_registry;
+
+  backend_stops_close (&cr->stored);
+  if (!backend_stops_load_json (&cr->stored, value, STOPS_MEMBER))
+    LOGGER_WRITE (LOGGER_WARNING, "daemon_object_invalid",
+                  LOGGER_TEXT ("key", c->settings->member_id));
+  backend_stops_merge (&cr->stops, &cr->stored);
+}
+
+void
+registry_stops_begin_put (struct control *c)
+{
+  struct control_registry *cr = c->control_registry;
+
+  backend_stops_close (&cr->written);
+  cr->written = backend_stops_copy (&cr->stops);
+}
+
+void
+registry_stops_end_put (struct control *c)
+{
+  struct control_registry *cr = c->control_registry;
+
+  backend_stops_close (&cr->stored);
+  cr->stored = cr->written;
+  cr->written.len = 0;
+}
+
+void
+registry_stops_publish (struct control *c)
+{
+  struct control_registry *cr = c->control_registry;
+
+  cr->stops_unsaved = !has_all (&cr->stored, &cr->stops);
+  set_known (c, "store");
+  send_to_fronts (c, &cr->stored, true);
+}
+
+void
+registry_stops_tell (struct control *c,
+                     const struct daemon_registry_state *state)
+{
+  const struct daemon_registry_member *m
+      = daemon_registry_find (&c->control_registry->registry, state->member);
+  struct wire_registry_message out = { .type = WIRE_REGISTRY_STOPS };
+  struct str_buf frames = { 0 };
+
+  if (state->stops_known || m == NULL || !m->state.stops_known)
+    return;
+  out.u.stops.name = m->state.name;
+  out.u.stops.stops = m->state.stops;
+  wire_registry_append (&frames, &out);
+  control_send (c, m->state.member, m->state.address, m->state.control_port,
+                str_view (&frames));
+  str_reset (&frames);
+}
+
+void
+registry_stops_hear (struct control *c,
+                     const struct wire_registry_stops *stops)
+{
+  struct control_registry *cr = c->control_registry;
+
+  if (!str_equal (stops->name, c->settings->member_id))
+    return;
+  if (cr->stops_heard_us == 0)
+    cr->stops_heard_us = clock_now_us ();
+  if (!backend_stops_merge (&cr->stops, &stops->stops))
+    return;
+  cr->stops_unsaved = true;
+  if (cr->stops_known)
+    send_to_fronts (c, &cr->stops, false);
+}
+
+void
+registry_stops_run (struct control *c, int64_t now_us)
+{
+  struct control_registry *cr = c->control_registry;
+
+  if (cr->store == NULL && (!cr->stops_known || cr->stops_unsaved))
+    {
+      registry_stops_begin_put (c);
+      registry_stops_end_put (c);
+      registry_stops_publish (c);
+    }
+  if (cr->stops_known || !cr->join_failed || cr->stops_heard_us == 0
+      || now_us - cr->stops_heard_us < HEARING_US)
+    return;
+  set_known (c, "daemons");
+  send_to_fronts (c, &cr->stops, false);
+}
--- a/src/thread_message.c
+++ b/src/thread_message.c
@@ -28,6 +28,7 @@
   copy->backend.service = str_copy (message->backend.service);
   copy->backend.address = str_copy (message->backend.address);
   copy->backend.id = str_copy (message->backend.id);
+  copy->stops = backend_stops_copy (&message->stops);
   copy->key = str_copy (message->key);
   copy->content_type = str_copy (message->content_type);
   copy->text = str_copy (message->text);
@@ -52,6 +53,7 @@
   str_free (&message->backend.service);
   str_free (&message->backend.address);
   str_free (&message->backend.id);
+  backend_stops_close (&message->stops);
   str_free (&message->key);
   str_free (&message->content_type);
   str_free (&message->text);
--- a/src/thread_message.h
+++ b/src/thread_message.h
@@ -7,6 +7,7 @@
 #ifndef ALMONDVALE_THREAD_MESSAGE_H
 #define ALMONDVALE_THREAD_MESSAGE_H
 
+#include "backend_stops.h"
 #include "err.h"
 #include "mailbox.h"
 #include "str.h"
@@ -23,6 +24,10 @@
   THREAD_MESSAGE_ANNOUNCE, /* a backend server is ready */
   THREAD_MESSAGE_DRAIN,    /* send that backend server no new requests */
   THREAD_MESSAGE_LEAVE,    /* that backend server has left */
+  /* front to control: record that a boot (id, boot_ms) has stopped */
+  THREAD_MESSAGE_STOP,
+  /* control to front: the boots that are known to have stopped */
+  THREAD_MESSAGE_STOPS,
   /* control to front and serve */
   THREAD_MESSAGE_SHUTDOWN, /* finish open requests, accept no others */
   /* front to control: status request; sent back with the status text */
@@ -62,6 +67,8 @@
   uint32_t front; /* index of the requesting front thread */
   uint64_t call;  /* row id of the front's call */
   struct thread_message_backend backend;
+  struct backend_stops stops;
+  bool stops_stored;    /* the store has these stops */
   struct str key;       /* idempotency key */
   uint64_t fingerprint; /* hash of the request sent with the key */
   struct wire_attempt_id attempt;
--- a/src/wire_registry.c
+++ b/src/wire_registry.c
@@ -16,7 +16,8 @@
 
 /* Array members of the messages, the type included; TOKENS_MEMBERS is that of
    a token request and of a grant.  */
-#define STATE_MEMBERS 14
+#define STATE_MEMBERS 16
+#define STOPS_MEMBERS 3
 #define CONFIG_MEMBERS 3
 #define TOKENS_MEMBERS 5
 /* Largest number of tokens accepted in a decoded message.  */
@@ -24,6 +25,18 @@
 
 /* Internal functions: encoding */
 
+/* Packs the id and the boot time of each stop into one array.  */
+static void
+pack_stops (msgpack_packer *p, const struct backend_stops *s)
+{
+  msgpack_pack_array (p, (size_t)s->len * 2);
+  for (uint32_t i = 0; i < s->len; i++)
+    {
+      wire_writer_add_str (p, s->rows[i].id);
+      msgpack_pack_uint64 (p, (uint64_t)s->rows[i].boot_ms);
+    }
+}
+
 static void
 pack_state (msgpack_packer *p, const struct daemon_registry_state *s)
 {
@@ -41,6 +54,8 @@
   wire_writer_add_bool (p, s->leaving);
   wire_writer_add_bool (p, s->store_failed);
   msgpack_pack_uint64 (p, s->revision);
+  wire_writer_add_bool (p, s->stops_known);
+  pack_stops (p, &s->stops);
   msgpack_pack_array (p, (size_t)s->demands_len * 2);
   for (uint32_t i = 0; i < s->demands_len; i++)
     {
@@ -85,6 +100,12 @@
       wire_writer_add_str (p, m->u.grant.workspace);
       msgpack_pack_uint32 (p, m->u.grant.granted);
       break;
+    case WIRE_REGISTRY_STOPS:
+      msgpack_pack_array (p, STOPS_MEMBERS);
+      msgpack_pack_int (p, WIRE_REGISTRY_STOPS);
+      wire_writer_add_str (p, m->u.stops.name);
+      pack_stops (p, &m->u.stops.stops);
+      break;
     }
 }
 
@@ -111,6 +132,24 @@
   r->failed = r->failed || pairs.failed;
 }
 
+/* The ids are views of the frame.  */
+static void
+read_stops (struct wire_reader *r, struct backend_stops *s)
+{
+  struct wire_reader pairs = wire_reader_read_array (r, BACKEND_STOPS_MAX * 2);
+
+  if (pairs.len % 2 != 0)
+    r->failed = pairs.failed = true;
+  while (!r->failed && !pairs.failed && pairs.next < pairs.len)
+    {
+      struct backend_stop *row = &s->rows[s->len++];
+
+      row->id = wire_reader_read_str (&pairs);
+      row->boot_ms = (int64_t)wire_reader_read_u64 (&pairs);
+    }
+  r->failed = r->failed || pairs.failed;
+}
+
 static void
 read_state (struct wire_reader *r, struct daemon_registry_state *s)
 {
@@ -126,6 +165,8 @@
   s->leaving = wire_reader_read_bool (r);
   s->store_failed = wire_reader_read_bool (r);
   s->revision = wire_reader_read_u64 (r);
+  s->stops_known = wire_reader_read_bool (r);
+  read_stops (r, &s->stops);
   read_demands (r, s);
 }
 
@@ -155,6 +196,10 @@
       m->u.grant.workspace = wire_reader_read_str (r);
       m->u.grant.granted = wire_reader_read_u32 (r, TOKENS_MAX);
       break;
+    case WIRE_REGISTRY_STOPS:
+      m->u.stops.name = wire_reader_read_str (r);
+      read_stops (r, &m->u.stops.stops);
+      break;
     default:
       r->failed = true;
       break;
--- a/src/wire_registry.h
+++ b/src/wire_registry.h
@@ -31,7 +31,10 @@
   WIRE_REGISTRY_CONFIG = 72,         /* the configuration in effect */
   WIRE_REGISTRY_TOKEN_REQUEST = 73,  /* request for tokens to the owner of a
                                         pool */
-  WIRE_REGISTRY_GRANT = 74           /* answer to a token request */
+  WIRE_REGISTRY_GRANT = 74,          /* answer to a token request */
+  /* to a daemon that does not know the stops of its earlier processes: those
+     that the sender remembers */
+  WIRE_REGISTRY_STOPS = 75
 };
 
 struct wire_registry_config
@@ -58,6 +61,12 @@
   uint32_t granted;
 };
 
+struct wire_registry_stops
+{
+  struct str name; /* of the daemon beside the backend server */
+  struct backend_stops stops;
+};
+
 struct wire_registry_message
 {
   enum wire_registry_type type;
@@ -67,6 +76,7 @@
     struct wire_registry_config config;
     struct wire_registry_token_request token_request;
     struct wire_registry_grant grant;
+    struct wire_registry_stops stops;
   } u;
   void *zone; /* msgpack_zone of the decoded objects */
 };
--- a/standins/machines.c
+++ b/standins/machines.c
@@ -36,11 +36,15 @@
                               from 0 in the order of --backend, is the body
      PUT /standin/leave       deregisters that backend server
      PUT /standin/return      restarts that backend server with a new id
+     PUT /standin/late        sends the first report of that backend server's
+                              instance ("ready") once more
      PUT /standin/entry       adds the body, as it is, to the items of lists of
                               the daemons; an empty body removes it
      GET /standin/executions  returns the number of requests that each backend
                               server has run
      GET /standin/repeated    returns the number of refusals sent once more
+     GET /standin/confirmed   returns the number of drains and leaves of each
+                              backend server that its daemon has confirmed
      GET /standin/cancelled   returns the number of connections of each backend
                               server that closed while a "hang" was open  */
 
@@ -115,6 +119,7 @@
   bool deregistered;
   int executions; /* requests that were run */
   int cancelled;  /* hanging requests whose connection was closed */
+  int confirmed;  /* confirmed drains and leaves */
 };
 
 /* State */
@@ -241,7 +246,7 @@
   answer_watch (data);
 }
 
-static void
+static uint64_t
 put_object (const char *kind, const char *name, JsonNode *spec)
 {
   struct object *o = find_object (kind, name);
@@ -261,6 +266,7 @@
        id = table_next (&watches, id, (void **)&w))
     if (strcmp (w->kind, kind) == 0)
       answer_watch (w);
+  return o->revision;
 }
 
 static void
@@ -307,29 +313,47 @@
   g_string_free (out, TRUE);
 }
 
+/* Applies a write, whose condition is that the object does not exist (POST) or
+   has the revision in the metadata, if there is one (PUT).  Returns the status
+   and sets the revision of the object.  */
+static int
+apply_write (const char *kind, const char *name, JsonObject *o,
+             uint64_t *written)
+{
+  JsonObject *meta = json_object_get_object_member (o, "metadata");
+  bool create = name == NULL;
+  gint64 expected = 0;
+  struct object *old;
+
+  if (create)
+    name = json_object_get_string_member (meta, "name");
+  else if (meta != NULL && json_object_has_member (meta, "revision"))
+    expected = json_object_get_int_member (meta, "revision");
+  old = find_object (kind, name);
+  if (old == NULL && !create)
+    return 404;
+  if (old != NULL
+      && (create || (expected > 0 && (uint64_t)expected != old->revision)))
+    return 409;
+  *written = put_object (kind, name, json_object_get_member (o, "spec"));
+  return create ? 201 : 200;
+}
+
 static void
-write_object (struct evhttp_request *r, const char *kind, const char *name,
-              bool create)
+write_object (struct evhttp_request *r, const char *kind, const char *name)
 {
   char *body = read_body (r);
   JsonNode *root = json_from_string (body, NULL);
-  JsonObject *o = root != NULL ? json_node_get_object (root) : NULL;
+  uint64_t written = 0;
+  int status = 400;
+  char *answer;
 
-  if (o == NULL)
-    reply (r, 400, "{}");
-  else
-    {
-      if (name == NULL)
-        name = json_object_get_string_member (
-            json_object_get_object_member (o, "metadata"), "name");
-      if (create && find_object (kind, name) != NULL)
-        reply (r, 409, "{}");
-      else
-        {
-          put_object (kind, name, json_object_get_member (o, "spec"));
-          reply (r, create ? 201 : 200, "{\"metadata\":{\"revision\":1}}");
-        }
-    }
+  if (root != NULL)
+    status = apply_write (kind, name, json_node_get_object (root), &written);
+  answer
+      = g_strdup_printf ("{\"metadata\":{\"revision\":%" PRIu64 "}}", written);
+  reply (r, status, answer);
+  g_free (answer);
   if (root != NULL)
     json_node_unref (root);
   g_free (body);
@@ -346,8 +370,7 @@
   else if (is_get)
     list_objects (r, parts[0]);
   else
-    write_object (r, parts[0], parts[1],
-                  evhttp_request_get_command (r) == EVHTTP_REQ_POST);
+    write_object (r, parts[0], parts[1]);
   g_strfreev (parts);
 }
 
@@ -369,14 +392,10 @@
   char **parts = g_strsplit (path, "/", 2);
   char *body = read_body (r);
   JsonNode *root = json_from_string (body, NULL);
-  JsonObject *o = root != NULL ? json_node_get_object (root) : NULL;
-  const char *name = parts[1];
-
-  if (o != NULL && name == NULL)
-    name = json_object_get_string_member (
-        json_object_get_object_member (o, "metadata"), "name");
-  if (o != NULL && (parts[1] != NULL || find_object (parts[0], name) == NULL))
-    put_object (parts[0], name, json_object_get_member (o, "spec"));
+  uint64_t written;
+
+  if (root != NULL)
+    apply_write (parts[0], parts[1], json_node_get_object (root), &written);
   if (root != NULL)
     json_node_unref (root);
   g_free (body);
@@ -407,6 +426,7 @@
    daemon acknowledges it.  */
 struct leave_report
 {
+  struct backend *backend;
   char instance[32];
 };
 
@@ -418,12 +438,16 @@
   if (report == NULL)
     return;
   if (answer->result == HTTP_CLIENT_ANSWERED && answer->status / 100 == 2)
-    log_leave (report->instance);
+    {
+      report->backend->confirmed++;
+      log_leave (report->instance);
+    }
   g_free (report);
 }
 
 static void
-send_report (struct backend *b, const char *call, const char *state)
+send_numbered_report (struct backend *b, const char *call, const char *state,
+                      uint64_t sequence)
 {
   struct http_client_header header
       = { STR_LIT ("Content-Type"), STR_LIT ("application/json") };
@@ -432,7 +456,7 @@
       "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z\","
       "\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\","
       "\"coldRemaining\":\"0ms\",\"seq\":%" PRIu64 ",\"born\":%" PRId64 "}",
-      b->service, b->port, SLOTS, state, ++b->sequence, b->born_ms);
+      b->service, b->port, SLOTS, state, sequence, b->born_ms);
   struct http_client_request q = { .method = "POST",
                                    .target = str_from_cstr (target),
                                    .headers_len = 1,
@@ -445,6 +469,7 @@
   if (strcmp (state, "draining") == 0)
     {
       report = g_new (struct leave_report, 1);
+      report->backend = b;
       g_strlcpy (report->instance, b->id, sizeof report->instance);
       q.data = report;
     }
@@ -454,6 +479,12 @@
   g_free (body);
 }
 
+static void
+send_report (struct backend *b, const char *call, const char *state)
+{
+  send_numbered_report (b, call, state, ++b->sequence);
+}
+
 static void
 on_heartbeat (evutil_socket_t fd, short what, void *data)
 {
@@ -647,15 +678,16 @@
   return i >= 0 && i < backends_len ? &backends[i] : &backends[0];
 }
 
+/* Replies with the member at `offset` of each backend server.  */
 static void
-reply_counts (struct evhttp_request *r, bool cancelled)
+reply_counts (struct evhttp_request *r, size_t offset)
 {
   GString *out = g_string_new ("[");
 
   for (int i = 0; i < backends_len; i++)
-    g_string_append_printf (out, "%s%d", i > 0 ? "," : "",
-                            cancelled ? backends[i].cancelled
-                                      : backends[i].executions);
+    g_string_append_printf (
+        out, "%s%d", i > 0 ? "," : "",
+        *(const int *)((const char *)&backends[i] + offset));
   g_string_append (out, "]");
   reply (r, 200, out->str);
   g_string_free (out, TRUE);
@@ -689,17 +721,23 @@
 static void
 handle_test_command (struct evhttp_request *r, const char *path)
 {
+  static const struct
+  {
+    const char *path;
+    size_t offset;
+  } counts[] = { { "executions", offsetof (struct backend, executions) },
+                 { "cancelled", offsetof (struct backend, cancelled) },
+                 { "confirmed", offsetof (struct backend, confirmed) } };
   char *body = read_body (r);
   JsonNode *root;
 
-  bool cancelled = strcmp (path, "cancelled") == 0;
-
-  if (cancelled || strcmp (path, "executions") == 0)
-    {
-      reply_counts (r, cancelled);
-      g_free (body);
-      return;
-    }
+  for (size_t i = 0; i < G_N_ELEMENTS (counts); i++)
+    if (strcmp (path, counts[i].path) == 0)
+      {
+        reply_counts (r, counts[i].offset);
+        g_free (body);
+        return;
+      }
   if (strcmp (path, "repeated") == 0)
     {
       char *count = g_strdup_printf ("%d", repeated_refusals);
@@ -732,6 +770,8 @@
       send_report (find_backend (body), "deregister", "draining");
       find_backend (body)->deregistered = true;
     }
+  else if (strcmp (path, "late") == 0)
+    send_numbered_report (find_backend (body), "heartbeat", "ready", 1);
   else if (strcmp (path, "return") == 0)
     restart_backend (find_backend (body));
   reply (r, 200, "{}");
--- a/tests/test_control_registry.c
+++ b/tests/test_control_registry.c
@@ -18,14 +18,36 @@
 #define DAEMONS 7
 #define PAGE 3
 #define LATE_DAEMON 9
+#define OWN_KEY DAEMONS_KEY "n0"
 
 /* State */
 
+enum put_mode
+{
+  PUT_APPLIED,
+  PUT_UNANSWERED, /* applied without an answer */
+  PUT_DELAYED     /* without an answer; applied by apply_delayed_put */
+};
+
+/* A write of the daemon's own object.  */
+struct own_put
+{
+  struct str value; /* owned */
+  enum object_store_condition condition;
+  uint64_t version;
+};
+
 /* The store.  Its answers are delivered by the calls themselves.  */
 static struct
 {
   struct object_store store;
   bool repeats; /* each page is the first one */
+  enum put_mode put_mode;
+  struct str own_value; /* owned; of the daemon's object; it is listed if
+                           `lists_own` is set */
+  uint64_t own_version; /* 0: there is none */
+  bool lists_own;
+  struct own_put delayed;
   uint32_t lists;
   uint32_t config_reads;
   uint32_t writes;
@@ -69,18 +91,58 @@
       else
         a.next = STR_EMPTY;
     }
+  if (a.next.len == 0 && a.objects_len < PAGE && fake.lists_own
+      && fake.own_version > 0)
+    page[a.objects_len++]
+        = (struct object_store_object){ .key = STR_LIT (OWN_KEY),
+                                        .version = fake.own_version,
+                                        .value = fake.own_value };
   fake.lists++;
   call->done (call->data, &a);
 }
 
+static enum err_kind
+apply_put (const struct own_put *p)
+{
+  if (p->condition != OBJECT_STORE_ANY
+      && fake.own_version
+             != (p->condition == OBJECT_STORE_IF_ABSENT ? 0 : p->version))
+    return ERR_STORE_CONFLICT;
+  str_free (&fake.own_value);
+  fake.own_value = str_copy (p->value);
+  fake.own_version++;
+  return ERR_NONE;
+}
+
+static void
+apply_delayed_put (void)
+{
+  apply_put (&fake.delayed);
+  str_free (&fake.delayed.value);
+}
+
 static void
 put (struct object_store *s, struct str key, struct str value,
      enum object_store_condition condition, uint64_t version,
      const struct object_store_call *call)
 {
+  struct own_put p = { value, condition, version };
   struct object_store_answer a = { .value = STR_EMPTY };
 
   fake.writes++;
+  if (fake.put_mode == PUT_DELAYED)
+    {
+      fake.delayed = p;
+      fake.delayed.value = str_copy (value);
+      a.error = ERR_STORE_OUTCOME_UNKNOWN;
+    }
+  else
+    {
+      a.error = apply_put (&p);
+      a.version = fake.own_version;
+      if (fake.put_mode == PUT_UNANSWERED)
+        a.error = ERR_STORE_OUTCOME_UNKNOWN;
+    }
   call->done (call->data, &a);
 }
 
@@ -142,6 +204,8 @@
                  "%s", error != NULL ? error->message : "");
   g_free (text);
   memset (&fake, 0, sizeof fake);
+  fake.own_value = STR_EMPTY;
+  fake.delayed.value = STR_EMPTY;
   fake.store.ops = &fake_ops;
   fake.repeats = repeats;
   f->settings.first_start = first_start;
@@ -173,9 +237,41 @@
   rate_share_close (&f->shared.rate_shares);
   metrics_close (&f->shared.metrics);
   settings_unload (&f->settings);
+  str_free (&fake.own_value);
   g_free (f->dir);
 }
 
+/* Reports, as a front does, that a boot has stopped.  */
+static void
+report_stop (struct fixture *f, const char *id, int64_t boot_ms)
+{
+  struct thread_message *m = thread_message_create (THREAD_MESSAGE_STOP);
+
+  m->backend.id = str_copy (str_from_cstr (id));
+  m->backend.boot_ms = boot_ms;
+  control_registry_ops.on_message (&f->control, m);
+  thread_message_free (m);
+}
+
+/* Ends the pause after a failed call.  */
+static void
+end_retry_pause (struct fixture *f)
+{
+  f->control.control_registry->join_retry_us = 0;
+}
+
+static bool
+is_stop_stored (const char *id, int64_t boot_ms)
+{
+  struct backend_stops stored;
+  bool found;
+
+  backend_stops_load_json (&stored, fake.own_value, "stops");
+  found = backend_stops_contains (&stored, str_from_cstr (id), boot_ms);
+  backend_stops_close (&stored);
+  return found;
+}
+
 /* Guards against a daemon that knows only the first page of a large fleet, and
    against one that misses a daemon written between two pages.  */
 START_TEST (all_pages_of_the_fleet_are_read)
@@ -248,6 +344,79 @@
 }
 END_TEST
 
+/* Guards against a stop that is taken for stored although its write failed, and
+   against one that is never stored because the answer to its write was
+   lost.  */
+START_TEST (stop_is_stored_before_it_counts_as_stored)
+{
+  struct control_registry *cr;
+  struct fixture f;
+
+  start (&f, false, false);
+  fake.lists_own = true;
+  run (&f, 20);
+  cr = f.control.control_registry;
+  ck_assert (cr->stops_known && !cr->stops_unsaved);
+  fake.put_mode = PUT_UNANSWERED;
+  report_stop (&f, "a", 100);
+  run (&f, 5);
+  ck_assert (cr->stops_unsaved);
+  ck_assert_uint_eq (cr->stored.len, 0);
+  fake.put_mode = PUT_APPLIED;
+  end_retry_pause (&f);
+  run (&f, 20);
+  ck_assert (!cr->stops_unsaved);
+  ck_assert (is_stop_stored ("a", 100));
+  ck_assert (backend_stops_contains (&cr->stored, STR_LIT ("a"), 100));
+  ck_assert_int_eq (cr->phase, CONTROL_REGISTRY_JOINED);
+  stop (&f);
+}
+END_TEST
+
+/* Guards against a write that the store applies late, after its answer was lost
+   and another stop was stored, so that this stop is forgotten.  */
+START_TEST (late_write_does_not_replace_a_later_stop)
+{
+  struct fixture f;
+
+  start (&f, false, false);
+  fake.lists_own = true;
+  run (&f, 20);
+  fake.put_mode = PUT_DELAYED;
+  report_stop (&f, "a", 100);
+  run (&f, 5);
+  fake.put_mode = PUT_APPLIED;
+  report_stop (&f, "b", 200);
+  end_retry_pause (&f);
+  run (&f, 20);
+  ck_assert (is_stop_stored ("b", 200));
+  apply_delayed_put ();
+  ck_assert (is_stop_stored ("a", 100) && is_stop_stored ("b", 200));
+  stop (&f);
+}
+END_TEST
+
+/* Guards against a daemon that writes its object before it has read the stops
+   in it, or that does not read them.  */
+START_TEST (stops_of_the_earlier_process_are_kept)
+{
+  struct fixture f;
+
+  start (&f, false, false);
+  fake.lists_own = true;
+  fake.own_version = 4;
+  fake.own_value
+      = str_copy (STR_LIT ("{\"address\":\"10.0.0.99\",\"port\":7001,"
+                           "\"stops\":[{\"id\":\"a\",\"boot_ms\":100}]}"));
+  report_stop (&f, "b", 200);
+  run (&f, 20);
+  ck_assert (backend_stops_contains (&f.control.control_registry->stops,
+                                     STR_LIT ("a"), 100));
+  ck_assert (is_stop_stored ("a", 100) && is_stop_stored ("b", 200));
+  stop (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -255,7 +424,10 @@
       = { all_pages_of_the_fleet_are_read,
           repeated_page_ends_the_list_with_an_error,
           first_start_writes_before_it_lists,
-          unknown_revision_is_looked_for_once_in_a_while };
+          unknown_revision_is_looked_for_once_in_a_while,
+          stop_is_stored_before_it_counts_as_stored,
+          late_write_does_not_replace_a_later_stop,
+          stops_of_the_earlier_process_are_kept };
 
   return suite_run ("control_registry", cases, G_N_ELEMENTS (cases));
 }
--- a/tests/test_daemon_registry.c
+++ b/tests/test_daemon_registry.c
@@ -106,6 +106,7 @@
   struct rate_share_demand demands[] = { { 7, 1024 }, { 8, 1 } };
   struct wire_registry_message m = { .type = WIRE_REGISTRY_STATE };
   struct wire_registry_message got;
+  struct backend_stops stops;
   struct str_buf out = { 0 };
   struct str frame;
 
@@ -115,6 +116,9 @@
   m.u.state.store_failed = true;
   m.u.state.demands_len = 2;
   m.u.state.demands = demands;
+  m.u.state.stops_known = true;
+  backend_stops_add (&m.u.state.stops, STR_LIT ("a"), 100);
+  backend_stops_add (&m.u.state.stops, STR_LIT ("b"), 200);
   wire_registry_append (&out, &m);
   frame = str_slice (str_view (&out), 4, out.len);
   ck_assert (wire_registry_load (&got, frame));
@@ -125,10 +129,27 @@
   ck_assert (str_equal (got.u.state.service, STR_LIT ("s")));
   ck_assert_uint_eq (got.u.state.demands_len, 2);
   ck_assert_uint_eq (got.u.state.demands[1].hash, 8);
+  ck_assert (got.u.state.stops_known);
+  ck_assert_uint_eq (got.u.state.stops.len, 2);
+  ck_assert (backend_stops_contains (&got.u.state.stops, STR_LIT ("b"), 200));
   wire_registry_unload (&got);
   for (size_t len = 0; len < frame.len; len++)
     ck_assert (!wire_registry_load (&got, str_slice (frame, 0, len)));
   str_reset (&out);
+  stops = m.u.state.stops;
+  m.type = WIRE_REGISTRY_STOPS;
+  m.u.stops.name = STR_LIT ("n");
+  m.u.stops.stops = stops;
+  wire_registry_append (&out, &m);
+  frame = str_slice (str_view (&out), 4, out.len);
+  ck_assert (wire_registry_load (&got, frame));
+  ck_assert (str_equal (got.u.stops.name, STR_LIT ("n")));
+  ck_assert (backend_stops_contains (&got.u.stops.stops, STR_LIT ("a"), 100));
+  wire_registry_unload (&got);
+  for (size_t len = 0; len < frame.len; len++)
+    ck_assert (!wire_registry_load (&got, str_slice (frame, 0, len)));
+  backend_stops_close (&stops);
+  str_reset (&out);
   m.type = WIRE_REGISTRY_CONFIG;
   m.u.config.revision = 3;
   m.u.config.bytes = STR_LIT ("{}");
@@ -409,6 +430,39 @@
 }
 END_TEST
 
+/* Guards against a daemon that forgets, with an ended process of another
+   daemon, which boots of that daemon's backend server have stopped: also after
+   a second process that does not know them either.  */
+START_TEST (stops_outlive_the_process_that_reported_them)
+{
+  struct daemon_registry_state old = make_state (2, "10.0.0.2");
+  struct daemon_registry_state new = make_state (3, "10.0.0.2");
+  struct daemon_registry_state other = make_state (9, "10.0.0.9");
+  struct daemon_registry_member *m;
+  struct daemon_registry r;
+
+  other.name = STR_LIT ("other");
+  old.stops_known = true;
+  backend_stops_add (&old.stops, STR_LIT ("a"), 100);
+  daemon_registry_init (&r, 1);
+  daemon_registry_apply (&r, &old, 0);
+  daemon_registry_apply (&r, &new, S);
+  daemon_registry_apply (&r, &new, 2 * S);
+  new.member = 4;
+  daemon_registry_apply (&r, &new, 3 * S);
+  daemon_registry_apply (&r, &other, 3 * S);
+  m = daemon_registry_find (&r, 4);
+  ck_assert_ptr_nonnull (m);
+  ck_assert (m->state.stops_known);
+  ck_assert (backend_stops_contains (&m->state.stops, STR_LIT ("a"), 100));
+  m = daemon_registry_find (&r, 9);
+  ck_assert (!m->state.stops_known);
+  ck_assert_uint_eq (m->state.stops.len, 0);
+  daemon_registry_close (&r);
+  backend_stops_close (&old.stops);
+}
+END_TEST
+
 /* Guards against pool owners that are not updated when a member times out,
    leaves or becomes live again: tokens would be requested from the wrong
    daemon.  */
@@ -452,6 +506,7 @@
     requests_for_a_configuration_are_spread,
     owners_digest_follows_the_live_members,
     late_state_of_an_ended_process_is_ignored,
+    stops_outlive_the_process_that_reported_them,
   };
 
   return suite_run ("daemon_registry", cases, sizeof cases / sizeof *cases);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -310,6 +310,100 @@
 }
 END_TEST
 
+/* Checks that a late report of daemon 2's backend server, which has left, does
+   not bring it back.  */
+static void
+check_late_report (const struct fixture *f)
+{
+  int before[DAEMONS], after[DAEMONS];
+
+  process_wait_for_status (f->daemons[2].ready, "/almondvale/ready", 200);
+  get_executions (f, before);
+  set_standin (f, "late", "2");
+  for (int i = 0; i < 30; i++)
+    {
+      ck_assert_int_eq (get (f, i % DAEMONS, "/book/x").status, 503);
+      g_usleep (50000);
+    }
+  get_executions (f, after);
+  ck_assert_int_eq (after[2], before[2]);
+}
+
+/* Guards against a daemon that forgets with its process that its backend server
+   has left, so that a late report makes it send requests there: after the kill
+   of one daemon, and of all.  The next boot is used.  */
+START_TEST (left_backend_stays_left_after_a_restart)
+{
+  struct fixture f = start ();
+
+  set_standin (&f, "leave", "2");
+  await_count (&f, "/standin/confirmed", 1);
+  process_stop (f.daemons[2].pid, SIGKILL);
+  process_start_machine (&f.daemons[2], f.dir);
+  check_late_report (&f);
+  for (int i = 0; i < DAEMONS; i++)
+    process_stop (f.daemons[i].pid, SIGKILL);
+  for (int i = 0; i < DAEMONS; i++)
+    process_start_machine (&f.daemons[i], f.dir);
+  check_late_report (&f);
+  set_standin (&f, "return", "2");
+  for (int i = 0; i < DAEMONS; i++)
+    await_status (&f, i, "/book/x", 200);
+  stop (&f);
+}
+END_TEST
+
+/* Guards against the same while the store does not answer the new process:
+   the other daemons remember.  */
+START_TEST (left_backend_stays_left_while_the_store_is_down)
+{
+  struct fixture f = start ();
+
+  set_standin (&f, "leave", "2");
+  await_count (&f, "/standin/confirmed", 1);
+  set_standin (&f, "store", "down");
+  process_stop (f.daemons[2].pid, SIGKILL);
+  process_start_machine (&f.daemons[2], f.dir);
+  check_late_report (&f);
+  set_standin (&f, "store", "up");
+  check_late_report (&f);
+  stop (&f);
+}
+END_TEST
+
+/* Guards against a confirmation that the next process of the daemon does not
+   know of: without the store a drain takes effect, but is not confirmed.  */
+START_TEST (drain_is_confirmed_when_it_is_stored)
+{
+  struct fixture f = start ();
+  int counts[DAEMONS];
+
+  set_standin (&f, "store", "down");
+  set_standin (&f, "drain", "2");
+  await_status (&f, 0, "/book/x", 503);
+  g_usleep (1500000);
+  get_counts (&f, "/standin/confirmed", counts);
+  ck_assert_int_eq (counts[2], 0);
+  set_standin (&f, "store", "up");
+  await_count (&f, "/standin/confirmed", 1);
+  ck_assert_int_eq (get (&f, 0, "/book/x").status, 503);
+  stop (&f);
+}
+END_TEST
+
+/* Guards against a drain that is never confirmed because the store applies its
+   write and the answer is lost.  */
+START_TEST (drain_is_confirmed_despite_lost_answers)
+{
+  struct fixture f = start ();
+
+  set_standin (&f, "store", "lost");
+  set_standin (&f, "drain", "2");
+  await_count (&f, "/standin/confirmed", 1);
+  stop (&f);
+}
+END_TEST
+
 /* Guards against a SIGHUP that ends a daemon while it reads its settings.  The
    settings file is a pipe, so that the daemon is still waiting for the text
    when the signal arrives.  */
@@ -764,6 +858,10 @@
     drained_backend_gets_no_requests,
     withdrawn_key_is_refused_everywhere,
     daemon_starts_without_the_store,
+    left_backend_stays_left_after_a_restart,
+    left_backend_stays_left_while_the_store_is_down,
+    drain_is_confirmed_when_it_is_stored,
+    drain_is_confirmed_despite_lost_answers,
     shutdown_finishes_open_requests,
     bad_frame_closes_only_its_link,
     hangup_during_startup_is_ignored,
--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -35,6 +35,7 @@
 #define FAULT_INTERVAL_MAX_US 900000
 #define FAULT_MAX_US 3000000
 #define RESTART_DELAY_MAX_US 1500000
+#define LATE_REPORT_INTERVAL_US 500000
 /* Time within which every daemon must serve again after the last fault.  */
 #define RECOVERY_MAX_US (20 * CLOCK_US_PER_S)
 /* Bounds that the users' pages state: `drain`, `revertSlack`, `quotaWindow`,
@@ -109,7 +110,8 @@
   bool ending;        /* SIGKILL or SIGTERM was sent */
   int64_t sigterm_us; /* time of SIGTERM; 0: none, or SIGKILL followed */
   bool draining;      /* its backend server was requested to drain or leave */
-  int64_t started_us; /* time of its last start */
+  int64_t next_late_report_us; /* while it drains */
+  int64_t started_us;          /* time of its last start */
 };
 
 /* A SIGTERM to a daemon, and the time at which the process had exited (0: not
@@ -741,12 +743,29 @@
     }
 }
 
+/* A report that a backend server sent before its drain or leave may arrive
+   seconds later, also at the next process of the daemon.  */
+static void
+send_late_reports (struct soak *s, int64_t now_us)
+{
+  for (int i = 0; i < s->daemons_len; i++)
+    {
+      struct daemon *d = &s->daemons[i];
+
+      if (!d->draining || now_us < d->next_late_report_us)
+        continue;
+      d->next_late_report_us = now_us + LATE_REPORT_INTERVAL_US;
+      put_standin_number (s, "late", i);
+    }
+}
+
 static void
 on_tick (evutil_socket_t fd, short what, void *data)
 {
   struct soak *s = data;
   int64_t now_us = clock_now_us ();
 
+  send_late_reports (s, now_us);
   restart_ended_processes (s, now_us);
   end_faults (s, now_us);
   if (now_us >= s->end_us)
