Test answers that end in the middle of their head

Report of another operator: a backend stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole.

It cannot happen here: at the end of the stream http_client runs the parser without bytes, and the parser completes an answer then only if its head is whole and it has no length. Everything else fails the exchange, which callers see as 502. No code was changed.

test_http_client answer_that_ends_in_its_head_fails cuts six heads (length, empty body, chunked, no length, HTTP/1.0, after an informational answer) at each byte, on a new and on a reused connection, by the end of the stream and by a reset. test_platform answer_cut_in_its_head_is_not_passed_on shows 502 through real daemons, for a repeatable request and for one that is not.

--- a/standins/machines.c
+++ b/standins/machines.c
@@ -19,6 +19,8 @@
                before its answer this one is sent once more
      nameless  with "again": sent once more without the id of its request
      lost      run, but the connection is closed without an answer
+     cut       run, but the connection is closed in the middle of the head of
+               the answer
 
    The file of --runs gets a line for each request that is run ("run MS ID
    TARGET TENANT CALLER INSTANCE KEY") and for each drain or leave that a
@@ -65,6 +67,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 /* Constants */
 
@@ -625,6 +628,23 @@
                      strlen (refusal));
 }
 
+/* Sends the beginning of an answer, without the end of its head, and closes
+   the connection.  */
+static void
+cut_answer (struct evhttp_request *r)
+{
+  struct evhttp_connection *c = evhttp_request_get_connection (r);
+  char *head
+      = g_strdup_printf ("HTTP/1.1 200 OK\r\nX-Almondvale-Attempt-Id: %s\r\n"
+                         "X-Almondvale-Response-Signature: 5e.1\r\n",
+                         get_header (r, "X-Almondvale-Attempt-Id"));
+
+  send (bufferevent_getfd (evhttp_connection_get_bufferevent (c)), head,
+        strlen (head), MSG_NOSIGNAL);
+  g_free (head);
+  evhttp_connection_free (c);
+}
+
 static void
 on_request (struct evhttp_request *r, void *data)
 {
@@ -652,6 +672,11 @@
       evhttp_connection_free (evhttp_request_get_connection (r));
       return;
     }
+  if (strstr (target, "cut") != NULL)
+    {
+      cut_answer (r);
+      return;
+    }
   if (strstr (target, "slow") != NULL)
     {
       struct delayed_answer *s = g_new (struct delayed_answer, 1);
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -30,7 +30,9 @@
   ANSWER_EXTRA,   /* an answer and, immediately after it, a second one */
   ANSWER_FOREIGN, /* an answer to another request, then the expected one */
   UNFRAMED_END,   /* an answer without a length, then the end of the stream */
-  UNFRAMED_RESET  /* an answer without a length, then a reset */
+  UNFRAMED_RESET, /* an answer without a length, then a reset */
+  ANSWER_CUT      /* the first bytes of an answer, then the end of the stream
+                     or a reset */
 };
 
 struct server
@@ -41,6 +43,8 @@
   const enum action *actions; /* one for each request; ANSWER for all later
                                  ones */
   int actions_len;
+  struct str cut;  /* bytes of ANSWER_CUT */
+  bool cut_resets; /* a reset follows them */
   int executions;  /* number of requests read */
   GPtrArray *open; /* connections */
 };
@@ -109,6 +113,16 @@
                        "HTTP/1.1 201 OK\r\nContent-Length: 2\r\n\r\nno"
                        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
                        80);
+  if (action == ANSWER_CUT)
+    {
+      struct linger now = { s->cut_resets, 0 };
+
+      send (bufferevent_getfd (bev), s->cut.data, s->cut.len, 0);
+      setsockopt (bufferevent_getfd (bev), SOL_SOCKET, SO_LINGER, &now,
+                  sizeof now);
+      close_connection (s, bev);
+      return;
+    }
   if (action == UNFRAMED_END || action == UNFRAMED_RESET)
     {
       struct linger now = { 1, 0 };
@@ -369,6 +383,50 @@
 }
 END_TEST
 
+/* Guards against reporting an answer that ends in the middle of its head as a
+   complete one with an empty body: with a length, in chunks, without a length
+   and after an informational answer, on a new and on a reused connection,
+   ended by the end of the stream and by a reset.  */
+START_TEST (answer_that_ends_in_its_head_fails)
+{
+  static const char *const heads[]
+      = { "HTTP/1.1 200 OK\r\nSignature: 5e.1\r\nContent-Length: 12\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nSignature: 5e.1\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nSignature: 5e.1\r\n\r\n",
+          "HTTP/1.0 200 OK\r\nConnection: close\r\n\r\n",
+          "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\n" };
+  static const enum action actions[] = { ANSWER, ANSWER_CUT };
+  struct event_base *base = event_base_new ();
+  struct http_client_pool *pool;
+  struct server s;
+  struct result r;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (heads); i++)
+    for (size_t len = 0; len < strlen (heads[i]); len++)
+      for (int variant = 0; variant < 4; variant++)
+        {
+          bool reused = variant & 1;
+
+          start_server (&s, base, reused ? actions : actions + 1, 1 + reused);
+          s.cut = (struct str){ len, heads[i] };
+          s.cut_resets = variant & 2;
+          pool = http_client_load_pool (base, STR_LIT ("127.0.0.1"), s.port, 4,
+                                        1000);
+          if (reused)
+            send_one (base, pool, STR_LIT ("x"), TIMEOUT_US);
+          r = send_one (base, pool, STR_LIT ("x"), TIMEOUT_US);
+          ck_assert_msg (r.result == HTTP_CLIENT_FAILED && r.status == 0,
+                         "head %zu, %zu bytes, variant %d: status %d", i, len,
+                         variant, r.status);
+          ck_assert_uint_eq (http_client_get_connection_count (pool), 0);
+          http_client_unload_pool (pool);
+          stop_server (&s);
+        }
+  event_base_free (base);
+}
+END_TEST
+
 static bool
 is_expected_answer (void *data, const struct http_client_answer *answer)
 {
@@ -579,6 +637,7 @@
   tcase_add_test (tc, lack_of_descriptors_means_not_sent);
   tcase_add_test (tc, connections_are_limited_and_cancel_skips_done);
   tcase_add_test (tc, unframed_answer_ends_with_the_stream);
+  tcase_add_test (tc, answer_that_ends_in_its_head_fails);
   tcase_add_test (tc, bytes_of_other_requests_are_dropped);
   tcase_set_timeout (tc, 60);
   tcase_add_test (tc, answer_without_end_is_given_up);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -310,6 +310,21 @@
 }
 END_TEST
 
+/* Guards against a success, with an empty body, for a request whose backend
+   server closed the connection in the middle of the head of its answer.  */
+START_TEST (answer_cut_in_its_head_is_not_passed_on)
+{
+  struct fixture f = start ();
+
+  for (int i = 0; i < DAEMONS; i++)
+    {
+      ck_assert_int_eq (get (&f, i, "/notes/cut").status, 502);
+      ck_assert_int_eq (get (&f, i, "/book/cut").status, 502);
+    }
+  stop (&f);
+}
+END_TEST
+
 /* Checks that a late report of daemon 2's backend server, which has left, does
    not bring it back.  */
 static void
@@ -854,6 +869,7 @@
   const TTest *const cases[] = {
     requests_are_routed_and_authenticated,
     invalid_answers_are_not_passed_on,
+    answer_cut_in_its_head_is_not_passed_on,
     repeated_refusal_is_not_taken_for_another_request,
     drained_backend_gets_no_requests,
     withdrawn_key_is_refused_everywhere,
