--- a/src/backend_stops.c
+++ b/src/backend_stops.c
@@ -78,6 +78,15 @@
   return true;
 }
 
+/**
+ * backend_stops_merge - adds the boots of an older list
+ * @s: list
+ * @older: list of boots that stopped before those that only @s has; copied
+ *
+ * If there is no room for all, the boots of @older are dropped first.
+ *
+ * Return: true if a boot was missing in @s, also if there was no room for it.
+ */
 bool
 backend_stops_merge (struct backend_stops *s,
                      const struct backend_stops *older)
--- a/src/control_registry.c
+++ b/src/control_registry.c
@@ -629,7 +629,7 @@
       if (!known
           && daemon_registry_find (&cr->registry, m.u.state.member) != NULL)
         send_state_to (c, &m.u.state);
-      registry_stops_tell (c, &m.u.state);
+      registry_stops_send (c, &m.u.state);
       registry_config_record (c, &m.u.state);
       break;
     case WIRE_REGISTRY_CONFIG_REQUEST:
@@ -645,7 +645,7 @@
       apply_grant (c, &m.u.grant);
       break;
     case WIRE_REGISTRY_STOPS:
-      registry_stops_hear (c, &m.u.stops);
+      registry_stops_receive (c, &m.u.stops);
       break;
     }
   wire_registry_unload (&m);
--- a/src/control_registry.h
+++ b/src/control_registry.h
@@ -45,7 +45,7 @@
   struct backend_stops written; /* owned; in the value of the pending put */
   bool stops_known;             /* those of earlier processes are in `stops` */
   bool stops_unsaved;           /* the store lacks one of `stops` */
-  int64_t stops_heard_us;       /* when another daemon first told them; 0:
+  int64_t stops_received_us;    /* when another daemon first sent them; 0:
                                    none did */
   /* configuration */
   bool read_pending;        /* a read or watch is pending */
--- a/src/registry_stops.c
+++ b/src/registry_stops.c
@@ -10,9 +10,9 @@
 
 /* Member of the daemon's object in the store.  */
 #define STOPS_MEMBER "stops"
-/* Time after the first answer of another daemon in which the others are
-   expected to answer too: one that was cut off may have missed a stop.  */
-#define HEARING_US (INT64_C (500) * CLOCK_US_PER_MS)
+/* Time after the first reply of another daemon in which the others are
+   expected to reply too: one that was cut off may have missed a stop.  */
+#define PEER_REPLIES_US (INT64_C (500) * CLOCK_US_PER_MS)
 
 /* Internal functions */
 
@@ -56,6 +56,14 @@
 
 /* Public functions */
 
+/**
+ * registry_stops_record - adds a stop that a front reports
+ * @c: control thread
+ * @message: names the boot by its id and boot time
+ *
+ * The stop is written to the store by the next round of systems.  One that the
+ * store has is published again, since the front may have missed that.
+ */
 void
 registry_stops_record (struct control *c, const struct thread_message *message)
 {
@@ -113,7 +121,7 @@
 }
 
 void
-registry_stops_tell (struct control *c,
+registry_stops_send (struct control *c,
                      const struct daemon_registry_state *state)
 {
   const struct daemon_registry_member *m
@@ -132,15 +140,15 @@
 }
 
 void
-registry_stops_hear (struct control *c,
-                     const struct wire_registry_stops *stops)
+registry_stops_receive (struct control *c,
+                        const struct wire_registry_stops *stops)
 {
   struct control_registry *cr = c->control_registry;
 
   if (!str_equal (stops->name, c->settings->member_id))
     return;
-  if (cr->stops_heard_us == 0)
-    cr->stops_heard_us = clock_now_us ();
+  if (cr->stops_received_us == 0)
+    cr->stops_received_us = clock_now_us ();
   if (!backend_stops_merge (&cr->stops, &stops->stops))
     return;
   cr->stops_unsaved = true;
@@ -148,6 +156,14 @@
     send_to_fronts (c, &cr->stops, false);
 }
 
+/**
+ * registry_stops_run - uses what the other daemons remember
+ * @c: control thread
+ * @now_us: current time
+ *
+ * It is used only after a call to the store has failed.  What the store has is
+ * added when it answers.  Without a store the stops count as stored.
+ */
 void
 registry_stops_run (struct control *c, int64_t now_us)
 {
@@ -159,8 +175,8 @@
       registry_stops_end_put (c);
       registry_stops_publish (c);
     }
-  if (cr->stops_known || !cr->join_failed || cr->stops_heard_us == 0
-      || now_us - cr->stops_heard_us < HEARING_US)
+  if (cr->stops_known || !cr->join_failed || cr->stops_received_us == 0
+      || now_us - cr->stops_received_us < PEER_REPLIES_US)
     return;
   set_known (c, "daemons");
   send_to_fronts (c, &cr->stops, false);
--- a/src/registry_stops.h
+++ b/src/registry_stops.h
@@ -27,11 +27,11 @@
    earlier process is unknown.  */
 void registry_stops_publish (struct control *c);
 /* Answers a state that says that its sender does not know its stops.  */
-void registry_stops_tell (struct control *c,
+void registry_stops_send (struct control *c,
                           const struct daemon_registry_state *state);
 /* Adds the stops that another daemon remembers.  */
-void registry_stops_hear (struct control *c,
-                          const struct wire_registry_stops *stops);
+void registry_stops_receive (struct control *c,
+                             const struct wire_registry_stops *stops);
 /* System: uses what the other daemons remember while the store does not
    answer.  */
 void registry_stops_run (struct control *c, int64_t now_us);
