Report refused answers and check the heads of requests

Cause: an answer that was refused left no trace of the reason; names and values of requests were forwarded as libmicrohttpd parsed them, with spaces and control bytes; fields named by Connection were forwarded both ways; an entry daemon trusted the status in another daemon's response. Change: backend_answer_refused, a counter by reason and a span attribute; http_head's rules on each listener (400); Connection's fields are dropped; responses of other daemons are checked.

--- a/bench/fuzz.c
+++ b/bench/fuzz.c
@@ -6,6 +6,7 @@
    module check what its decoder accepts.  */
 
 #include "change_json.h"
+#include "http_head.h"
 #include "idempotency.h"
 #include "inventory_import.h"
 #include "inventory_json.h"
@@ -17,6 +18,7 @@
 #include "wire_snapshot.h"
 
 #include <glib.h>
+#include <http_parser.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -136,8 +138,120 @@
   idempotency_parse_key (input, &key);
 }
 
+/* Internal functions: heads of answers */
+
+/* Fields as the parser reports them, one "NAME:VALUE" a line.  */
+struct parsed_head
+{
+  struct str_buf text;
+  struct str_buf value; /* of the last field */
+  bool complete;
+};
+
+static int
+on_field (http_parser *p, const char *at, size_t len)
+{
+  struct parsed_head *head = p->data;
+
+  if (head->text.len > 0)
+    {
+      str_append (&head->text, http_head_trim (str_view (&head->value)));
+      str_append_char (&head->text, '\n');
+    }
+  str_reset (&head->value);
+  str_append (&head->text, (struct str){ len, at });
+  str_append_char (&head->text, ':');
+  return 0;
+}
+
+static int
+on_value (http_parser *p, const char *at, size_t len)
+{
+  struct parsed_head *head = p->data;
+
+  str_append (&head->value, (struct str){ len, at });
+  return 0;
+}
+
+static int
+on_head_end (http_parser *p)
+{
+  struct parsed_head *head = p->data;
+
+  str_append (&head->text, http_head_trim (str_view (&head->value)));
+  head->complete = true;
+  http_parser_pause (p, 1);
+  return 0;
+}
+
+/* Splits a head at its line ends, and each line at the first colon.  */
+static void
+split_head (struct str input, struct str_buf *out)
+{
+  size_t from = str_find_char (input, '\n', 0) + 1;
+
+  while (from < input.len)
+    {
+      size_t to = str_find_char (input, '\n', from);
+      struct str line = str_slice (input, from, to);
+      size_t colon = str_find_char (line, ':', 0);
+      char *value;
+
+      if (line.len <= 1 && (line.len == 0 || line.data[0] == '\r'))
+        return;
+      value
+          = g_strstrip (str_dup_cstr (str_slice (line, colon + 1, line.len)));
+      str_append_format (out, "%s%.*s:%s", out->len > 0 ? "\n" : "",
+                         STR_ARG (str_slice (line, 0, colon)), value);
+      g_free (value);
+      from = to + 1;
+    }
+}
+
+/* Aborts if a head that http_head accepts has other fields for the parser than
+   for a reader that only splits lines: what is passed on would then differ from
+   what was received.  */
+static void
+decode_http_head (struct str input)
+{
+  static const http_parser_settings settings
+      = { .on_header_field = on_field,
+          .on_header_value = on_value,
+          .on_headers_complete = on_head_end };
+  struct parsed_head head = { .complete = false };
+  struct http_head_scan scan = { .line_len = 0 };
+  struct str_buf split = { 0 };
+  http_parser parser;
+
+  if (!http_head_scan (&scan, input) || scan.state != HTTP_HEAD_END)
+    return;
+  http_parser_init (&parser, HTTP_RESPONSE);
+  parser.data = &head;
+  http_parser_execute (&parser, &settings, input.data, input.len);
+  split_head (input, &split);
+  if (head.complete && !str_equal (str_view (&head.text), str_view (&split)))
+    {
+      fprintf (stderr, "parsed:\n%.*s\nsplit:\n%.*s\n",
+               STR_ARG (str_view (&head.text)), STR_ARG (str_view (&split)));
+      abort ();
+    }
+  str_reset (&head.text);
+  str_reset (&head.value);
+  str_reset (&split);
+}
+
 /* Internal functions: corpora */
 
+static size_t
+fill_http_head_corpus (struct str *corpus)
+{
+  corpus[0] = str_copy (STR_LIT ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+                                 "X-Odd: a b\tc\r\nEmpty:\r\n\r\nok"));
+  corpus[1] = str_copy (
+      STR_LIT ("HTTP/1.1 503 No\nTransfer-Encoding:  chunked\nA:b\n\n"));
+  return 2;
+}
+
 /* Returns a copy of a frame's payload, which follows the length of 4 bytes,
    and clears the frame.  */
 static struct str
@@ -310,6 +424,7 @@
   { "asset_csv", decode_import_csv, fill_import_csv_corpus },
   { "asset_json", decode_import_json, fill_inventory_corpus },
   { "ids", decode_ids, fill_ids_corpus },
+  { "http_head", decode_http_head, fill_http_head_corpus },
 };
 
 /* Internal functions: mutation */
--- a/src/daemon_metrics.c
+++ b/src/daemon_metrics.c
@@ -18,6 +18,11 @@
     = { METRICS_COUNTER, "almondvale_answers_total",
         "Answers given to callers and nested calls.", "error" };
 
+static const struct metrics_definition answers_refused
+    = { METRICS_COUNTER, "almondvale_backend_answers_refused_total",
+        "Answers of the backend server that were malformed or incomplete.",
+        "reason" };
+
 static const struct metrics_definition connections_open
     = { METRICS_GAUGE, "almondvale_connections_open",
         "Open connections of a listener.", "listener" };
@@ -90,6 +95,9 @@
     s->answers[kind] = metrics_register (
         m, &answers,
         str_from_cstr (err_get_answer ((enum err_kind)kind)->name));
+  for (int fault = HTTP_FAULT_NONE + 1; fault < HTTP_FAULTS; fault++)
+    s->answers_refused[fault] = metrics_register (
+        m, &answers_refused, http_fault_get_name ((enum http_fault)fault));
   for (unsigned i = 0; i < DAEMON_METRICS_LISTENERS; i++)
     {
       struct str name = listener_names[i];
--- a/src/daemon_metrics.h
+++ b/src/daemon_metrics.h
@@ -4,6 +4,7 @@
 #define ALMONDVALE_DAEMON_METRICS_H
 
 #include "err.h"
+#include "http_head.h"
 #include "metrics.h"
 
 /* Constants */
@@ -36,6 +37,9 @@
   struct metrics_row *queue_time;
   struct metrics_row *service_time;
   struct metrics_row *executions; /* requests sent to the backend server */
+  /* answers of the backend server that were not passed on, by reason; none
+     for HTTP_FAULT_NONE */
+  struct metrics_row *answers_refused[HTTP_FAULTS];
   struct metrics_row *revision;
   struct metrics_row *members;
   struct metrics_row *control_bytes_sent;
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -5,6 +5,7 @@
 #include "dispatch.h"
 
 #include "clock.h"
+#include "http_head.h"
 
 #include <glib.h>
 #include <string.h>
@@ -347,6 +348,19 @@
   front_set_state (f, call, FRONT_COMPLETED);
 }
 
+/* Returns true if the response of a serving daemon can be passed on as an
+   answer.  A daemon of another release may check less than this one.  */
+static bool
+is_valid_response (const struct wire_response *r)
+{
+  bool valid = r->status >= 200 && r->status <= 599;
+
+  for (uint32_t i = 0; i < r->headers_len && valid; i++)
+    valid = http_head_is_name (r->headers[i].name)
+            && http_head_is_value (r->headers[i].value);
+  return valid;
+}
+
 static void
 receive_response (struct front *f, const struct wire_response *r,
                   struct str frame)
@@ -365,6 +379,11 @@
       dispatch_fail_attempt (f, call, r->error, now_us);
       return;
     }
+  if (!is_valid_response (r))
+    {
+      dispatch_fail_attempt (f, call, ERR_BACKEND_FAILED, now_us);
+      return;
+    }
   call->result.frame = str_copy (frame);
   wire_load_message (&call->result.message, call->result.frame);
   call->receiving = true;
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -240,10 +240,9 @@
 
       fields[i].name
           = (struct str){ s->name_len, x->header_text.data + s->name };
-      fields[i].value
-          = s->value_len > 0
-                ? (struct str){ s->value_len, x->header_text.data + s->value }
-                : STR_EMPTY;
+      fields[i].value = s->value_len > 0 ? http_head_trim ((struct str){
+                            s->value_len, x->header_text.data + s->value })
+                                         : STR_EMPTY;
     }
 }
 
--- a/src/http_head.c
+++ b/src/http_head.c
@@ -168,19 +168,6 @@
   return count;
 }
 
-static struct str
-trim (struct str s)
-{
-  size_t from = 0;
-  size_t to = s.len;
-
-  while (from < to && (s.data[from] == ' ' || s.data[from] == '\t'))
-    from++;
-  while (to > from && (s.data[to - 1] == ' ' || s.data[to - 1] == '\t'))
-    to--;
-  return str_slice (s, from, to);
-}
-
 /* A coding other than "chunked" alone is refused: the body that is passed on
    would still be encoded, without the field that says so.  */
 static enum http_fault
@@ -193,10 +180,11 @@
   uint64_t bytes = 0;
 
   if (lengths + codings > 1
-      || (lengths == 1 && !str_parse_u64 (trim (length), &bytes))
+      || (lengths == 1 && !str_parse_u64 (http_head_trim (length), &bytes))
       || (codings == 1
           && (head->version_minor == 0
-              || !str_equal_nocase (trim (coding), STR_LIT ("chunked")))))
+              || !str_equal_nocase (http_head_trim (coding),
+                                    STR_LIT ("chunked")))))
     return HTTP_FAULT_FRAMING;
   if (head->status >= STATUS_FINAL_MIN && head->status != STATUS_NO_CONTENT)
     return HTTP_FAULT_NONE;
@@ -270,6 +258,20 @@
   return true;
 }
 
+struct str
+http_head_trim (struct str value)
+{
+  size_t from = 0;
+  size_t to = value.len;
+
+  while (from < to && (value.data[from] == ' ' || value.data[from] == '\t'))
+    from++;
+  while (to > from
+         && (value.data[to - 1] == ' ' || value.data[to - 1] == '\t'))
+    to--;
+  return str_slice (value, from, to);
+}
+
 bool
 http_head_lists (struct str list, struct str name)
 {
@@ -280,7 +282,7 @@
       const char *comma = memchr (list.data + from, ',', list.len - from);
       size_t to = comma != NULL ? (size_t)(comma - list.data) : list.len;
 
-      if (str_equal_nocase (trim (str_slice (list, from, to)), name))
+      if (str_equal_nocase (http_head_trim (str_slice (list, from, to)), name))
         return true;
       from = to + 1;
     }
--- a/src/http_head.h
+++ b/src/http_head.h
@@ -92,6 +92,9 @@
 bool http_head_is_name (struct str name);
 /* returns true if the value has no control byte but tabs */
 bool http_head_is_value (struct str value);
+/* returns the value without spaces and tabs around it, which are not part of
+   it (RFC 9110, 5.5) */
+struct str http_head_trim (struct str value);
 /* returns true if a comma-separated list, such as the value of Connection,
    names the field */
 bool http_head_lists (struct str list, struct str name);
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -3,6 +3,7 @@
 
 #include "http_server.h"
 
+#include "http_head.h"
 #include "listener.h"
 #include "table.h"
 
@@ -127,14 +128,18 @@
                 const char *value)
 {
   struct http_server_exchange *x = data;
+  struct wire_header *header = &x->headers[x->headers_len];
 
   if (x->headers_len == WIRE_HEADERS_MAX)
     {
       x->headers_too_many = true;
       return MHD_NO;
     }
-  x->headers[x->headers_len++]
+  *header
       = (struct wire_header){ str_from_cstr (name), str_from_cstr (value) };
+  x->headers_invalid = x->headers_invalid || !http_head_is_name (header->name)
+                       || !http_head_is_value (header->value);
+  x->headers_len++;
   return MHD_YES;
 }
 
--- a/src/request_check.c
+++ b/src/request_check.c
@@ -6,6 +6,7 @@
 #include "request_check.h"
 
 #include "clock.h"
+#include "http_head.h"
 
 #include <glib.h>
 
@@ -22,12 +23,14 @@
 }
 
 static enum err_kind
-check_size (const struct front_call *call)
+check_head_and_size (const struct front_call *call)
 {
   if (call->exchange->body_too_large)
     return ERR_BODY_TOO_LARGE;
   if (call->exchange->headers_too_many)
     return ERR_HEADERS_TOO_LARGE;
+  if (call->exchange->headers_invalid)
+    return ERR_BAD_REQUEST;
   return ERR_NONE;
 }
 
@@ -250,6 +253,34 @@
   return error;
 }
 
+/* Returns true if a Connection field of the request names the field, which
+   then applies to that connection only (RFC 9110, 7.6.1).  */
+static bool
+is_named_by_connection (const struct http_server_exchange *x, struct str name)
+{
+  for (uint32_t i = 0; i < x->headers_len; i++)
+    if (str_equal_nocase (x->headers[i].name, STR_LIT ("connection"))
+        && http_head_lists (x->headers[i].value, name))
+      return true;
+  return false;
+}
+
+static void
+set_forwarded_headers (struct front *f, struct front_call *call)
+{
+  const struct http_server_exchange *x = call->exchange;
+  uint32_t len;
+
+  call->headers = g_new (struct wire_header, WIRE_HEADERS_MAX);
+  len = auth_filter_headers (x->headers, x->headers_len,
+                             f->shared->dialect->is_forwarded, call->headers,
+                             WIRE_HEADERS_MAX);
+  call->headers_len = 0;
+  for (uint32_t i = 0; i < len; i++)
+    if (!is_named_by_connection (x, call->headers[i].name))
+      call->headers[call->headers_len++] = call->headers[i];
+}
+
 /* Runs all checks of a call and returns the error of the first that fails.  No
    attempt has been sent at this point, so the request has not run.  */
 static enum err_kind
@@ -263,14 +294,11 @@
   refcount_get (&f->snapshot->ref);
   call->snapshot = f->snapshot;
   f->shared->dialect->read_caller_headers (x, &call->caller_headers);
-  if ((error = check_size (call)) != ERR_NONE)
+  if ((error = check_head_and_size (call)) != ERR_NONE)
     return error;
   if ((error = find_route (call, (enum front_source)x->source)) != ERR_NONE)
     return error;
-  call->headers = g_new (struct wire_header, WIRE_HEADERS_MAX);
-  call->headers_len = auth_filter_headers (x->headers, x->headers_len,
-                                           f->shared->dialect->is_forwarded,
-                                           call->headers, WIRE_HEADERS_MAX);
+  set_forwarded_headers (f, call);
   call->service
       = inventory_pick_service (call->route, g_rand_double (f->rand));
   if ((error = authenticate (f, call, now_us)) != ERR_NONE)
--- a/src/serve.c
+++ b/src/serve.c
@@ -32,7 +32,7 @@
 
 static void
 record_span (struct serve *s, const struct serve_job *job, enum err_kind error,
-             int status, int64_t now_us)
+             const struct http_client_answer *answer, int64_t now_us)
 {
   const struct wire_request *q = &job->message.u.request;
   struct trace_span span = { .kind = TRACE_SERVER,
@@ -40,7 +40,8 @@
                              .service = q->service,
                              .route = q->route,
                              .error = error,
-                             .status = (uint32_t)status,
+                             .fault = answer->fault,
+                             .status = (uint32_t)answer->status,
                              .importance = q->importance,
                              .depth = q->depth,
                              .duration_us = now_us - job->arrived_us,
@@ -158,6 +159,27 @@
                 == 0;
 }
 
+/* Counts and logs an answer that is malformed or incomplete.  */
+static void
+report_refused_answer (struct serve *s, const struct serve_job *job,
+                       enum http_fault fault, int64_t now_us)
+{
+  const struct wire_request *q = &job->message.u.request;
+  uint64_t left_out;
+
+  if (fault == HTTP_FAULT_NONE)
+    return;
+  metrics_increment (s->shared->metric_rows.answers_refused[fault], 1);
+  if (!logger_allow (&s->refusal_log_limit, now_us, &left_out))
+    return;
+  LOGGER_WRITE (LOGGER_WARNING, "backend_answer_refused",
+                LOGGER_TEXT ("reason", http_fault_get_name (fault)),
+                LOGGER_TEXT ("backend", s->backend.id),
+                LOGGER_TEXT ("route", q->route),
+                LOGGER_TEXT ("request", q->caller_id),
+                LOGGER_NUMBER ("left_out", (int64_t)left_out));
+}
+
 static void
 on_backend_done (void *data, const struct http_client_answer *answer)
 {
@@ -171,7 +193,8 @@
   success_rate_record (&s->success,
                        is_failure (s, error, answer->status, now_us), now_us);
   release_slot (s, job, is_backend_fault (answer), &usage, now_us);
-  record_span (s, job, error, answer->status, now_us);
+  record_span (s, job, error, answer, now_us);
+  report_refused_answer (s, job, answer->fault, now_us);
   if (error == ERR_NONE && answer->status < 500)
     service_time_record (&s->service_times, job->message.u.request.route,
                          now_us - job->started_us);
--- a/src/serve.h
+++ b/src/serve.h
@@ -13,6 +13,7 @@
 #include "concurrency_limit.h"
 #include "daemon_context.h"
 #include "http_client.h"
+#include "logger.h"
 #include "loop.h"
 #include "peer_link.h"
 #include "service_time.h"
@@ -94,6 +95,7 @@
   struct snapshot *snapshot;
   uint64_t snapshot_generation;
   int64_t next_tick_us;
+  struct logger_rate_limit refusal_log_limit;
 };
 
 /* Public functions */
--- a/src/serve_response.c
+++ b/src/serve_response.c
@@ -24,6 +24,19 @@
   return false;
 }
 
+/* Returns true if a Connection field of the answer names the field, which then
+   applies to that connection only (RFC 9110, 7.6.1).  */
+static bool
+is_named_by_connection (const struct http_client_answer *answer,
+                        struct str name)
+{
+  for (uint32_t i = 0; i < answer->headers_len; i++)
+    if (str_equal_nocase (answer->headers[i].name, STR_LIT ("connection"))
+        && http_head_lists (answer->headers[i].value, name))
+      return true;
+  return false;
+}
+
 /* Adds reports of the pressure of this service and of the services that the
    backend server calls.  */
 static void
@@ -150,7 +163,8 @@
 
   for (uint32_t i = 0;
        i < answer->headers_len && r.headers_len < WIRE_HEADERS_MAX; i++)
-    if (!is_connection_header (answer->headers[i].name))
+    if (!is_connection_header (answer->headers[i].name)
+        && !is_named_by_connection (answer, answer->headers[i].name))
       headers[r.headers_len++]
           = (struct wire_header){ answer->headers[i].name,
                                   answer->headers[i].value };
--- a/src/trace.c
+++ b/src/trace.c
@@ -175,6 +175,9 @@
   if (s->error != ERR_NONE)
     add_text_attribute (b, "error.type",
                         str_from_cstr (err_get_answer (s->error)->name));
+  if (s->fault != HTTP_FAULT_NONE)
+    add_text_attribute (b, "almondvale.answer_fault",
+                        http_fault_get_name (s->fault));
   json_builder_end_array (b);
 }
 
--- a/src/trace.h
+++ b/src/trace.h
@@ -53,7 +53,8 @@
   struct str service;
   struct str route;
   enum err_kind error;
-  uint32_t status; /* HTTP status, 0 if none was received */
+  enum http_fault fault; /* why an answer was refused */
+  uint32_t status;       /* HTTP status, 0 if none was received */
   uint32_t importance;
   uint32_t depth;
   uint32_t attempt; /* number of the attempt, from 1; 0 if none */
--- a/standins/machines.c
+++ b/standins/machines.c
@@ -21,6 +21,7 @@
      lost      run, but the connection is closed without an answer
      cut       run, but the connection is closed in the middle of the head of
                the answer
+     bad-N     run, but the answer is number N of malformed_heads below
 
    The file of --runs gets a line for each request that is run ("run MS ID
    TARGET TENANT CALLER INSTANCE KEY") and for each drain or leave that a
@@ -645,6 +646,36 @@
   evhttp_connection_free (c);
 }
 
+/* Heads of answers that RFC 9112 does not allow.  Each gets the id of the
+   request and a signature in addition.  */
+static const char *const malformed_heads[]
+    = { "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n",
+        "HTTP/1.1 099 OK\r\nContent-Length: 2\r\n",
+        "HTTP/1.1 999 OK\r\nContent-Length: 2\r\n",
+        "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 2\r\n",
+        "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\nContent-Length: 2\r\n",
+        "HTTP/1.1 200 OK\r\nX-Odd: \x01\r\nContent-Length: 2\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 1\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+        "Transfer-Encoding: chunked\r\n" };
+
+/* Sends a malformed answer and leaves the connection open.  */
+static void
+send_malformed_answer (struct evhttp_request *r, unsigned number)
+{
+  struct evhttp_connection *c = evhttp_request_get_connection (r);
+  char *answer = g_strdup_printf (
+      "%sX-Almondvale-Attempt-Id: %s\r\n"
+      "X-Almondvale-Response-Signature: 5e.1\r\n\r\nok",
+      malformed_heads[number % G_N_ELEMENTS (malformed_heads)],
+      get_header (r, "X-Almondvale-Attempt-Id"));
+
+  send (bufferevent_getfd (evhttp_connection_get_bufferevent (c)), answer,
+        strlen (answer), MSG_NOSIGNAL);
+  g_free (answer);
+}
+
 static void
 on_request (struct evhttp_request *r, void *data)
 {
@@ -677,6 +708,12 @@
       cut_answer (r);
       return;
     }
+  if (strstr (target, "bad-") != NULL)
+    {
+      send_malformed_answer (
+          r, (unsigned)atoi (strstr (target, "bad-") + strlen ("bad-")));
+      return;
+    }
   if (strstr (target, "slow") != NULL)
     {
       struct delayed_answer *s = g_new (struct delayed_answer, 1);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -325,6 +325,52 @@
 }
 END_TEST
 
+/* Guards against passing on an answer that is none as defined by RFC 9112, for
+   an idempotent and for another route, and against waiting for the rest of it
+   until the deadline, which is a 504.  */
+START_TEST (malformed_answer_is_not_passed_on)
+{
+  struct fixture f = start ();
+
+  for (int i = 0; i < 9; i++)
+    {
+      char *note = g_strdup_printf ("/notes/bad-%d", i);
+      char *booking = g_strdup_printf ("/book/bad-%d", i);
+
+      ck_assert_int_eq (get (&f, 0, note).status, 502);
+      ck_assert_int_eq (send_with (&f, 1, "POST", booking, KEY_HEADER).status,
+                        502);
+      g_free (note);
+      g_free (booking);
+    }
+  stop (&f);
+}
+END_TEST
+
+/* Guards against forwarding a request whose head another reader could take for
+   a different one.  */
+START_TEST (malformed_request_is_refused)
+{
+  static const char *const fields[]
+      = { "X Odd: 1", "X-Odd : 1", "Transfer-Encoding : chunked",
+          "X\x01Odd: 1", "X-Odd: \x01" };
+  struct fixture f = start ();
+  int before[DAEMONS], after[DAEMONS];
+
+  get_executions (&f, before);
+  for (size_t i = 0; i < G_N_ELEMENTS (fields); i++)
+    ck_assert_int_eq (
+        process_send (f.daemons[0].caller, "GET", "/notes/x", "",
+                      (const char *[]){ HOST_HEADER, ID_HEADER, KEY_HEADER,
+                                        fields[i], NULL })
+            .status,
+        400);
+  get_executions (&f, after);
+  ck_assert_int_eq (after[0] + after[1], before[0] + before[1]);
+  stop (&f);
+}
+END_TEST
+
 /* Checks that a late report of daemon 2's backend server, which has left, does
    not bring it back.  */
 static void
@@ -870,6 +916,8 @@
     requests_are_routed_and_authenticated,
     invalid_answers_are_not_passed_on,
     answer_cut_in_its_head_is_not_passed_on,
+    malformed_answer_is_not_passed_on,
+    malformed_request_is_refused,
     repeated_refusal_is_not_taken_for_another_request,
     drained_backend_gets_no_requests,
     withdrawn_key_is_refused_everywhere,
