Refuse requests with folded header lines

Cause: libmicrohttpd 0.9.75 joins a folded line in a new place and writes over the end of the name: 'X-Odd: a' and ' b' became 'X-Oddb: a', which the daemon forwarded. MHD_OPTION_STRICT_FOR_CLIENT does not change that (tried). Change: such a value does not point into the line of its name; the head is then invalid and answered with 400. Blanks after a value are dropped. Measured: test_http_server malformed_head_is_detected fails at its first case without the check, and passes with it.

--- a/src/http_server.c
+++ b/src/http_server.c
@@ -11,6 +11,7 @@
 #include <glib.h>
 #include <microhttpd.h>
 #include <poll.h>
+#include <string.h>
 #include <sys/socket.h>
 
 /* Constants */
@@ -123,6 +124,24 @@
   event_add (x->close_event, NULL);
 }
 
+/* Returns true if the value came from more than one line.  libmicrohttpd before
+   1.0 joins the lines in a new place and writes over the end of the name, so
+   that another field would be forwarded.  Otherwise name and value point into
+   the line as it was received, with only the colon and blanks between them.  */
+static bool
+is_folded (const char *name, const char *value)
+{
+#if MHD_VERSION < 0x01000000
+  const char *between = name + strlen (name) + 1;
+
+  while (between < value && (*between == ' ' || *between == '\t'))
+    between++;
+  return between != value;
+#else
+  return false;
+#endif
+}
+
 static enum MHD_Result
 collect_header (void *data, enum MHD_ValueKind kind, const char *name,
                 const char *value)
@@ -135,9 +154,10 @@
       x->headers_too_many = true;
       return MHD_NO;
     }
-  *header
-      = (struct wire_header){ str_from_cstr (name), str_from_cstr (value) };
-  x->headers_invalid = x->headers_invalid || !http_head_is_name (header->name)
+  *header = (struct wire_header){ str_from_cstr (name),
+                                  http_head_trim (str_from_cstr (value)) };
+  x->headers_invalid = x->headers_invalid || is_folded (name, value)
+                       || !http_head_is_name (header->name)
                        || !http_head_is_value (header->value);
   x->headers_len++;
   return MHD_YES;
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -36,7 +36,7 @@
   bool body_too_large;   /* the body exceeds the limit and is incomplete */
   bool headers_too_many; /* more than WIRE_HEADERS_MAX */
   bool headers_invalid;  /* a name is not a token, or a value has a control
-                            byte */
+                            byte or more than one line */
   uint64_t call;         /* set by the owner: row id of the call */
   uint64_t source;       /* `source` of http_server_load */
   /* members below are private to http_server */
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -349,6 +349,51 @@
 }
 END_TEST
 
+/* Sends a request with these lines after the request line and returns whether
+   its head is invalid.  */
+static bool
+is_head_invalid (struct fixture *f, const char *lines)
+{
+  char *text = g_strdup_printf ("GET /x HTTP/1.1\r\nHost: h\r\n%s\r\n", lines);
+  int fd = connect_to (f);
+  bool invalid;
+
+  f->open = NULL;
+  ck_assert_int_eq (write (fd, text, strlen (text)), (ssize_t)strlen (text));
+  while (f->open == NULL)
+    run_for (f, 1000);
+  invalid = f->open->headers_invalid;
+  send_answer (f);
+  close (fd);
+  g_free (text);
+  return invalid;
+}
+
+/* Guards against a field that is forwarded with another name or value than the
+   caller's: libmicrohttpd makes "X-Oddb: a" of a folded line.  */
+START_TEST (malformed_head_is_detected)
+{
+  static const char *const malformed[] = { "X-Odd: a\r\n  b\r\n",
+                                           "X-Odd: a\r\n\tb\r\nB: c\r\n",
+                                           "A: b\r\nX-Odd:\r\n b\r\n",
+                                           "X Odd: a\r\n",
+                                           "X-Odd : a\r\n",
+                                           "X-Odd: \x01\r\n" };
+  static const char *const allowed[] = {
+    "",           "X-Odd:a\r\n",         "X-Odd: \t a b\t \r\n",
+    "X-Odd:\r\n", "X-Odd: \r\nB: c\r\n", "X-Odd: \xc3\xa4\r\nX-Odd: 2\r\n"
+  };
+  struct fixture f;
+
+  open_fixture (&f);
+  for (size_t i = 0; i < G_N_ELEMENTS (malformed); i++)
+    ck_assert_msg (is_head_invalid (&f, malformed[i]), "malformed %zu", i);
+  for (size_t i = 0; i < G_N_ELEMENTS (allowed); i++)
+    ck_assert_msg (!is_head_invalid (&f, allowed[i]), "allowed %zu", i);
+  close_fixture (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -358,7 +403,8 @@
           waiting_caller_is_reported_at_the_limit,
           caller_is_accepted_after_a_connection_ends_at_the_limit,
           idle_connection_makes_room_for_a_new_caller,
-          listener_accepts_again_after_lack_of_descriptors };
+          listener_accepts_again_after_lack_of_descriptors,
+          malformed_head_is_detected };
 
   logger_init (LOGGER_ERROR);
   return suite_run ("http_server", cases, G_N_ELEMENTS (cases));
