--- a/tests/test_platform_config.c
+++ b/tests/test_platform_config.c
@@ -16,7 +16,9 @@
       "[\"r2\",\"h.example\",\"/a/b/\",\"unsafe\",\"1.5s\",\"2s\",0,null,1,"
       "false,\"s2\"],"
       "[\"r3\",\"i.example\",\"/a/\",\"upload\",\"1s\",\"2s\",1,null,null,"
-      "true,\"s2\"]]},"
+      "true,\"s2\"],"
+      "[\"r4\",\"k.example\",\"/d/\",\"download\",\"1s\",\"2s\",1,null,2,"
+      "false,\"s2\"]]},"
       "\"services\":{\"columns\":[\"name\",\"healthPath\"],\"rows\":["
       "[\"s1\",\"/healthz\"],[\"s2\",\"/healthz\"]]},"
       "\"tenants\":{\"columns\":[\"name\",\"apiKeys\",\"priority\","
@@ -63,7 +65,8 @@
 }
 END_TEST
 
-/* Guards against an upload that is retried, against more attempts than the
+/* Guards against an upload that is retried, against a download that is not,
+   against more attempts than the
    operator configured and against durations in the wrong unit.  */
 START_TEST (kinds_and_numbers_are_decoded)
 {
@@ -76,6 +79,9 @@
   r2 = inventory_find (&inventory, INVENTORY_ROUTE, STR_LIT ("r2"));
   r3 = inventory_find (&inventory, INVENTORY_ROUTE, STR_LIT ("r3"));
   ck_assert (r1->idempotent && !r2->idempotent && !r3->idempotent);
+  ck_assert (((const struct inventory_route *)inventory_find (
+                  &inventory, INVENTORY_ROUTE, STR_LIT ("r4")))
+                 ->idempotent);
   ck_assert_uint_eq (r1->timeout_ms, 1200);
   ck_assert_uint_eq (r2->timeout_ms, 1500);
   ck_assert_uint_eq (r1->retry_budget, 1);
