Repair what a restored store has lost

Ruled out: reading the fleet again at each daemon; writing the configuration. States carry the era. A daemon that starts waits up to 0.5 s for the states of those listed before it uses configuration and stops of a store that has eras, and names no pool owner while others know of more daemons. Conclusion: what a live daemon knows survives the restore.

--- a/src/backend_stops.c
+++ b/src/backend_stops.c
@@ -66,6 +66,16 @@
   return false;
 }
 
+bool
+backend_stops_contains_all (const struct backend_stops *s,
+                            const struct backend_stops *part)
+{
+  for (uint32_t i = 0; i < part->len; i++)
+    if (!backend_stops_contains (s, part->rows[i].id, part->rows[i].boot_ms))
+      return false;
+  return true;
+}
+
 bool
 backend_stops_add (struct backend_stops *s, struct str id, int64_t boot_ms)
 {
--- a/src/backend_stops.h
+++ b/src/backend_stops.h
@@ -43,6 +43,9 @@
 /* returns true if the boot is in the list */
 bool backend_stops_contains (const struct backend_stops *s, struct str id,
                              int64_t boot_ms);
+/* returns true if all boots of `part` are in the list */
+bool backend_stops_contains_all (const struct backend_stops *s,
+                                 const struct backend_stops *part);
 /* adds a boot; returns false if it was in the list */
 bool backend_stops_add (struct backend_stops *s, struct str id,
                         int64_t boot_ms);
--- a/src/control_registry.c
+++ b/src/control_registry.c
@@ -10,12 +10,12 @@
 #include "json_field.h"
 #include "logger.h"
 #include "registry_config.h"
+#include "registry_era.h"
 #include "registry_stops.h"
 #include "tcp_socket.h"
 
 /* Constants */
 
-#define DAEMONS_PREFIX STR_LIT ("almondvale-daemons/")
 #define CALL_TIMEOUT_US (INT64_C (1) * CLOCK_US_PER_S)
 #define JOIN_RETRY_US (INT64_C (500) * CLOCK_US_PER_MS)
 /* The first write after a success is tried again sooner, so that a stop whose
@@ -29,27 +29,29 @@
 
 /* Internal functions: joining the fleet */
 
-static void
-append_own_object (const struct control *c, struct str_buf *out)
+void
+control_registry_append_entry (struct str address, uint16_t port,
+                               const struct backend_stops *stops,
+                               struct str_buf *out)
 {
   str_append_format (out, "{\"address\":\"%.*s\",\"port\":%d,\"stops\":",
-                     STR_ARG (c->settings->address),
-                     (int)settings_get_control_port (c->settings));
-  backend_stops_append_json (&c->control_registry->stops, out);
+                     STR_ARG (address), (int)port);
+  backend_stops_append_json (stops, out);
   str_append_char (out, '}');
 }
 
 static void
 make_own_key (const struct control *c, struct str_buf *out)
 {
-  str_append (out, DAEMONS_PREFIX);
+  str_append (out, CONTROL_REGISTRY_PREFIX);
   str_append (out, c->settings->member_id);
 }
 
 /* Parses {"address": IP, "port": NUMBER}; returns false if the text is
    anything else.  */
-static bool
-parse_daemon_object (struct str text, struct str *address, uint16_t *port)
+bool
+control_registry_parse_entry (struct str text, struct str *address,
+                              uint16_t *port)
 {
   JsonNode *root = json_field_parse_object (text);
   JsonObject *o = root != NULL ? json_node_get_object (root) : NULL;
@@ -72,18 +74,20 @@
   return ok;
 }
 
-/* Reads this daemon's own object, whose address may be an earlier one.  */
-static void
-load_own_object (struct control *c, const struct object_store_object *o)
+/* Also used by registry_era.  */
+void
+control_registry_load_own (struct control *c,
+                           const struct object_store_object *o)
 {
   struct control_registry *cr = c->control_registry;
   struct str address;
   uint16_t port;
 
   cr->own_version = o->version;
+  cr->era.own_era = cr->era.store.seen;
   cr->own_object_current = false;
   registry_stops_load_object (c, o->value);
-  if (!parse_daemon_object (o->value, &address, &port))
+  if (!control_registry_parse_entry (o->value, &address, &port))
     return;
   cr->own_object_current = str_equal (address, c->settings->address)
                            && port == settings_get_control_port (c->settings);
@@ -94,16 +98,17 @@
 add_listed_daemon (struct control *c, const struct object_store_object *o)
 {
   struct control_registry *cr = c->control_registry;
-  struct str name = str_slice (o->key, DAEMONS_PREFIX.len, o->key.len);
+  struct str name
+      = str_slice (o->key, CONTROL_REGISTRY_PREFIX.len, o->key.len);
   struct str address;
   uint16_t port;
 
   if (str_equal (name, c->settings->member_id))
     {
-      load_own_object (c, o);
+      control_registry_load_own (c, o);
       return;
     }
-  if (!parse_daemon_object (o->value, &address, &port))
+  if (!control_registry_parse_entry (o->value, &address, &port))
     {
       LOGGER_WRITE (LOGGER_WARNING, "daemon_object_invalid",
                     LOGGER_TEXT ("key", o->key));
@@ -138,6 +143,8 @@
   bool repeated = a->next.len > 0 && str_compare (a->next, cr->listed_to) <= 0;
 
   cr->call_pending = false;
+  if (!registry_era_accept (c, a, cr->era.list_era))
+    return;
   if (a->error != ERR_NONE || repeated)
     {
       record_join_failure (c, repeated ? ERR_PROTOCOL : a->error);
@@ -152,6 +159,7 @@
     return;
   cr->join_failed = false;
   cr->listed = true;
+  registry_era_set_listed (c);
   cr->members_changed = true;
   cr->next_state_us = 0;
   registry_stops_publish (c);
@@ -189,10 +197,13 @@
   bool listed = cr->own_object_current;
 
   cr->call_pending = false;
+  if (!registry_era_accept (c, a, cr->era.write_era))
+    return;
   switch (a->error)
     {
     case ERR_NONE:
       cr->own_version = a->version;
+      cr->era.own_era = cr->era.store.seen;
       cr->own_object_current = true;
       registry_stops_end_put (c);
       cr->phase = listed ? CONTROL_REGISTRY_JOINED : CONTROL_REGISTRY_LISTING;
@@ -225,8 +236,11 @@
   struct str_buf value = { 0 };
 
   make_own_key (c, &key);
-  append_own_object (c, &value);
+  control_registry_append_entry (
+      c->settings->address, (uint16_t)settings_get_control_port (c->settings),
+      &cr->stops, &value);
   registry_stops_begin_put (c);
+  cr->era.write_era = cr->own_version > 0 ? cr->era.own_era : STORE_ERA_ANY;
   cr->store->ops->put (cr->store, str_view (&key), str_view (&value),
                        cr->own_version > 0 ? OBJECT_STORE_IF_VERSION
                                            : OBJECT_STORE_IF_ABSENT,
@@ -249,10 +263,17 @@
       || (c->shutting_down && !cr->stops_unsaved))
     return;
   cr->call_pending = true;
+  if (cr->phase == CONTROL_REGISTRY_CHECKING)
+    {
+      registry_era_check_own (c, &call);
+      return;
+    }
+  cr->era.list_era
+      = cr->listed_to.len > 0 ? cr->era.store.seen : STORE_ERA_ANY;
   if (cr->phase == CONTROL_REGISTRY_LISTING)
     {
-      cr->store->ops->list (cr->store, DAEMONS_PREFIX, cr->listed_to, true,
-                            &call);
+      cr->store->ops->list (cr->store, CONTROL_REGISTRY_PREFIX, cr->listed_to,
+                            true, &call);
       return;
     }
   call.done = on_written;
@@ -291,6 +312,10 @@
     .store_failed = c->control_registry->config_failures > 0,
     .revision
     = c->control_registry->config.len > 0 ? c->inventory.revision : 0,
+    .era = c->control_registry->era.store.seen,
+    .entry_era = c->control_registry->era.entry_era,
+    .live = daemon_registry_count_live (&c->control_registry->registry,
+                                        clock_now_us ()),
     .stops_known = c->control_registry->stops_known,
     .stops = c->control_registry->stops,
     .demands_len = MIN (demands->len, WIRE_REGISTRY_DEMANDS_MAX),
@@ -360,6 +385,8 @@
   struct control_registry *cr = c->control_registry;
   struct rate_share_set *shares = &c->shared->rate_shares;
   struct daemon_registry_member *m;
+  uint32_t known = MAX (cr->registry.members.count + 1,
+                        cr->era.partial ? cr->era.live_elsewhere : 0);
 
   cr->demands_changed = false;
   g_mutex_lock (&c->shared->quota_mutex);
@@ -370,9 +397,8 @@
       rate_share_add_other_demand (shares, m->state.demands[i]);
   /* Until the daemons were listed, this daemon knows only some of them and
      keeps the assumed count, unless it already knows more.  */
-  if (cr->listed
-      || cr->registry.members.count + 1 > RATE_SHARE_MEMBERS_ASSUMED)
-    rate_share_set_member_count (shares, cr->registry.members.count + 1);
+  if (cr->listed || known > RATE_SHARE_MEMBERS_ASSUMED)
+    rate_share_set_member_count (shares, known);
   g_mutex_unlock (&c->shared->quota_mutex);
 }
 
@@ -445,18 +471,18 @@
 {
   struct control_registry *cr = c->control_registry;
   struct owner_search search = { c, now_us };
+  bool knows_fleet = registry_era_knows_fleet (c, now_us);
   uint64_t parts[]
       = { daemon_registry_get_owners_digest (&cr->registry, now_us),
-          c->shared->rate_shares.members, cr->listed };
+          c->shared->rate_shares.members, knows_fleet };
   uint64_t digest
       = str_hash ((struct str){ sizeof parts, (const char *)parts });
 
   if (digest == cr->owners_digest)
     return;
   cr->owners_digest = digest;
-  rate_share_set_owners (
-      &c->shared->rate_shares,
-      c->control_registry->listed ? find_owner : find_no_owner, &search);
+  rate_share_set_owners (&c->shared->rate_shares,
+                         knows_fleet ? find_owner : find_no_owner, &search);
 }
 
 static void
@@ -579,6 +605,7 @@
   c->control_registry = cr;
   cr->config = STR_EMPTY;
   cr->listed_to = STR_EMPTY;
+  cr->era.config_held = STR_EMPTY;
   cr->needs_read = true;
   /* Daemons that start together write first, so that each list has those that
      wrote before.  */
@@ -602,6 +629,7 @@
   backend_stops_close (&cr->stops);
   backend_stops_close (&cr->stored);
   backend_stops_close (&cr->written);
+  registry_era_close (c);
   str_free (&cr->config);
   str_free (&cr->listed_to);
   g_free (cr);
@@ -626,10 +654,13 @@
       known = daemon_registry_find (&cr->registry, m.u.state.member) != NULL;
       if (daemon_registry_apply (&cr->registry, &m.u.state, clock_now_us ()))
         cr->members_changed = true;
+      registry_era_record (c, &m.u.state);
+      /* The stops come before the state: a daemon that starts waits for the
+         state.  */
+      registry_stops_send (c, &m.u.state);
       if (!known
           && daemon_registry_find (&cr->registry, m.u.state.member) != NULL)
         send_state_to (c, &m.u.state);
-      registry_stops_send (c, &m.u.state);
       registry_config_record (c, &m.u.state);
       break;
     case WIRE_REGISTRY_CONFIG_REQUEST:
@@ -667,6 +698,7 @@
   bool report_due;
   bool check;
 
+  registry_era_run (c, now_us);
   join_fleet (c, now_us);
   registry_stops_run (c, now_us);
   registry_config_read (c, now_us);
@@ -709,6 +741,7 @@
   json_builder_add_boolean_value (b, cr->watching);
   json_builder_set_member_name (b, "store_failures");
   json_builder_add_int_value (b, cr->config_failures);
+  registry_era_append_status (c, b);
 }
 
 /* State */
--- a/src/control_registry.h
+++ b/src/control_registry.h
@@ -13,18 +13,59 @@
 #include "control.h"
 #include "daemon_registry.h"
 #include "object_store.h"
+#include "store_era.h"
+
+/* Constants */
+
+/* Keys of the daemons' entries in the store begin with it.  */
+#define CONTROL_REGISTRY_PREFIX STR_LIT ("almondvale-daemons/")
 
 /* Types */
 
 /* Steps of joining the fleet, each with one call to the store.  */
 enum control_registry_phase
 {
-  CONTROL_REGISTRY_LISTING, /* lists the objects of all daemons */
-  CONTROL_REGISTRY_WRITING, /* writes this daemon's object: its address and
+  CONTROL_REGISTRY_LISTING,  /* lists the objects of all daemons */
+  CONTROL_REGISTRY_WRITING,  /* writes this daemon's object: its address and
                                the stops of its backend server */
+  CONTROL_REGISTRY_CHECKING, /* reads this daemon's object after the store was
+                                restored */
   CONTROL_REGISTRY_JOINED
 };
 
+/* Entry of another daemon that this one writes again.  */
+struct control_registry_repair
+{
+  bool pending;         /* a call is pending */
+  uint64_t member;      /* its member id; 0: none */
+  uint64_t era;         /* in which the entry is written */
+  uint64_t version_era; /* of the version in the pending call */
+  int64_t retry_us;     /* earliest time of the next call */
+  uint64_t written;     /* number of entries written */
+};
+
+/* State of the repair after a restore, see registry_era.h.  */
+struct control_registry_era
+{
+  struct store_era store;
+  uint64_t own_era;    /* of own_version */
+  uint64_t write_era;  /* of the version in the pending write of the own
+                          object, or STORE_ERA_ANY */
+  uint64_t list_era;   /* of the pages listed so far, or STORE_ERA_ANY */
+  uint64_t config_era; /* of store_version */
+  uint64_t watches;    /* number of watches made */
+  uint64_t entry_era;  /* the store of this era has the own object */
+  int64_t raised_us;   /* when this process heard of the era */
+  int64_t recheck_us;  /* when the own object is read once more; 0: never */
+  struct store_era_start start;
+  bool stops_held;         /* the stops of the store are not published yet */
+  struct str config_held;  /* owned; configuration of the store, not applied */
+  bool partial;            /* a live daemon knows of more than this one */
+  uint32_t live_elsewhere; /* largest number of live daemons another knows */
+  int64_t next_run_us;     /* of the repair */
+  struct control_registry_repair repair;
+};
+
 struct control_registry
 {
   struct daemon_registry registry;
@@ -47,6 +88,7 @@
   bool stops_unsaved;           /* the store lacks one of `stops` */
   int64_t stops_received_us;    /* when another daemon first sent them; 0:
                                    none did */
+  struct control_registry_era era;
   /* configuration */
   bool read_pending;        /* a read or watch is pending */
   bool needs_read;          /* read the object before watching */
@@ -70,6 +112,20 @@
   uint64_t endpoints_digest; /* of the published endpoints */
 };
 
+/* Public functions */
+
+/* Appends the entry of a daemon as JSON.  */
+void control_registry_append_entry (struct str address, uint16_t port,
+                                    const struct backend_stops *stops,
+                                    struct str_buf *out);
+/* Parses the address and the port of an entry; the address is owned.  Returns
+   false if the text is anything else.  */
+bool control_registry_parse_entry (struct str text, struct str *address,
+                                   uint16_t *port);
+/* Uses this daemon's own entry as the store has it.  */
+void control_registry_load_own (struct control *c,
+                                const struct object_store_object *o);
+
 /* State */
 
 extern const struct control_component_ops control_registry_ops;
--- a/src/daemon_metrics.h
+++ b/src/daemon_metrics.h
@@ -38,6 +38,9 @@
   struct metrics_row *executions; /* requests sent to the backend server */
   struct metrics_row *revision;
   struct metrics_row *members;
+  struct metrics_row *store_era;        /* highest one seen; 0: none */
+  struct metrics_row *store_restores;   /* seen by this process */
+  struct metrics_row *entries_repaired; /* of other daemons */
   struct metrics_row *control_bytes_sent;
   struct metrics_row *control_bytes_received;
 };
--- a/src/daemon_registry.c
+++ b/src/daemon_registry.c
@@ -104,6 +104,47 @@
        id = table_next (&r->members, id, (void **)&m))
     if (m->state_received && str_equal (m->state.name, to->name))
       keep_stops (to, &m->state);
+  for (uint64_t id = table_next (&r->departed, 0, (void **)&m); id != 0;
+       id = table_next (&r->departed, id, (void **)&m))
+    if (str_equal (m->state.name, to->name))
+      keep_stops (to, &m->state);
+}
+
+static void
+remove_departed (struct daemon_registry *r, struct str name)
+{
+  struct daemon_registry_member *m;
+
+  for (uint64_t id = table_next (&r->departed, 0, (void **)&m); id != 0;
+       id = table_next (&r->departed, id, (void **)&m))
+    if (str_equal (m->state.name, name))
+      {
+        close_state (&m->state);
+        table_remove (&r->departed, id);
+      }
+}
+
+/* Keeps what a member that is about to be removed has said.  */
+static void
+add_departed (struct daemon_registry *r,
+              const struct daemon_registry_member *m)
+{
+  struct daemon_registry_member *copy, *oldest = NULL;
+
+  if (!r->keeps_departed || !m->state_received)
+    return;
+  remove_departed (r, m->state.name);
+  if (r->departed.count >= DAEMON_REGISTRY_DEPARTED_MAX)
+    {
+      for (uint64_t id = table_next (&r->departed, 0, (void **)&copy); id != 0;
+           id = table_next (&r->departed, id, (void **)&copy))
+        if (oldest == NULL || copy->last_state_us < oldest->last_state_us)
+          oldest = copy;
+      remove_departed (r, oldest->state.name);
+    }
+  table_add (&r->departed, (void **)&copy);
+  *copy = *m;
+  copy_state (&copy->state, &m->state);
 }
 
 /* Returns true if another process at the same address, with a later start
@@ -159,6 +200,7 @@
 {
   *r = (struct daemon_registry){ .self = self };
   table_init (&r->members, sizeof (struct daemon_registry_member));
+  table_init (&r->departed, sizeof (struct daemon_registry_member));
   r->by_member
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   r->retired
@@ -176,6 +218,10 @@
        id = table_next (&r->members, id, (void **)&m))
     close_state (&m->state);
   table_close (&r->members);
+  for (uint64_t id = table_next (&r->departed, 0, (void **)&m); id != 0;
+       id = table_next (&r->departed, id, (void **)&m))
+    close_state (&m->state);
+  table_close (&r->departed);
 }
 
 /**
@@ -205,6 +251,7 @@
   if (m == NULL)
     {
       keep_stops_of_name (r, &next);
+      remove_departed (r, next.name);
       remove_others_at_address (r, state);
       m = add_member (r, &next, now_us);
       m->state_received = true;
@@ -265,6 +312,18 @@
   return id != NULL ? table_get (&r->members, *id) : NULL;
 }
 
+struct daemon_registry_member *
+daemon_registry_find_any (const struct daemon_registry *r, uint64_t member)
+{
+  struct daemon_registry_member *m = daemon_registry_find (r, member);
+
+  for (uint64_t id = m == NULL ? table_next (&r->departed, 0, (void **)&m) : 0;
+       id != 0; id = table_next (&r->departed, id, (void **)&m))
+    if (m->state.member == member)
+      return m;
+  return daemon_registry_find (r, member);
+}
+
 bool
 daemon_registry_run (struct daemon_registry *r, int64_t now_us)
 {
@@ -275,6 +334,7 @@
        id = table_next (&r->members, id, (void **)&m))
     if (now_us - m->last_state_us > DAEMON_REGISTRY_EXPIRE_US)
       {
+        add_departed (r, m);
         remove_member (r, m);
         changed = true;
       }
@@ -373,6 +433,30 @@
   return MAX (sum, 1);
 }
 
+uint32_t
+daemon_registry_count_live (const struct daemon_registry *r, int64_t now_us)
+{
+  struct daemon_registry_member *m;
+  uint32_t live = 1;
+
+  for (uint64_t id = table_next (&r->members, 0, (void **)&m); id != 0;
+       id = table_next (&r->members, id, (void **)&m))
+    live += daemon_registry_is_live (r, m, now_us);
+  return live;
+}
+
+uint32_t
+daemon_registry_count_unheard (const struct daemon_registry *r)
+{
+  struct daemon_registry_member *m;
+  uint32_t unheard = 0;
+
+  for (uint64_t id = table_next (&r->members, 0, (void **)&m); id != 0;
+       id = table_next (&r->members, id, (void **)&m))
+    unheard += !m->state_received;
+  return unheard;
+}
+
 /* Returns true if the member can be expected to tell this daemon of a new
    configuration.  The time without a state is shorter than that of an
    endpoint, because a daemon has only some seconds to notice a change.  */
--- a/src/daemon_registry.h
+++ b/src/daemon_registry.h
@@ -45,6 +45,9 @@
 #define DAEMON_REGISTRY_WATCHERS_MAX (3 * DAEMON_REGISTRY_WATCHERS)
 /* Time in which a daemon that the store lists should send its first state.  */
 #define DAEMON_REGISTRY_FIRST_STATE_US 500000
+/* Number of removed members that are kept; the oldest one is dropped.  At 83
+   failed VMs a day this is more than a month.  */
+#define DAEMON_REGISTRY_DEPARTED_MAX 4096u
 /* Time without a state after which a member is removed.  */
 #define DAEMON_REGISTRY_EXPIRE_US 60000000
 
@@ -59,13 +62,16 @@
   struct str address; /* IP address */
   uint16_t peer_port; /* TCP port for requests of other daemons */
   uint16_t control_port;
-  struct str domain;          /* failure domain */
-  struct str service;         /* of its backend server, or empty */
-  bool serving;               /* the backend server accepts requests */
-  bool leaving;               /* the daemon is shutting down */
-  bool store_failed;          /* its last call to the store failed */
-  uint64_t revision;          /* of the configuration in effect; 0: none */
-  bool stops_known;           /* `stops` has those of earlier processes too */
+  struct str domain;  /* failure domain */
+  struct str service; /* of its backend server, or empty */
+  bool serving;       /* the backend server accepts requests */
+  bool leaving;       /* the daemon is shutting down */
+  bool store_failed;  /* its last call to the store failed */
+  uint64_t revision;  /* of the configuration in effect; 0: none */
+  uint64_t era;       /* highest era of the store that it has heard of */
+  uint64_t entry_era; /* era whose store is known to have its entry */
+  uint32_t live;      /* number of live daemons it knows, itself included */
+  bool stops_known;   /* `stops` has those of earlier processes too */
   struct backend_stops stops; /* of its backend server */
   uint32_t demands_len;
   struct rate_share_demand *demands; /* one for each workspace */
@@ -81,6 +87,10 @@
                                          the row was added */
   int64_t announced_us;  /* when its backend server was last
                                          announced as serving */
+  /* repair of its entry in the store by this daemon, see registry_era.h */
+  uint64_t repair_era;   /* era for which the following hold */
+  int64_t repair_due_us; /* when this daemon looks for the entry */
+  bool repaired;         /* the entry is in the store */
 };
 
 struct daemon_registry
@@ -88,8 +98,11 @@
   struct table members;
   GHashTable *by_member; /* member id -> row id */
   GHashTable *retired;   /* set of member ids of replaced processes */
-  uint64_t self;         /* member id of this process */
-  bool self_leaving;     /* this daemon has announced that it leaves */
+  struct table departed; /* struct daemon_registry_member; removed members
+                            that sent a state, kept if `keeps_departed` */
+  bool keeps_departed;
+  uint64_t self;     /* member id of this process */
+  bool self_leaving; /* this daemon has announced that it leaves */
 };
 
 /* Public functions */
@@ -111,6 +124,9 @@
 /* system: removes members that sent no state for DAEMON_REGISTRY_EXPIRE_US;
    returns true if there was one */
 bool daemon_registry_run (struct daemon_registry *r, int64_t now_us);
+/* returns the row of a member id among the members or the departed, or NULL */
+struct daemon_registry_member *
+daemon_registry_find_any (const struct daemon_registry *r, uint64_t member);
 /* returns the interval of state messages for the size of the fleet */
 int64_t daemon_registry_get_interval (const struct daemon_registry *r);
 /* returns true if requests may be sent to the member's backend server */
@@ -133,6 +149,11 @@
    the same owners */
 uint64_t daemon_registry_get_owners_digest (const struct daemon_registry *r,
                                             int64_t now_us);
+/* returns the number of live members, this daemon included */
+uint32_t daemon_registry_count_live (const struct daemon_registry *r,
+                                     int64_t now_us);
+/* returns the number of members that have sent no state */
+uint32_t daemon_registry_count_unheard (const struct daemon_registry *r);
 /* returns true if this daemon is one of the DAEMON_REGISTRY_WATCHERS that read
    the configuration from the store */
 bool daemon_registry_is_watcher (const struct daemon_registry *r,
--- a/src/object_store.h
+++ b/src/object_store.h
@@ -46,6 +46,9 @@
      ERR_STORE_UNAVAILABLE (not applied), ERR_STORE_OUTCOME_UNKNOWN,
      ERR_BODY_TOO_LARGE, ERR_BAD_REQUEST or ERR_PROTOCOL */
   enum err_kind error;
+  /* increases when the store is restored from an earlier copy; a version is
+     valid in its era only.  0: there was no answer, or the store has none */
+  uint64_t era;
   /* get, put: version of the object, 0 if it does not exist; list, watch:
      version of the store */
   uint64_t version;
@@ -88,6 +91,8 @@
   void (*watch) (struct object_store *s, struct str prefix, uint64_t version,
                  int64_t wait_us, bool values,
                  const struct object_store_call *call);
+  /* ends all pending watches with ERR_STORE_CONFLICT; NULL if not supported */
+  void (*end_watches) (struct object_store *s);
   /* cancels all pending calls, without calling done, and frees the store */
   void (*unload) (struct object_store *s);
 };
--- a/src/registry_config.c
+++ b/src/registry_config.c
@@ -9,6 +9,7 @@
 #include "clock.h"
 #include "deployment.h"
 #include "logger.h"
+#include "registry_era.h"
 
 /* Constants */
 
@@ -111,6 +112,8 @@
   struct control_registry *cr = c->control_registry;
 
   cr->read_pending = false;
+  if (!registry_era_accept (c, a, STORE_ERA_ANY))
+    return;
   if (a->error != ERR_NONE)
     {
       record_config_failure (c, a->error);
@@ -119,6 +122,7 @@
   record_config_success (cr);
   cr->needs_read = false;
   cr->store_version = a->version;
+  cr->era.config_era = cr->era.store.seen;
   apply_objects (c, a);
   /* A revision that the store does not have, or that cannot be applied, must
      not cause one read after the other.  */
@@ -132,6 +136,11 @@
   struct control_registry *cr = c->control_registry;
 
   cr->read_pending = false;
+  if (!registry_era_accept (c, a, cr->era.config_era))
+    {
+      cr->needs_read = true;
+      return;
+    }
   if (a->error == ERR_STORE_CONFLICT)
     {
       /* The store no longer has the history since that version.  */
@@ -192,6 +201,7 @@
 registry_config_apply (struct control *c, struct str bytes, const char *source)
 {
   struct control_registry *cr = c->control_registry;
+  bool from_store = strcmp (source, "store") == 0;
   struct inventory loaded;
   GError *error = NULL;
 
@@ -208,6 +218,11 @@
       inventory_close (&loaded);
       return;
     }
+  if (from_store && registry_era_hold_config (c, bytes, loaded.revision))
+    {
+      inventory_close (&loaded);
+      return;
+    }
   inventory_close (&c->inventory);
   c->inventory = loaded;
   str_free (&cr->config);
@@ -243,8 +258,11 @@
     }
   call.timeout_us = WATCH_TIMEOUT_US;
   call.done = on_config_watched;
-  cr->store->ops->watch (cr->store, key, cr->store_version, WATCH_WAIT_US,
-                         true, &call);
+  cr->store->ops->watch (
+      cr->store, key, cr->store_version,
+      store_era_get_watch_wait (&cr->era.store, c->settings->member_id,
+                                cr->era.watches++, WATCH_WAIT_US),
+      true, &call);
 }
 
 void
--- a/src/registry_stops.c
+++ b/src/registry_stops.c
@@ -5,6 +5,7 @@
 
 #include "clock.h"
 #include "logger.h"
+#include "registry_era.h"
 
 /* Constants */
 
@@ -45,15 +46,6 @@
                 LOGGER_NUMBER ("stops", cr->stops.len));
 }
 
-static bool
-has_all (const struct backend_stops *s, const struct backend_stops *part)
-{
-  for (uint32_t i = 0; i < part->len; i++)
-    if (!backend_stops_contains (s, part->rows[i].id, part->rows[i].boot_ms))
-      return false;
-  return true;
-}
-
 /* Public functions */
 
 /**
@@ -79,13 +71,19 @@
     send_to_fronts (c, &cr->stops, true);
 }
 
+bool
+registry_stops_load (struct backend_stops *stops, struct str value)
+{
+  return backend_stops_load_json (stops, value, STOPS_MEMBER);
+}
+
 void
 registry_stops_load_object (struct control *c, struct str value)
 {
   struct control_registry *cr = c->control_registry;
 
   backend_stops_close (&cr->stored);
-  if (!backend_stops_load_json (&cr->stored, value, STOPS_MEMBER))
+  if (!registry_stops_load (&cr->stored, value))
     LOGGER_WRITE (LOGGER_WARNING, "daemon_object_invalid",
                   LOGGER_TEXT ("key", c->settings->member_id));
   backend_stops_merge (&cr->stops, &cr->stored);
@@ -115,7 +113,11 @@
 {
   struct control_registry *cr = c->control_registry;
 
-  cr->stops_unsaved = !has_all (&cr->stored, &cr->stops);
+  cr->stops_unsaved = !backend_stops_contains_all (&cr->stored, &cr->stops);
+  cr->era.stops_held
+      = !cr->stops_known && registry_era_is_waiting (c, clock_now_us ());
+  if (cr->era.stops_held)
+    return;
   set_known (c, "store");
   send_to_fronts (c, &cr->stored, true);
 }
--- a/src/registry_stops.h
+++ b/src/registry_stops.h
@@ -17,6 +17,9 @@
 /* Adds a stop that a front reports.  */
 void registry_stops_record (struct control *c,
                             const struct thread_message *message);
+/* Decodes the stops in the value of a daemon's object; returns false, with an
+   empty list, if it is no object.  */
+bool registry_stops_load (struct backend_stops *stops, struct str value);
 /* Adds the stops in the value of this daemon's object in the store.  */
 void registry_stops_load_object (struct control *c, struct str value);
 /* Notes the stops in the value that is about to be written.  */
--- a/src/wire_registry.c
+++ b/src/wire_registry.c
@@ -16,7 +16,7 @@
 
 /* Array members of the messages, the type included; TOKENS_MEMBERS is that of
    a token request and of a grant.  */
-#define STATE_MEMBERS 16
+#define STATE_MEMBERS 19
 #define STOPS_MEMBERS 3
 #define CONFIG_MEMBERS 3
 #define TOKENS_MEMBERS 5
@@ -54,6 +54,9 @@
   wire_writer_add_bool (p, s->leaving);
   wire_writer_add_bool (p, s->store_failed);
   msgpack_pack_uint64 (p, s->revision);
+  msgpack_pack_uint64 (p, s->era);
+  msgpack_pack_uint64 (p, s->entry_era);
+  msgpack_pack_uint32 (p, s->live);
   wire_writer_add_bool (p, s->stops_known);
   pack_stops (p, &s->stops);
   msgpack_pack_array (p, (size_t)s->demands_len * 2);
@@ -165,6 +168,9 @@
   s->leaving = wire_reader_read_bool (r);
   s->store_failed = wire_reader_read_bool (r);
   s->revision = wire_reader_read_u64 (r);
+  s->era = wire_reader_read_u64 (r);
+  s->entry_era = wire_reader_read_u64 (r);
+  s->live = wire_reader_read_u32 (r, UINT32_MAX);
   s->stops_known = wire_reader_read_bool (r);
   read_stops (r, &s->stops);
   read_demands (r, s);
--- a/tests/test_control_registry.c
+++ b/tests/test_control_registry.c
@@ -7,6 +7,7 @@
 #include "logger.h"
 #include "process.h"
 #include "registry_config.h"
+#include "registry_era.h"
 #include "suite.h"
 
 #include <glib.h>
@@ -48,9 +49,12 @@
   uint64_t own_version; /* 0: there is none */
   bool lists_own;
   struct own_put delayed;
+  uint64_t era;       /* of the answers; 0: they have none */
+  uint64_t write_era; /* from the next write on; 0: as before */
   uint32_t lists;
   uint32_t config_reads;
   uint32_t writes;
+  uint32_t gets;
 } fake;
 
 /* Internal functions */
@@ -62,7 +66,8 @@
       const struct object_store_call *call)
 {
   struct object_store_object page[PAGE];
-  struct object_store_answer a = { .objects = page, .next = STR_EMPTY };
+  struct object_store_answer a
+      = { .era = fake.era, .objects = page, .next = STR_EMPTY };
   char keys[PAGE][64], bodies[PAGE][64];
   int last = fake.lists > 0 && !fake.repeats ? LATE_DAEMON : DAEMONS;
 
@@ -129,6 +134,8 @@
   struct own_put p = { value, condition, version };
   struct object_store_answer a = { .value = STR_EMPTY };
 
+  fake.era = fake.write_era > 0 ? fake.write_era : fake.era;
+  a.era = fake.era;
   fake.writes++;
   if (fake.put_mode == PUT_DELAYED)
     {
@@ -146,6 +153,20 @@
   call->done (call->data, &a);
 }
 
+static void
+get (struct object_store *s, struct str key,
+     const struct object_store_call *call)
+{
+  struct object_store_answer a
+      = { .era = fake.era,
+          .error = fake.own_version == 0 ? ERR_NOT_FOUND : ERR_NONE,
+          .version = fake.own_version,
+          .value = fake.own_value };
+
+  fake.gets++;
+  call->done (call->data, &a);
+}
+
 /* A watch that returns nothing while the test runs.  */
 static void
 watch (struct object_store *s, struct str prefix, uint64_t version,
@@ -158,8 +179,9 @@
 {
 }
 
-static const struct object_store_ops fake_ops
-    = { .list = list, .put = put, .watch = watch, .unload = unload };
+static const struct object_store_ops fake_ops = {
+  .get = get, .list = list, .put = put, .watch = watch, .unload = unload
+};
 
 static struct object_store *
 load_store (struct event_base *base, const struct settings *settings)
@@ -258,6 +280,7 @@
 end_retry_pause (struct fixture *f)
 {
   f->control.control_registry->join_retry_us = 0;
+  f->control.control_registry->era.store.calls_us = 0;
 }
 
 static bool
@@ -417,6 +440,132 @@
 }
 END_TEST
 
+/* Joins a store of era 1, in which the daemon's object has the stop "a".  */
+static struct control_registry *
+join_with_stop (struct fixture *f)
+{
+  start (f, false, false);
+  fake.era = 1;
+  fake.lists_own = true;
+  run (f, 20);
+  f->control.control_registry->era.start.answered_us -= 10 * CLOCK_US_PER_S;
+  report_stop (f, "a", 100);
+  run (f, 20);
+  ck_assert (is_stop_stored ("a", 100));
+  ck_assert (!f->control.control_registry->stops_unsaved);
+  ck_assert_uint_eq (fake.gets, 0);
+  return f->control.control_registry;
+}
+
+/* The store returns to a copy with an earlier object of the daemon, and another
+   daemon tells it of the era.  */
+static void
+restore (struct fixture *f, uint64_t era)
+{
+  struct daemon_registry_state state = { .member = 7, .era = era };
+
+  fake.era = era;
+  str_free (&fake.own_value);
+  fake.own_value = str_copy (STR_LIT ("{\"address\":\"127.0.0.1\","
+                                      "\"port\":1,\"stops\":[]}"));
+  fake.own_version = 1;
+  registry_era_record (&f->control, &state);
+}
+
+/* Guards against a stop that is forgotten with the store, and against calls in
+   the pause by which the calls of the fleet are spread.  */
+START_TEST (lost_stop_is_written_again)
+{
+  struct fixture f;
+  struct control_registry *cr = join_with_stop (&f);
+  uint32_t writes = fake.writes;
+
+  restore (&f, 2);
+  cr->join_retry_us = clock_now_us () + 60 * CLOCK_US_PER_S;
+  run (&f, 5);
+  ck_assert_uint_eq (fake.gets, 0);
+  ck_assert_uint_eq (fake.writes, writes);
+  end_retry_pause (&f);
+  run (&f, 20);
+  ck_assert (is_stop_stored ("a", 100));
+  ck_assert_int_eq (cr->phase, CONTROL_REGISTRY_JOINED);
+  ck_assert_uint_eq (cr->era.entry_era, 2);
+  ck_assert_uint_eq (fake.gets, 1);
+  stop (&f);
+}
+END_TEST
+
+/* Guards against a write that is taken for a success although its version is
+   one of the earlier era, which the store has assigned again.  */
+START_TEST (write_that_matched_by_chance_is_no_success)
+{
+  struct fixture f;
+  struct control_registry *cr = join_with_stop (&f);
+
+  fake.write_era = 2;
+  report_stop (&f, "b", 200);
+  run (&f, 1);
+  ck_assert_uint_eq (cr->era.store.seen, 2);
+  ck_assert (cr->stops_unsaved);
+  ck_assert_int_eq (cr->phase, CONTROL_REGISTRY_CHECKING);
+  end_retry_pause (&f);
+  run (&f, 20);
+  ck_assert (is_stop_stored ("a", 100) && is_stop_stored ("b", 200));
+  ck_assert (!cr->stops_unsaved);
+  stop (&f);
+}
+END_TEST
+
+/* Guards against an answer of the earlier era that is used after the restore
+   has become known.  */
+START_TEST (answer_of_the_earlier_era_is_ignored)
+{
+  struct fixture f;
+  struct control_registry *cr = join_with_stop (&f);
+
+  restore (&f, 2);
+  fake.era = 1;
+  end_retry_pause (&f);
+  run (&f, 20);
+  ck_assert_int_eq (cr->phase, CONTROL_REGISTRY_CHECKING);
+  ck_assert_uint_eq (fake.gets, 1);
+  fake.era = 2;
+  end_retry_pause (&f);
+  run (&f, 20);
+  ck_assert_int_eq (cr->phase, CONTROL_REGISTRY_JOINED);
+  ck_assert (is_stop_stored ("a", 100));
+  stop (&f);
+}
+END_TEST
+
+/* Guards against a write of the earlier era that the store applies after the
+   restore, when the object has the same version again, so that a stop is
+   forgotten.  */
+START_TEST (late_write_of_the_earlier_era_is_found)
+{
+  struct fixture f;
+  struct control_registry *cr = join_with_stop (&f);
+
+  fake.put_mode = PUT_DELAYED;
+  report_stop (&f, "b", 200);
+  run (&f, 1);
+  fake.put_mode = PUT_APPLIED;
+  restore (&f, 2);
+  report_stop (&f, "c", 300);
+  end_retry_pause (&f);
+  run (&f, 20);
+  ck_assert (is_stop_stored ("c", 300));
+  fake.delayed.version = fake.own_version;
+  apply_delayed_put ();
+  ck_assert (!is_stop_stored ("c", 300));
+  cr->era.recheck_us = 1;
+  run (&f, 20);
+  ck_assert (is_stop_stored ("b", 200) && is_stop_stored ("c", 300));
+  ck_assert_int_eq (cr->phase, CONTROL_REGISTRY_JOINED);
+  stop (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -427,7 +576,11 @@
           unknown_revision_is_looked_for_once_in_a_while,
           stop_is_stored_before_it_counts_as_stored,
           late_write_does_not_replace_a_later_stop,
-          stops_of_the_earlier_process_are_kept };
+          stops_of_the_earlier_process_are_kept,
+          lost_stop_is_written_again,
+          write_that_matched_by_chance_is_no_success,
+          answer_of_the_earlier_era_is_ignored,
+          late_write_of_the_earlier_era_is_found };
 
   return suite_run ("control_registry", cases, G_N_ELEMENTS (cases));
 }
--- a/tests/test_daemon_registry.c
+++ b/tests/test_daemon_registry.c
@@ -99,6 +99,35 @@
 }
 END_TEST
 
+/* Guards against stops that are forgotten with a member that has sent no state
+   for long, and against members that are kept without a store that has
+   eras.  */
+START_TEST (departed_members_are_remembered_with_eras)
+{
+  struct daemon_registry_state old = make_state (2, "10.0.0.2");
+  struct daemon_registry_state next = make_state (3, "10.0.0.2");
+  int64_t late_us = S + DAEMON_REGISTRY_EXPIRE_US + 1;
+  struct daemon_registry r;
+
+  backend_stops_add (&old.stops, STR_LIT ("a"), 100);
+  for (int keeps = 0; keeps < 2; keeps++)
+    {
+      daemon_registry_init (&r, 1);
+      r.keeps_departed = keeps;
+      daemon_registry_apply (&r, &old, S);
+      ck_assert (daemon_registry_run (&r, late_us));
+      ck_assert_uint_eq (r.members.count, 0);
+      ck_assert_uint_eq (r.departed.count, keeps);
+      ck_assert ((daemon_registry_find_any (&r, 2) != NULL) == keeps);
+      daemon_registry_apply (&r, &next, late_us);
+      ck_assert_uint_eq (r.departed.count, 0);
+      ck_assert_uint_eq (daemon_registry_find (&r, 3)->state.stops.len, keeps);
+      daemon_registry_close (&r);
+    }
+  backend_stops_close (&old.stops);
+}
+END_TEST
+
 /* Guards against fields that are lost or swapped in the encoding, and against
    truncated frames that are accepted as messages.  */
 START_TEST (messages_round_trip)
@@ -112,6 +141,9 @@
 
   m.u.state = make_state (9, "10.0.0.9");
   m.u.state.revision = 12;
+  m.u.state.era = 13;
+  m.u.state.entry_era = 14;
+  m.u.state.live = 15;
   m.u.state.leaving = true;
   m.u.state.store_failed = true;
   m.u.state.demands_len = 2;
@@ -124,6 +156,9 @@
   ck_assert (wire_registry_load (&got, frame));
   ck_assert_uint_eq (got.u.state.member, 9);
   ck_assert_uint_eq (got.u.state.revision, 12);
+  ck_assert_uint_eq (got.u.state.era, 13);
+  ck_assert_uint_eq (got.u.state.entry_era, 14);
+  ck_assert_uint_eq (got.u.state.live, 15);
   ck_assert (got.u.state.serving && got.u.state.leaving);
   ck_assert (got.u.state.store_failed);
   ck_assert (str_equal (got.u.state.service, STR_LIT ("s")));
@@ -499,6 +534,7 @@
     restart_retires_the_earlier_process,
     listed_member_gets_state_but_is_no_endpoint,
     messages_round_trip,
+    departed_members_are_remembered_with_eras,
     owner_is_the_same_at_all_members,
     leaving_daemon_owns_no_pool,
     few_daemons_watch_and_lost_ones_are_replaced,
