Grant nothing from a pool whose owner is possibly unknown after a restore

Cause: while a daemon that started after a restore knew only part of the fleet, it used an even share beside the owner's whole rate: up to R(1+1/N) for some seconds. It also did so after a start without a restore, while another daemon had just ended. Change: a state says whether its sender has noticed a restore in the last 10 s; only then does a starting daemon compare what others know, and then it takes the owner of a pool for an unknown daemon: no tokens. Test with a paused daemon, a store that is down and two more restores.

--- a/src/control_registry.c
+++ b/src/control_registry.c
@@ -27,6 +27,9 @@
    thread; the timeout is 3 s or more.  */
 #define CHECK_INTERVAL_US (INT64_C (50) * CLOCK_US_PER_MS)
 
+/* Member id that no daemon has.  */
+#define UNKNOWN_OWNER UINT64_MAX
+
 /* Internal functions: joining the fleet */
 
 void
@@ -314,6 +317,7 @@
     = c->control_registry->config.len > 0 ? c->inventory.revision : 0,
     .era = c->control_registry->era.store.seen,
     .entry_era = c->control_registry->era.entry_era,
+    .store_restored = registry_era_is_restored (c, clock_now_us ()),
     .live = daemon_registry_count_live (&c->control_registry->registry,
                                         clock_now_us ()),
     .stops_known = c->control_registry->stops_known,
@@ -466,6 +470,15 @@
   return 0;
 }
 
+/* Used while the fleet is known in part after a restore: a daemon that is not
+   known owns the pool and grants its whole rate, so that nothing is left for
+   an even share.  */
+static uint64_t
+find_unknown_owner (void *data, uint64_t hash)
+{
+  return UNKNOWN_OWNER;
+}
+
 static void
 set_owners (struct control *c, int64_t now_us)
 {
@@ -474,7 +487,7 @@
   bool knows_fleet = registry_era_knows_fleet (c, now_us);
   uint64_t parts[]
       = { daemon_registry_get_owners_digest (&cr->registry, now_us),
-          c->shared->rate_shares.members, knows_fleet };
+          c->shared->rate_shares.members, cr->listed, knows_fleet };
   uint64_t digest
       = str_hash ((struct str){ sizeof parts, (const char *)parts });
 
@@ -482,7 +495,10 @@
     return;
   cr->owners_digest = digest;
   rate_share_set_owners (&c->shared->rate_shares,
-                         knows_fleet ? find_owner : find_no_owner, &search);
+                         knows_fleet  ? find_owner
+                         : cr->listed ? find_unknown_owner
+                                      : find_no_owner,
+                         &search);
 }
 
 static void
--- a/src/daemon_registry.h
+++ b/src/daemon_registry.h
@@ -62,16 +62,17 @@
   struct str address; /* IP address */
   uint16_t peer_port; /* TCP port for requests of other daemons */
   uint16_t control_port;
-  struct str domain;  /* failure domain */
-  struct str service; /* of its backend server, or empty */
-  bool serving;       /* the backend server accepts requests */
-  bool leaving;       /* the daemon is shutting down */
-  bool store_failed;  /* its last call to the store failed */
-  uint64_t revision;  /* of the configuration in effect; 0: none */
-  uint64_t era;       /* highest era of the store that it has heard of */
-  uint64_t entry_era; /* era whose store is known to have its entry */
-  uint32_t live;      /* number of live daemons it knows, itself included */
-  bool stops_known;   /* `stops` has those of earlier processes too */
+  struct str domain;   /* failure domain */
+  struct str service;  /* of its backend server, or empty */
+  bool serving;        /* the backend server accepts requests */
+  bool leaving;        /* the daemon is shutting down */
+  bool store_failed;   /* its last call to the store failed */
+  uint64_t revision;   /* of the configuration in effect; 0: none */
+  uint64_t era;        /* highest era of the store that it has heard of */
+  uint64_t entry_era;  /* era whose store is known to have its entry */
+  bool store_restored; /* it has heard of the era only lately */
+  uint32_t live;       /* number of live daemons it knows, itself included */
+  bool stops_known;    /* `stops` has those of earlier processes too */
   struct backend_stops stops; /* of its backend server */
   uint32_t demands_len;
   struct rate_share_demand *demands; /* one for each workspace */
--- a/src/registry_era.c
+++ b/src/registry_era.c
@@ -343,7 +343,8 @@
 
 /* Internal functions: the start */
 
-/* Notes whether a live daemon knows of more than this one.  */
+/* Notes whether, after a restore, a live daemon knows of more than this one.
+   Without a restore a difference is one of timeouts only.  */
 static void
 compare_fleet (struct control *c, int64_t now_us)
 {
@@ -351,6 +352,7 @@
   struct control_registry_era *e = &cr->era;
   struct daemon_registry_member *m;
   bool was_partial = e->partial;
+  bool restored = false;
 
   e->partial = false;
   e->live_elsewhere = 0;
@@ -363,9 +365,13 @@
   for (uint64_t id = table_next (&cr->registry.members, 0, (void **)&m);
        id != 0; id = table_next (&cr->registry.members, id, (void **)&m))
     if (daemon_registry_is_live (&cr->registry, m, now_us))
-      e->live_elsewhere = MAX (e->live_elsewhere, m->state.live);
-  e->partial
-      = e->live_elsewhere > daemon_registry_count_live (&cr->registry, now_us);
+      {
+        e->live_elsewhere = MAX (e->live_elsewhere, m->state.live);
+        restored = restored || m->state.store_restored;
+      }
+  e->partial = restored
+               && e->live_elsewhere
+                      > daemon_registry_count_live (&cr->registry, now_us);
   cr->members_changed = cr->members_changed || was_partial != e->partial;
 }
 
@@ -442,6 +448,14 @@
   return store_era_is_waiting (&s, now_us);
 }
 
+bool
+registry_era_is_restored (const struct control *c, int64_t now_us)
+{
+  const struct control_registry_era *e = &c->control_registry->era;
+
+  return e->store.raises > 0 && now_us - e->raised_us < STORE_ERA_PARTIAL_US;
+}
+
 bool
 registry_era_knows_fleet (const struct control *c, int64_t now_us)
 {
--- a/src/registry_era.h
+++ b/src/registry_era.h
@@ -26,6 +26,8 @@
 void registry_era_set_listed (struct control *c);
 /* Returns true while this daemon has to wait for what the others know.  */
 bool registry_era_is_waiting (const struct control *c, int64_t now_us);
+/* Returns true if this daemon has noticed a restore lately.  */
+bool registry_era_is_restored (const struct control *c, int64_t now_us);
 /* Returns true if the fleet was listed and no live daemon knows of more.  */
 bool registry_era_knows_fleet (const struct control *c, int64_t now_us);
 /* Keeps a configuration from the store that cannot be applied yet; returns
--- a/src/store_era.h
+++ b/src/store_era.h
@@ -25,9 +25,10 @@
 /* Time after which the own entry is read again: a call of the earlier era ends
    within 1 s, and the store delays writes by up to 1.5 s.  */
 #define STORE_ERA_RECHECK_US (INT64_C (3) * CLOCK_US_PER_S)
-/* Time after the start in which a daemon takes into account that it possibly
-   knows only part of the fleet: the others hear of the era within a state
-   interval, and write their entries and list within two seconds.  */
+/* Time after a restore in which a daemon that has started takes into account
+   that it possibly knows only part of the fleet.  The others hear of the era
+   within milliseconds, and write their entries and list within two seconds; the
+   store may be down again for some.  */
 #define STORE_ERA_PARTIAL_US (INT64_C (10) * CLOCK_US_PER_S)
 /* Time that each rank leaves to the one before it to write the entry of another
    daemon: several calls of up to 1 s, each tried again after 0.5 s.  */
--- a/src/wire_registry.c
+++ b/src/wire_registry.c
@@ -16,7 +16,7 @@
 
 /* Array members of the messages, the type included; TOKENS_MEMBERS is that of
    a token request and of a grant.  */
-#define STATE_MEMBERS 19
+#define STATE_MEMBERS 20
 #define STOPS_MEMBERS 3
 #define CONFIG_MEMBERS 3
 #define TOKENS_MEMBERS 5
@@ -56,6 +56,7 @@
   msgpack_pack_uint64 (p, s->revision);
   msgpack_pack_uint64 (p, s->era);
   msgpack_pack_uint64 (p, s->entry_era);
+  wire_writer_add_bool (p, s->store_restored);
   msgpack_pack_uint32 (p, s->live);
   wire_writer_add_bool (p, s->stops_known);
   pack_stops (p, &s->stops);
@@ -170,6 +171,7 @@
   s->revision = wire_reader_read_u64 (r);
   s->era = wire_reader_read_u64 (r);
   s->entry_era = wire_reader_read_u64 (r);
+  s->store_restored = wire_reader_read_bool (r);
   s->live = wire_reader_read_u32 (r, UINT32_MAX);
   s->stops_known = wire_reader_read_bool (r);
   read_stops (r, &s->stops);
--- a/tests/test_daemon_registry.c
+++ b/tests/test_daemon_registry.c
@@ -143,6 +143,7 @@
   m.u.state.revision = 12;
   m.u.state.era = 13;
   m.u.state.entry_era = 14;
+  m.u.state.store_restored = true;
   m.u.state.live = 15;
   m.u.state.leaving = true;
   m.u.state.store_failed = true;
@@ -158,6 +159,7 @@
   ck_assert_uint_eq (got.u.state.revision, 12);
   ck_assert_uint_eq (got.u.state.era, 13);
   ck_assert_uint_eq (got.u.state.entry_era, 14);
+  ck_assert (got.u.state.store_restored);
   ck_assert_uint_eq (got.u.state.live, 15);
   ck_assert (got.u.state.serving && got.u.state.leaving);
   ck_assert (got.u.state.store_failed);
--- a/tests/test_store_era.c
+++ b/tests/test_store_era.c
@@ -358,6 +358,30 @@
 }
 END_TEST
 
+/* Guards against a repair that ends halfway: the daemon is paused, the store is
+   down again and is restored a second time, and a third time when the daemon
+   runs again.  */
+START_TEST (repair_survives_more_failures)
+{
+  struct fixture f = start ("4");
+
+  leave_after_copy (&f);
+  kill (f.daemons[2].pid, SIGSTOP);
+  set_standin (&f, "store", "restore");
+  g_usleep (300000);
+  set_standin (&f, "store", "down");
+  set_standin (&f, "store", "restore");
+  g_usleep (1000000);
+  set_standin (&f, "store", "up");
+  await_entry (&f, 2, "\"i-2\"");
+  set_standin (&f, "store", "restore");
+  kill (f.daemons[2].pid, SIGCONT);
+  await_entry (&f, 2, "\"i-2\"");
+  check_stays_left (&f);
+  stop (&f);
+}
+END_TEST
+
 /* Sends requests with the withdrawn key until the time is over.  */
 static void
 check_key_is_refused (const struct fixture *f, int daemon)
@@ -470,6 +494,7 @@
   const TTest *const cases[] = { confirmed_leave_is_written_again,
                                  daemon_started_in_between_hears_of_its_stops,
                                  leave_of_a_daemon_that_ended_is_written_again,
+                                 repair_survives_more_failures,
                                  withdrawn_key_stays_withdrawn,
                                  configuration_after_the_restore_takes_effect,
                                  daemon_started_in_between_finds_the_others,
