--- a/src/daemon_registry.c
+++ b/src/daemon_registry.c
@@ -124,24 +124,39 @@
       }
 }
 
+static void
+remove_oldest_departed (struct daemon_registry *r)
+{
+  struct daemon_registry_member *m;
+  int64_t oldest_us = INT64_MAX;
+  uint64_t oldest = 0;
+
+  for (uint64_t id = table_next (&r->departed, 0, (void **)&m); id != 0;
+       id = table_next (&r->departed, id, (void **)&m))
+    if (m->last_state_us < oldest_us)
+      {
+        oldest_us = m->last_state_us;
+        oldest = id;
+      }
+  m = table_get (&r->departed, oldest);
+  if (m == NULL)
+    return;
+  close_state (&m->state);
+  table_remove (&r->departed, oldest);
+}
+
 /* Keeps what a member that is about to be removed has said.  */
 static void
 add_departed (struct daemon_registry *r,
               const struct daemon_registry_member *m)
 {
-  struct daemon_registry_member *copy, *oldest = NULL;
+  struct daemon_registry_member *copy;
 
   if (!r->keeps_departed || !m->state_received)
     return;
   remove_departed (r, m->state.name);
   if (r->departed.count >= DAEMON_REGISTRY_DEPARTED_MAX)
-    {
-      for (uint64_t id = table_next (&r->departed, 0, (void **)&copy); id != 0;
-           id = table_next (&r->departed, id, (void **)&copy))
-        if (oldest == NULL || copy->last_state_us < oldest->last_state_us)
-          oldest = copy;
-      remove_departed (r, oldest->state.name);
-    }
+    remove_oldest_departed (r);
   table_add (&r->departed, (void **)&copy);
   *copy = *m;
   copy_state (&copy->state, &m->state);
--- a/tests/test_daemon_registry.c
+++ b/tests/test_daemon_registry.c
@@ -128,6 +128,34 @@
 }
 END_TEST
 
+/* Guards against departed members without limit, and against one of the last
+   that is dropped for an older one.  */
+START_TEST (oldest_departed_member_is_dropped)
+{
+  struct daemon_registry r;
+  char name[16] = "", address[32] = "";
+
+  daemon_registry_init (&r, 1);
+  r.keeps_departed = true;
+  for (uint32_t i = 0; i <= DAEMON_REGISTRY_DEPARTED_MAX; i++)
+    {
+      struct daemon_registry_state state = make_state (i + 2, address);
+
+      g_snprintf (name, sizeof name, "n-%u", i);
+      g_snprintf (address, sizeof address, "10.0.%u.%u", i / 256, i % 256);
+      state.name = str_from_cstr (name);
+      state.address = str_from_cstr (address);
+      daemon_registry_apply (&r, &state, (int64_t)(i + 1) * 1000000);
+      daemon_registry_run (&r, (int64_t)(i + 1) * 1000000
+                                   + DAEMON_REGISTRY_EXPIRE_US + 1);
+    }
+  ck_assert_uint_eq (r.departed.count, DAEMON_REGISTRY_DEPARTED_MAX);
+  ck_assert_ptr_null (daemon_registry_find_any (&r, 2));
+  ck_assert_ptr_nonnull (daemon_registry_find_any (&r, 3));
+  daemon_registry_close (&r);
+}
+END_TEST
+
 /* Guards against fields that are lost or swapped in the encoding, and against
    truncated frames that are accepted as messages.  */
 START_TEST (messages_round_trip)
@@ -537,6 +565,7 @@
     listed_member_gets_state_but_is_no_endpoint,
     messages_round_trip,
     departed_members_are_remembered_with_eras,
+    oldest_departed_member_is_dropped,
     owner_is_the_same_at_all_members,
     leaving_daemon_owns_no_pool,
     few_daemons_watch_and_lost_ones_are_replaced,
