Send missing stops to a daemon that takes the store's for all

Cause: a daemon that starts waits at most 0.5 s for the others; one that is heard later did not send the stops that the restored store lacks. A member whose entry cannot be written held up the others. Change: with eras a state that lacks a stop is answered with the stops; another member comes before a failed one is tried again. Test of a restore that leaves the watches open, heard from a daemon that starts.

--- a/src/registry_era.c
+++ b/src/registry_era.c
@@ -13,6 +13,7 @@
 
 #define CALL_TIMEOUT_US (INT64_C (1) * CLOCK_US_PER_S)
 #define RETRY_US (INT64_C (500) * CLOCK_US_PER_MS)
+#define MEMBER_RETRY_US (INT64_C (1) * CLOCK_US_PER_S)
 /* Interval of the search for entries to write, and the number of members whose
    writer is chosen in one round: 16 x 22,000 hashes take some milliseconds.  */
 #define RUN_INTERVAL_US (INT64_C (200) * CLOCK_US_PER_MS)
@@ -139,11 +140,14 @@
   struct control_registry_repair *r = &c->control_registry->era.repair;
   struct daemon_registry_member *m = get_repaired (c);
 
-  if (m != NULL && done)
-    m->repaired = true;
   r->member = 0;
   if (!done)
     r->retry_us = clock_now_us () + RETRY_US;
+  if (m == NULL)
+    return;
+  m->repaired = done;
+  /* Others that are due come before it is tried again.  */
+  m->repair_due_us = clock_now_us () + MEMBER_RETRY_US;
 }
 
 static void
--- a/src/registry_stops.c
+++ b/src/registry_stops.c
@@ -126,12 +126,16 @@
 registry_stops_send (struct control *c,
                      const struct daemon_registry_state *state)
 {
+  const struct control_registry *cr = c->control_registry;
   const struct daemon_registry_member *m
-      = daemon_registry_find (&c->control_registry->registry, state->member);
+      = daemon_registry_find (&cr->registry, state->member);
   struct wire_registry_message out = { .type = WIRE_REGISTRY_STOPS };
   struct str_buf frames = { 0 };
 
-  if (state->stops_known || m == NULL || !m->state.stops_known)
+  if (m == NULL || !m->state.stops_known
+      || (state->stops_known
+          && (cr->era.store.seen == 0
+              || backend_stops_contains_all (&state->stops, &m->state.stops))))
     return;
   out.u.stops.name = m->state.name;
   out.u.stops.stops = m->state.stops;
--- a/src/registry_stops.h
+++ b/src/registry_stops.h
@@ -29,7 +29,8 @@
 /* Tells the fronts which stops the store has.  From now on no stop of an
    earlier process is unknown.  */
 void registry_stops_publish (struct control *c);
-/* Answers a state that says that its sender does not know its stops.  */
+/* Answers a state that says that its sender does not know its stops, or that
+   lacks one although its store has eras and is possibly restored.  */
 void registry_stops_send (struct control *c,
                           const struct daemon_registry_state *state);
 /* Adds the stops that another daemon remembers.  */
--- a/standins/machines.c
+++ b/standins/machines.c
@@ -37,7 +37,8 @@
                               410; "copy" keeps a copy of the objects and of
                               the revision, and "restore" returns to it: the
                               era, which all answers of the store have in
-                              Store-Era from then on, is one higher
+                              Store-Era from then on, is one higher;
+                              "restore-open" does not cut off the open watches
      PUT /standin/drain       drains the backend server whose number, counted
                               from 0 in the order of --backend, is the body
      PUT /standin/leave       deregisters that backend server
--- a/standins/machines_store.h
+++ b/standins/machines_store.h
@@ -407,9 +407,9 @@
 }
 
 /* Open watches from a revision that the copy has are cut off, as by a store
-   that is started again.  */
+   that is started again, or stay open.  */
 static void
-restore_copy (void)
+restore_copy (bool cuts_watches)
 {
   struct watch *w;
 
@@ -423,6 +423,8 @@
     {
       if (w->revision > revision)
         answer (w->request, 410, "{}");
+      else if (!cuts_watches)
+        continue;
       else
         evhttp_connection_free (evhttp_request_get_connection (w->request));
       event_free (w->timer);
@@ -444,7 +446,9 @@
   else if (strcmp (mode, "copy") == 0)
     keep_copy ();
   else if (strcmp (mode, "restore") == 0)
-    restore_copy ();
+    restore_copy (true);
+  else if (strcmp (mode, "restore-open") == 0)
+    restore_copy (false);
 }
 
 #endif
--- a/tests/test_store_era.c
+++ b/tests/test_store_era.c
@@ -436,6 +436,24 @@
 }
 END_TEST
 
+/* Guards against a restore that goes unnoticed because the store keeps the open
+   watches: a daemon that starts tells the others, which end theirs.  */
+START_TEST (restore_is_heard_from_another_daemon)
+{
+  struct fixture f = start ("4");
+
+  leave_after_copy (&f);
+  set_standin (&f, "store", "restore-open");
+  start_daemon (&f, NEW_DAEMON);
+  await_ready (&f, NEW_DAEMON);
+  await_entry (&f, 2, "\"i-2\"");
+  set_config (&f, 2, OTHER_KEY);
+  for (int i = 0; i < EARLY_DAEMONS; i++)
+    await_status (&f, i, "/notes/x", 401);
+  stop (&f);
+}
+END_TEST
+
 /* Guards against daemons that never find each other: the entry of one was
    written after the copy, and the other starts from the restored list.  */
 START_TEST (daemon_started_in_between_finds_the_others)
@@ -497,6 +515,7 @@
                                  repair_survives_more_failures,
                                  withdrawn_key_stays_withdrawn,
                                  configuration_after_the_restore_takes_effect,
+                                 restore_is_heard_from_another_daemon,
                                  daemon_started_in_between_finds_the_others,
                                  pool_has_one_owner };
 
