Wait longer for the others while none is heard; spread repeated reads

Cause: a daemon that hears none of those listed within 0.5 s, for example on a busy machine, used a configuration that the store had gone back to. A store that rejects the fleet after a restore was called again by all after the same 0.5 s. Change: 2 s while none is heard; repeated reads are spread over 1 s. Conclusion: 0.5 s stay the limit where some daemons are heard.

--- a/src/registry_era.c
+++ b/src/registry_era.c
@@ -71,8 +71,12 @@
 record_check_failure (struct control *c, enum err_kind error)
 {
   struct control_registry *cr = c->control_registry;
+  int64_t now_us = clock_now_us ();
 
-  cr->join_retry_us = clock_now_us () + RETRY_US;
+  /* The calls of the fleet stay spread while the store rejects them.  */
+  cr->join_retry_us
+      = now_us + RETRY_US
+        + store_era_get_delay (c->settings->member_id, (uint64_t)now_us);
   if (error == ERR_PROTOCOL || error == ERR_BAD_REQUEST)
     cr->phase = CONTROL_REGISTRY_LISTING;
   LOGGER_WRITE (
@@ -449,6 +453,7 @@
       || now_us - s.answered_us >= STORE_ERA_START_MAX_US)
     return false;
   s.unheard = daemon_registry_count_unheard (&cr->registry);
+  s.heard = cr->registry.members.count - s.unheard;
   return store_era_is_waiting (&s, now_us);
 }
 
--- a/src/store_era.c
+++ b/src/store_era.c
@@ -165,7 +165,8 @@
  * @now_us: current time
  *
  * The store has possibly lost a configuration or a stop that the others know.
- * Entries of VMs that no longer exist never send a state.
+ * Entries of VMs that no longer exist never send a state, so that a daemon that
+ * has heard some of the others does not wait for all.
  *
  * Return: true until all listed daemons were heard, or the time is over.
  */
@@ -174,5 +175,8 @@
 {
   if (now_us - s->answered_us >= STORE_ERA_START_MAX_US)
     return false;
-  return !s->listed || (s->unheard > 0 && now_us - s->listed_us < s->state_us);
+  if (!s->listed)
+    return true;
+  return s->unheard > 0
+         && (s->heard == 0 || now_us - s->listed_us < s->state_us);
 }
--- a/src/store_era.h
+++ b/src/store_era.h
@@ -72,7 +72,8 @@
   bool listed;         /* the fleet was listed */
   int64_t listed_us;   /* when */
   int64_t answered_us; /* first answer with an era */
-  uint32_t unheard;    /* daemons listed that have sent no state */
+  uint32_t heard;      /* daemons that have sent a state */
+  uint32_t unheard;    /* daemons listed that have sent none */
   int64_t state_us;    /* time in which a daemon should send its first state */
 };
 
--- a/tests/test_store_era_fleet.c
+++ b/tests/test_store_era_fleet.c
@@ -347,6 +347,9 @@
   ck_assert (!store_era_is_waiting (&s, SECOND_US + STORE_ERA_START_MAX_US));
   s.listed = true;
   s.listed_us = SECOND_US + 100000;
+  ck_assert (store_era_is_waiting (&s, SECOND_US + 600000));
+  ck_assert (!store_era_is_waiting (&s, SECOND_US + STORE_ERA_START_MAX_US));
+  s.heard = 1;
   ck_assert (store_era_is_waiting (&s, SECOND_US + 599999));
   ck_assert (!store_era_is_waiting (&s, SECOND_US + 600000));
   s.unheard = 0;
