--- a/src/registry_stops.c
+++ b/src/registry_stops.c
@@ -5,6 +5,7 @@
 
 #include "clock.h"
 #include "logger.h"
+#include "registry_era.h"
 
 /* Constants */
 
@@ -45,15 +46,6 @@
                 LOGGER_NUMBER ("stops", cr->stops.len));
 }
 
-static bool
-has_all (const struct backend_stops *s, const struct backend_stops *part)
-{
-  for (uint32_t i = 0; i < part->len; i++)
-    if (!backend_stops_contains (s, part->rows[i].id, part->rows[i].boot_ms))
-      return false;
-  return true;
-}
-
 /* Public functions */
 
 /**
@@ -79,13 +71,19 @@
     send_to_fronts (c, &cr->stops, true);
 }
 
+bool
+registry_stops_load (struct backend_stops *stops, struct str value)
+{
+  return backend_stops_load_json (stops, value, STOPS_MEMBER);
+}
+
 void
 registry_stops_load_object (struct control *c, struct str value)
 {
   struct control_registry *cr = c->control_registry;
 
   backend_stops_close (&cr->stored);
-  if (!backend_stops_load_json (&cr->stored, value, STOPS_MEMBER))
+  if (!registry_stops_load (&cr->stored, value))
     LOGGER_WRITE (LOGGER_WARNING, "daemon_object_invalid",
                   LOGGER_TEXT ("key", c->settings->member_id));
   backend_stops_merge (&cr->stops, &cr->stored);
@@ -115,7 +113,11 @@
 {
   struct control_registry *cr = c->control_registry;
 
-  cr->stops_unsaved = !has_all (&cr->stored, &cr->stops);
+  cr->stops_unsaved = !backend_stops_contains_all (&cr->stored, &cr->stops);
+  cr->era.stops_held
+      = !cr->stops_known && registry_era_is_waiting (c, clock_now_us ());
+  if (cr->era.stops_held)
+    return;
   set_known (c, "store");
   send_to_fronts (c, &cr->stored, true);
 }
@@ -124,12 +126,16 @@
 registry_stops_send (struct control *c,
                      const struct daemon_registry_state *state)
 {
+  const struct control_registry *cr = c->control_registry;
   const struct daemon_registry_member *m
-      = daemon_registry_find (&c->control_registry->registry, state->member);
+      = daemon_registry_find (&cr->registry, state->member);
   struct wire_registry_message out = { .type = WIRE_REGISTRY_STOPS };
   struct str_buf frames = { 0 };
 
-  if (state->stops_known || m == NULL || !m->state.stops_known)
+  if (m == NULL || !m->state.stops_known
+      || (state->stops_known
+          && (cr->era.store.seen == 0
+              || backend_stops_contains_all (&state->stops, &m->state.stops))))
     return;
   out.u.stops.name = m->state.name;
   out.u.stops.stops = m->state.stops;
--- a/src/registry_stops.h
+++ b/src/registry_stops.h
@@ -17,6 +17,9 @@
 /* Adds a stop that a front reports.  */
 void registry_stops_record (struct control *c,
                             const struct thread_message *message);
+/* Decodes the stops in the value of a daemon's object; returns false, with an
+   empty list, if it is no object.  */
+bool registry_stops_load (struct backend_stops *stops, struct str value);
 /* Adds the stops in the value of this daemon's object in the store.  */
 void registry_stops_load_object (struct control *c, struct str value);
 /* Notes the stops in the value that is about to be written.  */
@@ -26,7 +29,8 @@
 /* Tells the fronts which stops the store has.  From now on no stop of an
    earlier process is unknown.  */
 void registry_stops_publish (struct control *c);
-/* Answers a state that says that its sender does not know its stops.  */
+/* Answers a state that says that its sender does not know its stops, or that
+   lacks one although its store has eras and is possibly restored.  */
 void registry_stops_send (struct control *c,
                           const struct daemon_registry_state *state);
 /* Adds the stops that another daemon remembers.  */
