Decode coldStart, coldPerS and the bounds of warm-up and evacuation

Cause: the warm-up limit of a service and the bounds evacuate and coldOverage were not read.

Ruled out: members that always appear in the inventory's JSON; all exports and the examples would change (test_inventory_import failed with them). Refusing a configuration with a senseless limit: it would also keep back withdrawn keys, so such a limit counts as missing.

Change: struct inventory_service has cold_start_ms and cold_per_1000_s, which a whole row as JSON lacks while they are 0; struct settings has evacuation_bound_ms and cold_overage, 0 where no bound asks for them. coldSlack is kept for late reports and not spent, so it is not read.

Figures: new cases of test_platform_config and test_machine_settings; they do not compile on the code before.

Conclusion: nothing uses the values yet.

--- a/src/inventory.c
+++ b/src/inventory.c
@@ -18,6 +18,8 @@
 #define WEIGHT_MAX 1000u
 #define SHARE_WEIGHT_MAX 1000000u
 #define ORDER_MAX 1000000u
+/* One million requests per second, as for workspaces.  */
+#define COLD_PER_1000_S_MAX 1000000000u
 /* The precedence of a workspace limits the importance of its requests to one
    of three values: precedence 1 to 0..2, precedence 2 to 3..5, precedence 3 to
    6..8.  */
@@ -32,6 +34,8 @@
 
 static const struct inventory_field service_fields[] = {
   { FIELD (service, name, STR), .required = true },
+  { FIELD (service, cold_start_ms, UINT), .max = TIMEOUT_MS_MAX, .omitted_if_default = true },
+  { FIELD (service, cold_per_1000_s, UINT), .max = COLD_PER_1000_S_MAX, .omitted_if_default = true },
 };
 
 static const struct inventory_field route_fields[] = {
--- a/src/inventory.h
+++ b/src/inventory.h
@@ -64,6 +64,10 @@
 struct inventory_service
 {
   struct str name;
+  /* time after its start during which a backend server is cold; 0: never */
+  uint32_t cold_start_ms;
+  /* requests in 1000 s that a cold one tolerates; 0: no limit */
+  uint32_t cold_per_1000_s;
 };
 
 struct inventory_route
@@ -154,12 +158,14 @@
 {
   const char *name;
   enum inventory_type type;
-  size_t offset;          /* bytes from the start of the row */
-  bool required;          /* has no default */
-  uint32_t min;           /* lowest value of an INVENTORY_TYPE_UINT */
-  uint32_t max;           /* highest value of an INVENTORY_TYPE_UINT */
-  uint32_t default_value; /* of a uint32_t; other types default to empty or
+  size_t offset;           /* bytes from the start of the row */
+  bool required;           /* has no default */
+  uint32_t min;            /* lowest value of an INVENTORY_TYPE_UINT */
+  uint32_t max;            /* highest value of an INVENTORY_TYPE_UINT */
+  uint32_t default_value;  /* of a uint32_t; other types default to empty or
                              false */
+  bool omitted_if_default; /* a whole row as JSON lacks it then; only of a
+                              uint32_t */
   enum inventory_format format;
   enum inventory_kind
       referenced_kind; /* kind of the rows that the value names;
--- a/src/inventory_json.c
+++ b/src/inventory_json.c
@@ -371,7 +371,15 @@
 JsonObject *
 inventory_json_make_row (enum inventory_kind kind, const void *row)
 {
-  return inventory_json_make_partial_row (kind, row, UINT32_MAX);
+  const struct inventory_schema *s = inventory_get_schema (kind);
+  uint32_t field_mask = 0;
+
+  for (uint32_t i = 0; i < s->fields_len; i++)
+    if (!s->fields[i].omitted_if_default
+        || *(const uint32_t *)((const char *)row + s->fields[i].offset)
+               != s->fields[i].default_value)
+      field_mask |= 1u << i;
+  return inventory_json_make_partial_row (kind, row, field_mask);
 }
 
 JsonObject *
--- a/src/settings.h
+++ b/src/settings.h
@@ -130,6 +130,12 @@
   /* the whole fleet starts for the first time, so that the store lists no
      daemon yet; set by the deployment */
   bool first_start;
+  /* bound on the time until an evacuation of a failure domain holds; 0:
+     evacuations are not read from the store.  Set by the deployment.  */
+  int64_t evacuation_bound_ms;
+  /* factor between what a cold backend server tolerates and what it is sent;
+     0: the default.  Set by the deployment.  */
+  double cold_overage;
 };
 
 /* Public functions */
--- a/tests/test_machine_settings.c
+++ b/tests/test_machine_settings.c
@@ -63,6 +63,38 @@
 }
 END_TEST
 
+/* Guards against protection that is on although no bound asks for it, and
+   against a bound that is not read or has a senseless value.  */
+START_TEST (bounds_of_warm_up_and_evacuation_are_read)
+{
+  static const struct
+  {
+    const char *bounds;
+    int64_t evacuation_ms;
+    double overage;
+  } cases[] = { { "\"grace=6s\"", 0, 0 },
+                { "\"evacuate=5000ms\",\"coldOverage=1.5\",\"coldSlack=8\"",
+                  5000, 1.5 },
+                { "\"evacuated=1s\",\"coldOverage=x\"", 0, 0 },
+                { "\"evacuate=5\",\"coldOverage=-2\"", 0, 0 } };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      char **parts = g_strsplit (FILE_TEXT, "\"seedLag=3s\"", 2);
+      char *text = g_strconcat (parts[0], cases[i].bounds, parts[1], NULL);
+      struct machine_settings m;
+
+      ck_assert (load (&m, text, NULL));
+      ck_assert_int_eq (m.settings.evacuation_bound_ms,
+                        cases[i].evacuation_ms);
+      ck_assert_double_eq (m.settings.cold_overage, cases[i].overage);
+      machine_settings_unload (&m);
+      g_free (text);
+      g_strfreev (parts);
+    }
+}
+END_TEST
+
 /* Guards against a daemon that starts without some of its settings, and
    against an error that does not name the missing member.  */
 START_TEST (errors_name_the_member)
@@ -155,9 +187,10 @@
 int
 main (void)
 {
-  const TTest *const cases[] = { settings_are_loaded, errors_name_the_member,
-                                 override_file_replaces_built_in_settings,
-                                 callers_leave_descriptors_to_the_daemon };
+  const TTest *const cases[]
+      = { settings_are_loaded, bounds_of_warm_up_and_evacuation_are_read,
+          errors_name_the_member, override_file_replaces_built_in_settings,
+          callers_leave_descriptors_to_the_daemon };
 
   return suite_run ("machine_settings", cases, sizeof cases / sizeof *cases);
 }
--- a/tests/test_platform_config.c
+++ b/tests/test_platform_config.c
@@ -17,8 +17,10 @@
       "false,\"s2\"],"
       "[\"r3\",\"i.example\",\"/a/\",\"upload\",\"1s\",\"2s\",1,null,null,"
       "true,\"s2\"]]},"
-      "\"services\":{\"columns\":[\"name\",\"healthPath\"],\"rows\":["
-      "[\"s1\",\"/healthz\"],[\"s2\",\"/healthz\"]]},"
+      "\"services\":{\"columns\":[\"name\",\"healthPath\",\"coldStart\","
+      "\"coldPerS\"],\"rows\":[[\"s1\",\"/healthz\",\"3s\",11.5],"
+      "[\"s2\",\"/healthz\",null,null],[\"s3\",\"/healthz\",\"3s\",11],"
+      "[\"s4\",\"/healthz\",3,11],[\"s5\",\"/healthz\",\"3s\",-1]]},"
       "\"tenants\":{\"columns\":[\"name\",\"apiKeys\",\"priority\","
       "\"ratePerS\",\"burst\"],\"rows\":["
       "[\"w1\",[\"aaaaaaaaaaaaaaaaaaaa\"],0,134,100],"
@@ -37,6 +39,38 @@
   return route;
 }
 
+/* Guards against a warm-up limit that is lost on the way to the snapshot, and
+   against one where the configuration has none or a senseless one.  */
+START_TEST (warm_up_limits_are_decoded)
+{
+  static const struct
+  {
+    const char *service;
+    uint32_t start_ms;
+    uint32_t per_1000_s;
+  } cases[] = { { "s1", 3000, 11500 },
+                { "s2", 0, 0 },
+                { "s3", 3000, 11000 },
+                { "s4", 0, 0 },
+                { "s5", 0, 0 } };
+  struct inventory inventory;
+  struct snapshot_config *c;
+
+  ck_assert (platform_config_load (&inventory, STR_LIT (config), NULL));
+  c = snapshot_load_config (&inventory);
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      const struct inventory_service *s = inventory_find (
+          &c->inventory, INVENTORY_SERVICE, str_from_cstr (cases[i].service));
+
+      ck_assert_uint_eq (s->cold_start_ms, cases[i].start_ms);
+      ck_assert_uint_eq (s->cold_per_1000_s, cases[i].per_1000_s);
+    }
+  refcount_put (&c->ref);
+  inventory_close (&inventory);
+}
+END_TEST
+
 /* Guards against a request that is matched to a route of another host or with
    a shorter prefix, and against a prefix that matches without its last
    slash.  */
@@ -169,11 +203,9 @@
 main (void)
 {
   const TTest *const cases[] = {
-    host_and_longest_prefix_select_the_route,
-    kinds_and_numbers_are_decoded,
-    workspace_priority_outweighs_route_priority,
-    keys_are_stored_as_digests,
-    malformed_objects_are_rejected,
+    warm_up_limits_are_decoded,    host_and_longest_prefix_select_the_route,
+    kinds_and_numbers_are_decoded, workspace_priority_outweighs_route_priority,
+    keys_are_stored_as_digests,    malformed_objects_are_rejected,
   };
 
   return suite_run ("platform_config", cases, sizeof cases / sizeof *cases);
