Limit what a cold backend server gets and honour evacuations

Cause: the daemon beside a backend server ignored coldRemaining and the objects evacuations/ZONE of the store.

Ruled out: applying the events of the watch (the platform does not say which revision the event of a removal has, so a change makes watchers list again); a cold order inside each admission policy (the order would have to be written three times; serve_warmup takes the queued jobs from the table instead); telling all of a change at once (only those that read it from the store do, as 24 times the fleet is enough).

Change: serve_warmup sends a cold backend server what warmup_limit allows, the most important first, and refuses what cannot be in time as backend_cold. A connect failure, a broken connection and a 421 make the state unknown. registry_evacuation lists the evacuations at the start, watches them where the configuration is watched and passes them on in states with the store's revision. The serving daemon refuses new requests as backend_evacuated, also until it knows the state; the others drop the endpoints. Both errors mean not run and are tried elsewhere without cost.

--- a/src/control_registry.c
+++ b/src/control_registry.c
@@ -10,6 +10,7 @@
 #include "json_field.h"
 #include "logger.h"
 #include "registry_config.h"
+#include "registry_evacuation.h"
 #include "registry_stops.h"
 #include "tcp_socket.h"
 
@@ -286,7 +287,8 @@
     .control_port = settings_get_control_port (s),
     .domain = s->failure_domain,
     .service = c->backend.service,
-    .serving = c->backend_state == CONTROL_BACKEND_SERVING,
+    .serving = c->backend_state == CONTROL_BACKEND_SERVING
+               && registry_evacuation_is_served (c),
     .leaving = c->shutting_down,
     .store_failed = c->control_registry->config_failures > 0,
     .revision
@@ -296,6 +298,7 @@
     .demands_len = MIN (demands->len, WIRE_REGISTRY_DEMANDS_MAX),
     .demands = (struct rate_share_demand *)demands->data
   };
+  registry_evacuation_fill (c, state);
 }
 
 static void
@@ -392,8 +395,10 @@
   uint64_t digest = 1;
 
   daemon_registry_append_endpoints (&cr->registry, found, now_us);
-  if (c->backend_state == CONTROL_BACKEND_SERVING && !c->shutting_down)
+  if (c->backend_state == CONTROL_BACKEND_SERVING && !c->shutting_down
+      && registry_evacuation_is_served (c))
     g_array_append_val (found, own);
+  registry_evacuation_filter (c, found);
   for (guint i = 0; i < found->len; i++)
     {
       const struct snapshot_endpoint *e
@@ -580,6 +585,7 @@
   cr->config = STR_EMPTY;
   cr->listed_to = STR_EMPTY;
   cr->needs_read = true;
+  cr->evacuation.needs_list = true;
   /* Daemons that start together write first, so that each list has those that
      wrote before.  */
   if (c->settings->first_start)
@@ -602,6 +608,7 @@
   backend_stops_close (&cr->stops);
   backend_stops_close (&cr->stored);
   backend_stops_close (&cr->written);
+  evacuation_close (&cr->evacuation.known_set);
   str_free (&cr->config);
   str_free (&cr->listed_to);
   g_free (cr);
@@ -631,6 +638,7 @@
         send_state_to (c, &m.u.state);
       registry_stops_send (c, &m.u.state);
       registry_config_record (c, &m.u.state);
+      registry_evacuation_record (c, &m.u.state);
       break;
     case WIRE_REGISTRY_CONFIG_REQUEST:
       registry_config_send (c, link);
@@ -671,6 +679,7 @@
   registry_stops_run (c, now_us);
   registry_config_read (c, now_us);
   registry_config_request (c, now_us);
+  registry_evacuation_run (c, now_us);
   announce_own_changes (c);
   check = cr->members_changed || now_us >= cr->next_check_us;
   if (check)
--- a/src/control_registry.h
+++ b/src/control_registry.h
@@ -12,6 +12,7 @@
 
 #include "control.h"
 #include "daemon_registry.h"
+#include "evacuation.h"
 #include "object_store.h"
 
 /* Types */
@@ -25,6 +26,23 @@
   CONTROL_REGISTRY_JOINED
 };
 
+/* What registry_evacuation knows.  */
+struct registry_evacuation
+{
+  struct evacuation known_set;
+  bool known;             /* it is binding: from the store, or from other
+                              daemons while the store fails */
+  bool pending;           /* a list or watch is pending */
+  bool needs_list;        /* list before watching */
+  bool watching;          /* control_registry.watching at the last run */
+  uint64_t store_version; /* the next watch reports changes after it */
+  int64_t retry_us;       /* earliest time of the next call */
+  uint32_t failures;      /* consecutive failures */
+  int64_t heard_us;       /* when another daemon first told; 0: none did */
+  bool notified;          /* the serve thread knows notified_evacuated */
+  bool notified_evacuated;
+};
+
 struct control_registry
 {
   struct daemon_registry registry;
@@ -58,6 +76,7 @@
   uint64_t newer_revision;  /* newest revision that a member has */
   int64_t newer_seen_us;    /* when its first state arrived */
   int64_t newer_request_us; /* when that configuration is requested */
+  struct registry_evacuation evacuation;
   /* state messages and members */
   int64_t next_state_us;    /* time of the next state to all members */
   uint64_t backend_changes; /* control.backend_changes at the last
--- a/src/daemon_metrics.h
+++ b/src/daemon_metrics.h
@@ -36,6 +36,10 @@
   struct metrics_row *queue_time;
   struct metrics_row *service_time;
   struct metrics_row *executions; /* requests sent to the backend server */
+  struct metrics_row *backend_cold;
+  struct metrics_row *cold_refusals;
+  struct metrics_row *evacuated;
+  struct metrics_row *evacuation_revision;
   struct metrics_row *revision;
   struct metrics_row *members;
   struct metrics_row *control_bytes_sent;
--- a/src/daemon_registry.c
+++ b/src/daemon_registry.c
@@ -38,6 +38,7 @@
   to->domain = str_copy (from->domain);
   to->service = str_copy (from->service);
   to->stops = backend_stops_copy (&from->stops);
+  to->evacuated.len = 0;
   to->demands
       = g_memdup2 (from->demands, from->demands_len * sizeof *from->demands);
 }
--- a/src/daemon_registry.h
+++ b/src/daemon_registry.h
@@ -19,6 +19,7 @@
 #define ALMONDVALE_DAEMON_REGISTRY_H
 
 #include "backend_stops.h"
+#include "evacuation.h"
 #include "rate_share.h"
 #include "snapshot.h"
 #include "str.h"
@@ -67,6 +68,9 @@
   uint64_t revision;          /* of the configuration in effect; 0: none */
   bool stops_known;           /* `stops` has those of earlier processes too */
   struct backend_stops stops; /* of its backend server */
+  /* store revision of `evacuated`; 0: nothing is known */
+  uint64_t evacuation_revision;
+  struct evacuation_domains evacuated; /* not kept in the registry */
   uint32_t demands_len;
   struct rate_share_demand *demands; /* one for each workspace */
 };
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -256,7 +256,8 @@
 is_endpoint_unavailable (enum err_kind error)
 {
   return error == ERR_BACKEND_LEAVING || error == ERR_BACKEND_UNREACHABLE
-         || error == ERR_NO_BACKEND || error == ERR_SHUTTING_DOWN;
+         || error == ERR_NO_BACKEND || error == ERR_SHUTTING_DOWN
+         || error == ERR_BACKEND_EVACUATED;
 }
 
 static void
--- a/src/err.h
+++ b/src/err.h
@@ -59,6 +59,8 @@
   ERR_NOT_FOUND,
   ERR_PROTOCOL,
   ERR_BACKEND_REFUSED,
+  ERR_BACKEND_COLD,
+  ERR_BACKEND_EVACUATED,
   ERR_KINDS /* number of kinds */
 };
 
--- a/src/front_report.c
+++ b/src/front_report.c
@@ -48,6 +48,14 @@
     case BACKEND_CHANGE_LEFT:
       message = thread_message_create (THREAD_MESSAGE_LEAVE);
       break;
+    case BACKEND_CHANGE_NONE:
+      if (report->state == BACKEND_SERVING)
+        {
+          message = thread_message_create (THREAD_MESSAGE_HEARTBEAT);
+          message->backend.cold_us = report->cold_us;
+          mailbox_send (f->shared->serve, message);
+        }
+      return;
     default:
       return;
     }
--- a/src/retry_policy.c
+++ b/src/retry_policy.c
@@ -33,6 +33,8 @@
     case ERR_NO_BACKEND:
     case ERR_OVERLOADED:
     case ERR_BACKEND_REFUSED:
+    case ERR_BACKEND_COLD:
+    case ERR_BACKEND_EVACUATED:
       return true;
     case ERR_BACKEND_FAILED:
     case ERR_OUTCOME_UNKNOWN:
@@ -53,6 +55,8 @@
     case ERR_BACKEND_UNREACHABLE:
     case ERR_SHUTTING_DOWN:
     case ERR_NO_BACKEND:
+    case ERR_BACKEND_COLD:
+    case ERR_BACKEND_EVACUATED:
       return true;
     default:
       return false;
--- a/src/serve.c
+++ b/src/serve.c
@@ -7,6 +7,7 @@
 #include "clock.h"
 #include "logger.h"
 #include "serve_response.h"
+#include "serve_warmup.h"
 #include "trace.h"
 
 #include <glib.h>
@@ -171,6 +172,7 @@
   success_rate_record (&s->success,
                        is_failure (s, error, answer->status, now_us), now_us);
   release_slot (s, job, is_backend_fault (answer), &usage, now_us);
+  serve_warmup_record_answer (s, answer, now_us);
   record_span (s, job, error, answer->status, now_us);
   if (error == ERR_NONE && answer->status < 500)
     service_time_record (&s->service_times, job->message.u.request.route,
@@ -242,6 +244,8 @@
   job->state = SERVE_RUNNING;
   job->running_at_start = ++s->running_jobs;
   job->exchange = http_client_send (s->http_pool, &r);
+  if (job->exchange != NULL)
+    warmup_limit_record_send (&s->warmup, now_us);
   g_free (method);
   metrics_observe (s->shared->metric_rows.queue_time,
                    now_us - job->arrived_us);
@@ -451,6 +455,7 @@
   struct thread_message_backend old = s->backend;
   const struct settings *settings = s->shared->settings;
 
+  warmup_limit_report (&s->warmup, message->backend.cold_us, now_us);
   /* A backend server repeats its announcement.  Only an announcement with
      changes begins a new slow start.  */
   if ((s->backend_state == SERVE_BACKEND_SERVING
@@ -489,6 +494,7 @@
   s->backend = message->backend;
   message->backend = old;
   s->backend_state = SERVE_BACKEND_SERVING;
+  serve_warmup_configure (s);
   LOGGER_WRITE (LOGGER_INFO, "backend_announced",
                 LOGGER_TEXT ("service", s->backend.service),
                 LOGGER_TEXT ("backend", s->backend.id),
@@ -500,7 +506,7 @@
 /* Fails the queued jobs when the backend server accepts no new requests, so
    that the fronts can retry them at another endpoint.  */
 static void
-fail_queued (struct serve *s)
+fail_queued (struct serve *s, enum err_kind error)
 {
   struct serve_job *job;
 
@@ -509,7 +515,7 @@
     if (job->state == SERVE_QUEUED)
       {
         s->admit_ops->remove (s->admission_queue, job->admission_entry);
-        serve_response_fail (s, job, ERR_BACKEND_LEAVING, NULL);
+        serve_response_fail (s, job, error, NULL);
       }
 }
 
@@ -520,7 +526,22 @@
   LOGGER_WRITE (LOGGER_INFO, "backend_stopped",
                 LOGGER_TEXT ("backend", s->backend.id),
                 LOGGER_NUMBER ("running", s->running_jobs));
-  fail_queued (s);
+  fail_queued (s, ERR_BACKEND_LEAVING);
+}
+
+/* Requests that run are completed.  The backend server may have become cold
+   unnoticed before the end of an evacuation.  */
+static void
+set_evacuated (struct serve *s, bool evacuated, int64_t now_us)
+{
+  bool ended = s->evacuation_known && s->evacuated && !evacuated;
+
+  s->evacuation_known = true;
+  s->evacuated = evacuated;
+  if (evacuated)
+    fail_queued (s, ERR_BACKEND_EVACUATED);
+  if (ended)
+    warmup_limit_forget (&s->warmup, now_us);
 }
 
 static void
@@ -539,6 +560,10 @@
       if (message->kind == THREAD_MESSAGE_LEAVE
           || message->kind == THREAD_MESSAGE_SHUTDOWN)
         stop_backend (s, SERVE_BACKEND_LEAVING);
+      if (message->kind == THREAD_MESSAGE_HEARTBEAT)
+        warmup_limit_report (&s->warmup, message->backend.cold_us, now_us);
+      if (message->kind == THREAD_MESSAGE_EVACUATION)
+        set_evacuated (s, message->evacuated, now_us);
       thread_message_free (message);
     }
 }
@@ -554,6 +579,7 @@
   snapshot_put (s->snapshot);
   s->snapshot = snapshot_get (&s->shared->snapshots);
   s->snapshot_generation = generation;
+  serve_warmup_configure (s);
 }
 
 static uint32_t
@@ -575,6 +601,8 @@
     return ERR_NO_BACKEND;
   if (s->backend_state != SERVE_BACKEND_SERVING)
     return ERR_BACKEND_LEAVING;
+  if (s->evacuated)
+    return ERR_BACKEND_EVACUATED;
   if (!str_equal (job->message.u.request.service, s->backend.service))
     return ERR_NO_BACKEND;
   if (job->deadline_us <= now_us)
@@ -645,17 +673,15 @@
   struct admission_item item;
 
   s->admit_ops->set_limit (s->admission_queue, limit);
+  if (serve_warmup_dispatch (s, limit, now_us))
+    return;
   while (s->http_pool != NULL && s->running_jobs < limit
          && s->admit_ops->next (s->admission_queue, now_us, &item))
     {
       struct serve_job *job = table_get (&s->jobs, item.job);
 
-      if (job == NULL || job->state != SERVE_QUEUED)
-        continue;
-      if (attempt_start (&s->attempts, job->message.u.request.attempt))
-        send_to_backend (s, job, now_us);
-      else
-        serve_response_finish (s, job);
+      if (job != NULL && job->state == SERVE_QUEUED)
+        serve_start_job (s, job, now_us);
     }
   fail_dropped (s);
 }
@@ -693,6 +719,7 @@
   if (now_us < s->next_tick_us)
     return;
   s->next_tick_us = now_us + SERVE_TICK_US;
+  serve_warmup_run (s, now_us);
   load = (struct pressure_load){
     .arrived = s->arrivals_since_tick,
     .limit = s->limit_ops->get (&s->limit, now_us),
@@ -773,6 +800,8 @@
   s->backend.service = STR_EMPTY;
   s->backend.address = STR_EMPTY;
   s->backend.id = STR_EMPTY;
+  s->evacuated = settings->evacuation_bound_ms > 0;
+  warmup_limit_init (&s->warmup, clock_now_us ());
   s->admit_ops = admission_find_ops (settings->policy.admit);
   s->limit_ops = concurrency_limit_find_ops (settings->policy.limit);
   if (s->admit_ops == NULL || s->limit_ops == NULL
@@ -800,6 +829,15 @@
   return false;
 }
 
+void
+serve_start_job (struct serve *s, struct serve_job *job, int64_t now_us)
+{
+  if (attempt_start (&s->attempts, job->message.u.request.attempt))
+    send_to_backend (s, job, now_us);
+  else
+    serve_response_finish (s, job);
+}
+
 void
 serve_close (struct serve *s)
 {
--- a/src/serve.h
+++ b/src/serve.h
@@ -18,6 +18,7 @@
 #include "service_time.h"
 #include "success_rate.h"
 #include "thread_message.h"
+#include "warmup_limit.h"
 
 #include <stdbool.h>
 
@@ -90,6 +91,12 @@
   struct http_client_pool *http_pool;
   struct thread_message_backend backend;
   enum serve_backend_state backend_state;
+  struct warmup_limit warmup;
+  bool cold; /* the log and the metrics say that it is cold */
+  /* accepts no requests: the failure domain is evacuated, or that is not known
+     yet */
+  bool evacuated;
+  bool evacuation_known; /* the control thread has told */
   uint32_t running_jobs;
   struct snapshot *snapshot;
   uint64_t snapshot_generation;
@@ -105,4 +112,10 @@
 /* Frees all state.  The thread must have ended.  */
 void serve_close (struct serve *s);
 
+/* Functions for the modules of the serve thread */
+
+/* Sends a job that was removed from the admission queue to the backend
+   server, unless it was voided.  */
+void serve_start_job (struct serve *s, struct serve_job *job, int64_t now_us);
+
 #endif
--- a/src/serve_response.c
+++ b/src/serve_response.c
@@ -4,6 +4,7 @@
 #include "serve_response.h"
 
 #include "clock.h"
+#include "serve_warmup.h"
 
 /* Internal functions */
 
@@ -66,7 +67,8 @@
   r->attempt = q->attempt;
   r->in_flight
       = s->running_jobs + s->admit_ops->get_length (s->admission_queue);
-  r->limit = s->limit_ops->get (&s->limit, clock_now_us ());
+  r->limit = serve_warmup_get_limit (
+      s, s->limit_ops->get (&s->limit, clock_now_us ()), clock_now_us ());
   r->success_permille
       = success_rate_get_permille (&s->success, clock_now_us ());
   r->last_part = body.len <= WIRE_BODY_PART_MAX_BYTES;
--- a/src/thread_message.h
+++ b/src/thread_message.h
@@ -24,10 +24,14 @@
   THREAD_MESSAGE_ANNOUNCE, /* a backend server is ready */
   THREAD_MESSAGE_DRAIN,    /* send that backend server no new requests */
   THREAD_MESSAGE_LEAVE,    /* that backend server has left */
+  /* front to serve: a repeated report; only cold_us has changed */
+  THREAD_MESSAGE_HEARTBEAT,
   /* front to control: record that a boot (id, boot_ms) has stopped */
   THREAD_MESSAGE_STOP,
   /* control to front: the boots that are known to have stopped */
   THREAD_MESSAGE_STOPS,
+  /* control to serve: whether the own failure domain is evacuated */
+  THREAD_MESSAGE_EVACUATION,
   /* control to front and serve */
   THREAD_MESSAGE_SHUTDOWN, /* finish open requests, accept no others */
   /* front to control: status request; sent back with the status text */
@@ -58,7 +62,7 @@
   struct str id;        /* id of this boot of the backend server; empty if not
                            reported */
   int64_t boot_ms;      /* reported wall-clock time of its start, or 0 */
-  int64_t cold_us;      /* time after its start during which it is slow */
+  int64_t cold_us;      /* remaining time during which it is cold */
 };
 
 struct thread_message
@@ -69,6 +73,7 @@
   struct thread_message_backend backend;
   struct backend_stops stops;
   bool stops_stored;    /* the store has these stops */
+  bool evacuated;       /* the own failure domain is evacuated */
   struct str key;       /* idempotency key */
   uint64_t fingerprint; /* hash of the request sent with the key */
   struct wire_attempt_id attempt;
--- a/src/wire_registry.c
+++ b/src/wire_registry.c
@@ -16,7 +16,7 @@
 
 /* Array members of the messages, the type included; TOKENS_MEMBERS is that of
    a token request and of a grant.  */
-#define STATE_MEMBERS 16
+#define STATE_MEMBERS 18
 #define STOPS_MEMBERS 3
 #define CONFIG_MEMBERS 3
 #define TOKENS_MEMBERS 5
@@ -56,6 +56,10 @@
   msgpack_pack_uint64 (p, s->revision);
   wire_writer_add_bool (p, s->stops_known);
   pack_stops (p, &s->stops);
+  msgpack_pack_uint64 (p, s->evacuation_revision);
+  msgpack_pack_array (p, s->evacuated.len);
+  for (uint32_t i = 0; i < s->evacuated.len; i++)
+    wire_writer_add_str (p, s->evacuated.names[i]);
   msgpack_pack_array (p, (size_t)s->demands_len * 2);
   for (uint32_t i = 0; i < s->demands_len; i++)
     {
@@ -150,6 +154,18 @@
   r->failed = r->failed || pairs.failed;
 }
 
+/* The names are views of the frame.  */
+static void
+read_domains (struct wire_reader *r, struct evacuation_domains *d)
+{
+  struct wire_reader names
+      = wire_reader_read_array (r, EVACUATION_DOMAINS_MAX);
+
+  while (!r->failed && !names.failed && names.next < names.len)
+    evacuation_domains_add (d, wire_reader_read_str (&names));
+  r->failed = r->failed || names.failed;
+}
+
 static void
 read_state (struct wire_reader *r, struct daemon_registry_state *s)
 {
@@ -167,6 +183,8 @@
   s->revision = wire_reader_read_u64 (r);
   s->stops_known = wire_reader_read_bool (r);
   read_stops (r, &s->stops);
+  s->evacuation_revision = wire_reader_read_u64 (r);
+  read_domains (r, &s->evacuated);
   read_demands (r, s);
 }
 
--- a/tests/test_daemon_registry.c
+++ b/tests/test_daemon_registry.c
@@ -117,6 +117,9 @@
   m.u.state.demands_len = 2;
   m.u.state.demands = demands;
   m.u.state.stops_known = true;
+  m.u.state.evacuation_revision = 31;
+  evacuation_domains_add (&m.u.state.evacuated, STR_LIT ("z1"));
+  evacuation_domains_add (&m.u.state.evacuated, STR_LIT ("z2"));
   backend_stops_add (&m.u.state.stops, STR_LIT ("a"), 100);
   backend_stops_add (&m.u.state.stops, STR_LIT ("b"), 200);
   wire_registry_append (&out, &m);
@@ -130,6 +133,9 @@
   ck_assert_uint_eq (got.u.state.demands_len, 2);
   ck_assert_uint_eq (got.u.state.demands[1].hash, 8);
   ck_assert (got.u.state.stops_known);
+  ck_assert_uint_eq (got.u.state.evacuation_revision, 31);
+  ck_assert_uint_eq (got.u.state.evacuated.len, 2);
+  ck_assert (str_equal (got.u.state.evacuated.names[1], STR_LIT ("z2")));
   ck_assert_uint_eq (got.u.state.stops.len, 2);
   ck_assert (backend_stops_contains (&got.u.state.stops, STR_LIT ("b"), 200));
   wire_registry_unload (&got);
--- a/tests/test_retry_policy.c
+++ b/tests/test_retry_policy.c
@@ -49,18 +49,24 @@
    costs no budget, but the number of such retries is limited.  */
 START_TEST (rejections_by_daemons_cost_no_budget)
 {
-  struct retry_budget_pool pool;
-  struct retry_budget_ratio ratio;
-  uint32_t attempts = 1;
+  static const enum err_kind errors[]
+      = { ERR_BACKEND_LEAVING, ERR_BACKEND_COLD, ERR_BACKEND_EVACUATED };
 
-  retry_budget_init_ratio (&ratio);
-  retry_budget_init_pool (&pool, 0);
-  while (attempts < 100
-         && allow (ERR_BACKEND_LEAVING, false, attempts, &pool, &ratio))
-    attempts++;
-  ck_assert_uint_ge (attempts, 3);
-  ck_assert_uint_le (attempts, 8);
-  retry_budget_close_ratio (&ratio);
+  for (size_t i = 0; i < sizeof errors / sizeof *errors; i++)
+    {
+      struct retry_budget_pool pool;
+      struct retry_budget_ratio ratio;
+      uint32_t attempts = 1;
+
+      retry_budget_init_ratio (&ratio);
+      retry_budget_init_pool (&pool, 0);
+      while (attempts < 100
+             && allow (errors[i], false, attempts, &pool, &ratio))
+        attempts++;
+      ck_assert_uint_ge (attempts, 3);
+      ck_assert_uint_le (attempts, 8);
+      retry_budget_close_ratio (&ratio);
+    }
 }
 END_TEST
 
