Decide nothing for an empty queue at a cold backend server

Cause: warmup_limit_decide passed a null pointer to qsort when no request waited.

Change: it returns at once; the case is in test_warmup_limit.

--- a/src/warmup_limit.c
+++ b/src/warmup_limit.c
@@ -158,6 +158,8 @@
   uint32_t allowance = warmup_limit_get_allowance (l, now_us);
   uint32_t ahead = 0;
 
+  if (len == 0)
+    return;
   qsort (items, len, sizeof *items, compare);
   for (size_t i = 0; i < len; i++)
     {
--- a/tests/test_warmup_limit.c
+++ b/tests/test_warmup_limit.c
@@ -187,6 +187,7 @@
       if (items[i].decision == WARMUP_LIMIT_START)
         ck_assert_uint_ge (items[i].importance, 6);
     }
+  warmup_limit_decide (l, NULL, 0, 0); /* an empty queue */
   ck_assert_uint_eq (counts[WARMUP_LIMIT_START], 16);
   ck_assert_uint_eq (counts[WARMUP_LIMIT_WAIT], 1);
   ck_assert_uint_eq (counts[WARMUP_LIMIT_REFUSE], 23);
