Serve where the store does not know the kind of evacuations

Cause: a store without any object of the kind may answer the list with 404 or 400. The answer counted as a failure, so no daemon learned the evacuations and the whole fleet refused every request where the bound is set.

Ruled out: serving while nothing is known (a daemon that starts would serve in an evacuated failure domain until the store answers).

New cases of test_control_registry; missing_kind_means_no_evacuation failed before (nothing told to the serve thread), the two others passed.

--- a/src/registry_evacuation.c
+++ b/src/registry_evacuation.c
@@ -82,6 +82,24 @@
       = clock_now_us () + MIN (RETRY_MIN_US << doublings, RETRY_MAX_US);
 }
 
+/* A store without objects of the kind may answer that it does not know the
+   kind.  The last object was then removed after the known revision.  It is
+   asked again like a store that fails, since there is no revision to watch
+   from.  */
+static void
+record_missing_kind (struct control *c)
+{
+  struct control_registry *cr = c->control_registry;
+  const struct evacuation *e = &cr->evacuation.known_set;
+  struct evacuation_domains none = { 0 };
+
+  if (e->domains.len > 0 && apply (c, e->revision + 1, &none, "store"))
+    cr->next_state_us = 0;
+  cr->evacuation.known = true;
+  cr->evacuation.failures = 0;
+  cr->evacuation.retry_us = clock_now_us () + RETRY_MAX_US;
+}
+
 static void
 on_listed (void *data, const struct object_store_answer *a)
 {
@@ -91,6 +109,11 @@
   bool complete = a->next.len == 0;
 
   cr->evacuation.pending = false;
+  if (a->error == ERR_NOT_FOUND || a->error == ERR_BAD_REQUEST)
+    {
+      record_missing_kind (c);
+      return;
+    }
   if (a->error != ERR_NONE)
     {
       record_failure (c, a->error);
--- a/tests/test_control_registry.c
+++ b/tests/test_control_registry.c
@@ -7,6 +7,7 @@
 #include "logger.h"
 #include "process.h"
 #include "registry_config.h"
+#include "registry_evacuation.h"
 #include "suite.h"
 
 #include <glib.h>
@@ -19,6 +20,7 @@
 #define PAGE 3
 #define LATE_DAEMON 9
 #define OWN_KEY DAEMONS_KEY "n0"
+#define EVACUATIONS_KEY "evacuations/"
 
 /* State */
 
@@ -50,6 +52,10 @@
   struct own_put delayed;
   uint32_t lists;
   uint32_t config_reads;
+  /* evacuations: answer to the list, and the failure domain in it, if any */
+  enum err_kind evacuation_error;
+  uint64_t evacuation_version;
+  const char *evacuated;
   uint32_t writes;
 } fake;
 
@@ -66,6 +72,21 @@
   char keys[PAGE][64], bodies[PAGE][64];
   int last = fake.lists > 0 && !fake.repeats ? LATE_DAEMON : DAEMONS;
 
+  if (str_equal (prefix, STR_LIT (EVACUATIONS_KEY)))
+    {
+      a.error = fake.evacuation_error;
+      a.version = fake.evacuation_version;
+      if (fake.evacuated != NULL)
+        {
+          snprintf (keys[0], sizeof keys[0], EVACUATIONS_KEY "%s",
+                    fake.evacuated);
+          page[a.objects_len++]
+              = (struct object_store_object){ .key = str_from_cstr (keys[0]),
+                                              .value = STR_EMPTY };
+        }
+      call->done (call->data, &a);
+      return;
+    }
   if (!str_equal (prefix, STR_LIT (DAEMONS_KEY)))
     {
       fake.config_reads++;
@@ -182,6 +203,7 @@
   struct settings settings;
   struct daemon_context shared;
   struct control control;
+  struct mailbox serve;
 };
 
 static void
@@ -221,6 +243,38 @@
   ck_assert (control_init (&f->control, &f->shared, components, &error));
 }
 
+/* Starts a daemon that honours evacuations and whose backend server, in the
+   failure domain "fd", accepts requests.  */
+static void
+start_evacuable (struct fixture *f, enum err_kind error, const char *evacuated)
+{
+  start (f, false, false);
+  f->settings.evacuation_bound_ms = 5000;
+  f->control.backend_state = CONTROL_BACKEND_SERVING;
+  mailbox_init (&f->serve, f->control.loop.base);
+  f->shared.serve = &f->serve;
+  fake.evacuation_error = error;
+  fake.evacuation_version = 50;
+  fake.evacuated = evacuated;
+}
+
+/* Returns what the serve thread was told last: 1 if the failure domain is
+   evacuated, 0 if not, -1 if nothing.  */
+static int
+get_told (struct fixture *f)
+{
+  struct thread_message *m;
+  int told = -1;
+
+  while ((m = mailbox_receive (&f->serve)) != NULL)
+    {
+      if (m->kind == THREAD_MESSAGE_EVACUATION)
+        told = m->evacuated;
+      thread_message_free (m);
+    }
+  return told;
+}
+
 static void
 run (struct fixture *f, int rounds)
 {
@@ -417,6 +471,99 @@
 }
 END_TEST
 
+/* A daemon of the failure domain "fd" that says what is evacuated.  */
+static struct daemon_registry_state
+make_peer (uint64_t revision, const char *evacuated)
+{
+  struct daemon_registry_state state = { .member = 7,
+                                         .name = STR_LIT ("n7"),
+                                         .address = STR_LIT ("127.0.0.1"),
+                                         .control_port = 1,
+                                         .domain = STR_LIT ("fd"),
+                                         .service = STR_LIT ("s"),
+                                         .serving = true,
+                                         .evacuation_revision = revision };
+
+  if (evacuated != NULL)
+    evacuation_domains_add (&state.evacuated, str_from_cstr (evacuated));
+  return state;
+}
+
+/* Guards against requests to a failure domain that the store or another daemon
+   says is evacuated, and against an older set that replaces a newer one.  */
+START_TEST (evacuated_domain_has_no_endpoints)
+{
+  struct daemon_registry_state newer = make_peer (60, NULL);
+  struct daemon_registry_state older = make_peer (40, NULL);
+  struct fixture f;
+
+  start_evacuable (&f, ERR_NONE, "fd");
+  run (&f, 3);
+  ck_assert_int_eq (get_told (&f), 1);
+  daemon_registry_apply (&f.control.control_registry->registry, &newer,
+                         clock_now_us ());
+  f.control.control_registry->members_changed = true;
+  registry_evacuation_record (&f.control, &older);
+  run (&f, 1);
+  ck_assert_uint_eq (f.control.endpoints->len, 0);
+  ck_assert_int_eq (get_told (&f), -1);
+  registry_evacuation_record (&f.control, &newer);
+  run (&f, 1);
+  ck_assert_uint_eq (f.control.endpoints->len, 2);
+  ck_assert_int_eq (get_told (&f), 0);
+  mailbox_close (&f.serve);
+  stop (&f);
+}
+END_TEST
+
+/* Guards against a daemon that serves before it knows the evacuations, and
+   against one that waits for ever for a store that does not answer although
+   other daemons know them.  */
+START_TEST (unknown_evacuations_are_learned_from_other_daemons)
+{
+  struct daemon_registry_state peer = make_peer (40, "fd");
+  struct fixture f;
+
+  start_evacuable (&f, ERR_STORE_UNAVAILABLE, NULL);
+  run (&f, 3);
+  ck_assert_uint_eq (f.control.endpoints->len, 0);
+  registry_evacuation_record (&f.control, &peer);
+  run (&f, 1);
+  ck_assert_int_eq (get_told (&f), -1);
+  f.control.control_registry->evacuation.heard_us -= CLOCK_US_PER_S;
+  run (&f, 1);
+  ck_assert_int_eq (get_told (&f), 1);
+  mailbox_close (&f.serve);
+  stop (&f);
+}
+END_TEST
+
+/* Guards against a fleet that never serves, or an evacuation that never ends,
+   because the store has no objects of the kind and answers that it is
+   unknown.  */
+START_TEST (missing_kind_means_no_evacuation)
+{
+  struct fixture f;
+
+  start_evacuable (&f, ERR_NOT_FOUND, NULL);
+  run (&f, 3);
+  ck_assert_int_eq (get_told (&f), 0);
+  ck_assert_uint_eq (f.control.endpoints->len, 1);
+  fake.evacuation_error = ERR_NONE;
+  fake.evacuated = "fd";
+  f.control.control_registry->evacuation.retry_us = 0;
+  run (&f, 3);
+  ck_assert_int_eq (get_told (&f), 1);
+  fake.evacuation_error = ERR_NOT_FOUND;
+  f.control.control_registry->evacuation.pending = false;
+  f.control.control_registry->evacuation.needs_list = true;
+  run (&f, 3);
+  ck_assert_int_eq (get_told (&f), 0);
+  mailbox_close (&f.serve);
+  stop (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -427,7 +574,10 @@
           unknown_revision_is_looked_for_once_in_a_while,
           stop_is_stored_before_it_counts_as_stored,
           late_write_does_not_replace_a_later_stop,
-          stops_of_the_earlier_process_are_kept };
+          stops_of_the_earlier_process_are_kept,
+          evacuated_domain_has_no_endpoints,
+          unknown_evacuations_are_learned_from_other_daemons,
+          missing_kind_means_no_evacuation };
 
   return suite_run ("control_registry", cases, G_N_ELEMENTS (cases));
 }
