Do not count requests that never reached a cold backend server

Cause: while a backend server is down, requests whose connection failed filled the window, so that others waited there for up to a second instead of being tried elsewhere at once. Found by reading.

Ruled out: failing the whole queue at a connect failure (one refused connection does not show that the backend server is down).

Change: a send whose connection could not be established is taken out of the log, so each request is tried and returned at once, as without the limit.

--- a/src/serve.c
+++ b/src/serve.c
@@ -172,7 +172,7 @@
   success_rate_record (&s->success,
                        is_failure (s, error, answer->status, now_us), now_us);
   release_slot (s, job, is_backend_fault (answer), &usage, now_us);
-  serve_warmup_record_answer (s, answer, now_us);
+  serve_warmup_record_answer (s, answer, job->started_us, now_us);
   record_span (s, job, error, answer->status, now_us);
   if (error == ERR_NONE && answer->status < 500)
     service_time_record (&s->service_times, job->message.u.request.route,
--- a/src/serve_warmup.c
+++ b/src/serve_warmup.c
@@ -92,8 +92,10 @@
 void
 serve_warmup_record_answer (struct serve *s,
                             const struct http_client_answer *answer,
-                            int64_t now_us)
+                            int64_t sent_us, int64_t now_us)
 {
+  if (answer->result == HTTP_CLIENT_NOT_CONNECTED)
+    warmup_limit_cancel_send (&s->warmup, sent_us);
   if (is_connection_broken (answer)
       || (answer->result == HTTP_CLIENT_ANSWERED
           && answer->status == STATUS_MISDIRECTED))
--- a/src/serve_warmup.h
+++ b/src/serve_warmup.h
@@ -11,10 +11,10 @@
 /* Takes the limit from the configuration in the snapshot.  */
 void serve_warmup_configure (struct serve *s);
 /* Notices from the result of an exchange that the backend server may have been
-   restarted.  */
+   restarted, or that the request, sent at sent_us, did not reach it.  */
 void serve_warmup_record_answer (struct serve *s,
                                  const struct http_client_answer *answer,
-                                 int64_t now_us);
+                                 int64_t sent_us, int64_t now_us);
 /* Sends queued jobs to a cold backend server, the most important first, and
    refuses those that cannot be in time.  Returns false, having done nothing,
    if the limit does not apply.  */
--- a/src/warmup_limit.c
+++ b/src/warmup_limit.c
@@ -141,6 +141,29 @@
   l->sends[l->next++ % WARMUP_LIMIT_SENDS_MAX] = now_us;
 }
 
+/**
+ * warmup_limit_cancel_send - removes a send from the log
+ * @l: limit
+ * @sent_us: time that was recorded
+ *
+ * The sends before it move up; the place of the oldest one counts as free.
+ */
+void
+warmup_limit_cancel_send (struct warmup_limit *l, int64_t sent_us)
+{
+  uint32_t back = 1;
+
+  while (back <= WARMUP_LIMIT_SENDS_MAX && get_send (l, back) != sent_us)
+    back++;
+  if (back > WARMUP_LIMIT_SENDS_MAX)
+    return;
+  for (; back < WARMUP_LIMIT_SENDS_MAX; back++)
+    l->sends[(l->next - back) % WARMUP_LIMIT_SENDS_MAX]
+        = get_send (l, back + 1);
+  l->sends[l->next % WARMUP_LIMIT_SENDS_MAX]
+      = sent_us - WARMUP_LIMIT_WINDOW_US;
+}
+
 /**
  * warmup_limit_decide - decides which of the waiting requests are sent
  * @l: limit
--- a/src/warmup_limit.h
+++ b/src/warmup_limit.h
@@ -87,6 +87,8 @@
                                     uint32_t ahead, int64_t now_us);
 /* Records that a request is sent, also while the backend server is warm.  */
 void warmup_limit_record_send (struct warmup_limit *l, int64_t now_us);
+/* Removes a send that did not reach the backend server, by its time.  */
+void warmup_limit_cancel_send (struct warmup_limit *l, int64_t sent_us);
 /* Sorts the waiting requests by importance, then by due time, and decides on
    each of them.  */
 void warmup_limit_decide (const struct warmup_limit *l,
--- a/tests/test_warmup_limit.c
+++ b/tests/test_warmup_limit.c
@@ -162,6 +162,28 @@
 }
 END_TEST
 
+/* Guards against requests that wait at a backend server that is down because
+   those before them, which never reached it, fill the window, and against a
+   send that is forgotten in their place.  */
+START_TEST (sends_that_did_not_arrive_do_not_count)
+{
+  struct warmup_limit *l = make_limit (-10 * S);
+
+  warmup_limit_record_send (l, 100 * MS);
+  for (int i = 0; i < 15; i++)
+    warmup_limit_record_send (l, 200 * MS + i);
+  ck_assert_uint_eq (warmup_limit_get_allowance (l, 300 * MS), 0);
+  warmup_limit_cancel_send (l, 200 * MS);
+  warmup_limit_cancel_send (l, 200 * MS + 14);
+  warmup_limit_cancel_send (l, 200 * MS + 7);
+  warmup_limit_cancel_send (l, 999 * MS);
+  ck_assert_uint_eq (warmup_limit_get_allowance (l, 300 * MS), 3);
+  ck_assert_int_eq (warmup_limit_get_send_time (l, 3, 300 * MS),
+                    100 * MS + WARMUP_LIMIT_WINDOW_US);
+  g_free (l);
+}
+END_TEST
+
 /* Guards against less important work that goes first, and against requests
    that wait here although they cannot be in time.  */
 START_TEST (important_work_starts_and_hopeless_work_is_refused)
@@ -361,8 +383,10 @@
 main (void)
 {
   const TTest *const cases[]
-      = { no_sliding_second_exceeds_the_bound, unknown_state_is_cold,
+      = { no_sliding_second_exceeds_the_bound,
+          unknown_state_is_cold,
           earlier_sends_count,
+          sends_that_did_not_arrive_do_not_count,
           important_work_starts_and_hopeless_work_is_refused,
           cold_fleet_starts_with_the_most_important_work };
 
