Keep the bound of evacuations with a slow store

Cause: a store that takes 1.5 s for an answer never answered the list of evacuations within its timeout of 1 s, so that no daemon learned of a change. slow_store_does_not_delay_an_evacuation_beyond_its_bound failed: requests were served 5 s after the object was created.

Ruled out: the timeout of the watch (32 s); applying the watch's events.

Change: the list may take 2 s. A daemon that starts still uses what others know after 1 s.

--- a/src/control_registry.h
+++ b/src/control_registry.h
@@ -36,6 +36,7 @@
   bool needs_list;        /* list before watching */
   bool watching;          /* control_registry.watching at the last run */
   uint64_t store_version; /* the next watch reports changes after it */
+  int64_t asked_us;       /* when the last list or watch began */
   int64_t retry_us;       /* earliest time of the next call */
   uint32_t failures;      /* consecutive failures */
   int64_t heard_us;       /* when another daemon first told; 0: none did */
--- a/src/registry_evacuation.c
+++ b/src/registry_evacuation.c
@@ -13,7 +13,12 @@
 /* Constants */
 
 #define PREFIX STR_LIT ("evacuations/")
-#define CALL_TIMEOUT_US (INT64_C (1) * CLOCK_US_PER_S)
+/* A store may take 1.5 s for an answer; the answer to the watch and this list
+   together have to come within the bound of 5 s.  */
+#define CALL_TIMEOUT_US (INT64_C (2) * CLOCK_US_PER_S)
+/* A daemon that starts does not wait for longer than this for the store if
+   others know the evacuations.  */
+#define STORE_WAIT_US (INT64_C (1) * CLOCK_US_PER_S)
 /* As for the configuration, see registry_config.  */
 #define WATCH_WAIT_US (INT64_C (30) * CLOCK_US_PER_S)
 #define WATCH_TIMEOUT_US (WATCH_WAIT_US + INT64_C (2) * CLOCK_US_PER_S)
@@ -168,6 +173,7 @@
       || c->shutting_down || (!cr->watching && r->known))
     return;
   r->pending = true;
+  r->asked_us = now_us;
   if (r->needs_list)
     {
       cr->store->ops->list (cr->store, PREFIX, STR_EMPTY, false, &call);
@@ -179,7 +185,8 @@
                          false, &call);
 }
 
-/* Uses what other daemons know only after a call to the store has failed.  */
+/* Uses what other daemons know only after a call to the store has failed or
+   takes long.  */
 static void
 learn_without_store (struct control *c, int64_t now_us)
 {
@@ -188,9 +195,10 @@
 
   if (r->known)
     return;
-  r->known = cr->store == NULL
-             || (r->failures > 0 && r->heard_us > 0
-                 && now_us - r->heard_us >= PEER_REPLIES_US);
+  r->known
+      = cr->store == NULL
+        || ((r->failures > 0 || now_us - r->asked_us >= STORE_WAIT_US)
+            && r->heard_us > 0 && now_us - r->heard_us >= PEER_REPLIES_US);
 }
 
 static void
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -432,6 +432,23 @@
 }
 END_TEST
 
+/* Guards against an evacuation that is not in force after 5 s because the store
+   takes 1.5 s for each answer.  */
+START_TEST (slow_store_does_not_delay_an_evacuation_beyond_its_bound)
+{
+  struct fixture *f = start (EVACUATE_BOUND);
+  int64_t end_us;
+
+  set_standin (f, "store", "slow");
+  set_standin (f, "evacuate", "z2");
+  end_us = clock_now_us () + EVACUATE_US;
+  while (clock_now_us () < end_us)
+    get (f, 0, "/book/x");
+  check_evacuated (f, 1 * (int64_t)CLOCK_US_PER_S);
+  stop (f);
+}
+END_TEST
+
 /* Guards against a load surge at the end of an evacuation: the backend server
    has become cold in it, and its daemon knows of no report since.  */
 START_TEST (evacuation_ends_within_the_warm_up_bound)
@@ -493,14 +510,16 @@
 int
 main (void)
 {
-  const TTest *const cases[] = { newest_revision_wins,
-                                 changes_and_ends_are_noticed,
-                                 sets_have_a_limit,
-                                 evacuated_domain_gets_no_requests,
-                                 evacuation_is_off_without_its_bound,
-                                 evacuation_outlives_daemons_and_the_store,
-                                 evacuation_ends_within_the_warm_up_bound,
-                                 cold_backend_gets_no_more_than_its_limit };
+  const TTest *const cases[]
+      = { newest_revision_wins,
+          changes_and_ends_are_noticed,
+          sets_have_a_limit,
+          evacuated_domain_gets_no_requests,
+          evacuation_is_off_without_its_bound,
+          evacuation_outlives_daemons_and_the_store,
+          slow_store_does_not_delay_an_evacuation_beyond_its_bound,
+          evacuation_ends_within_the_warm_up_bound,
+          cold_backend_gets_no_more_than_its_limit };
 
   return suite_run ("evacuation", cases, G_N_ELEMENTS (cases));
 }
