--- a/standins/machines.c
+++ b/standins/machines.c
@@ -42,6 +42,8 @@
                               instance ("ready") once more
      PUT /standin/cold        makes that backend server (body: "NUMBER MS") cold
                               for a time, as its next report says
+     PUT /standin/mute        keeps that backend server (body: "NUMBER MS") from
+                              sending reports for a time
      PUT /standin/evacuate    creates evacuations/ZONE; the body is the zone
      PUT /standin/reopen      removes that object
      PUT /standin/entry       adds the body, as it is, to the items of lists of
@@ -126,6 +128,7 @@
   uint64_t sequence; /* of the last report */
   int64_t born_ms;   /* wall-clock time of the instance's start */
   int64_t warm_us;   /* when it stops being cold */
+  int64_t muted_us;  /* until then it sends no reports */
   bool draining;
   bool deregistered;
   int executions; /* requests that were run */
@@ -526,7 +529,7 @@
 {
   struct backend *b = data;
 
-  if (!b->deregistered)
+  if (!b->deregistered && clock_now_us () >= b->muted_us)
     send_report (b, "heartbeat", b->draining ? "draining" : "ready");
 }
 
@@ -680,6 +683,16 @@
   g_string_free (out, TRUE);
 }
 
+/* Returns the time that is MS milliseconds from now in "NUMBER MS".  */
+static int64_t
+get_time (const char *body)
+{
+  const char *ms = strchr (body, ' ');
+
+  return clock_now_us ()
+         + (ms != NULL ? atoi (ms) : 0) * (int64_t)CLOCK_US_PER_MS;
+}
+
 static void
 set_store_mode (const char *mode)
 {
@@ -752,13 +765,11 @@
     remove_object ("evacuations", body);
   else if (strcmp (path, "cold") == 0)
     {
-      const char *ms = strchr (body, ' ');
-
-      find_backend (body)->warm_us
-          = clock_now_us ()
-            + (ms != NULL ? atoi (ms) : 0) * (int64_t)CLOCK_US_PER_MS;
+      find_backend (body)->warm_us = get_time (body);
       on_heartbeat (-1, 0, find_backend (body));
     }
+  else if (strcmp (path, "mute") == 0)
+    find_backend (body)->muted_us = get_time (body);
   else if (strcmp (path, "entry") == 0)
     {
       g_free (foreign_entry);
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -475,6 +475,30 @@
 }
 END_TEST
 
+/* Guards against a backend server that gets the warm rate after a connection to
+   it broke, although no report has said since that it is warm: it may have been
+   restarted.  */
+START_TEST (backend_counts_as_cold_after_a_broken_connection)
+{
+  struct fixture *f = start (COLD_BOUNDS);
+  int64_t from_us;
+
+  set_standin (f, "mute", "2 4000");
+  ck_assert_int_ne (get (f, 0, "/book/lost"), 200);
+  from_us = clock_now_us ();
+  start_senders (f);
+  g_usleep (3000000);
+  stop_senders (f);
+  ck_assert_int_le (get_most_in_a_second (f, from_us, from_us + 3000000),
+                    COLD_BOUND);
+  ck_assert_int_ge (get_most_in_a_second (f, from_us, from_us + 3000000),
+                    COLD_PER_S);
+  for (int i = 0; i < DAEMONS; i++)
+    await_status (f, i, "/book/x", 200);
+  stop (f);
+}
+END_TEST
+
 /* Guards against a cold backend server that gets more than its limit from many
    senders, also while its daemon is restarted, and against a limit that stays
    when it is warm.  */
@@ -519,6 +543,7 @@
           evacuation_outlives_daemons_and_the_store,
           slow_store_does_not_delay_an_evacuation_beyond_its_bound,
           evacuation_ends_within_the_warm_up_bound,
+          backend_counts_as_cold_after_a_broken_connection,
           cold_backend_gets_no_more_than_its_limit };
 
   return suite_run ("evacuation", cases, G_N_ELEMENTS (cases));
