--- a/src/daemon_metrics.h
+++ b/src/daemon_metrics.h
@@ -40,6 +40,10 @@
   /* answers of the backend server that were not passed on, by reason; none
      for HTTP_FAULT_NONE */
   struct metrics_row *answers_refused[HTTP_FAULTS];
+  struct metrics_row *backend_cold;
+  struct metrics_row *cold_refusals;
+  struct metrics_row *evacuated;
+  struct metrics_row *evacuation_revision;
   struct metrics_row *revision;
   struct metrics_row *members;
   struct metrics_row *store_era;        /* highest one seen; 0: none */
--- a/src/registry_era.c
+++ b/src/registry_era.c
@@ -42,6 +42,8 @@
   cr->join_retry_us = e->store.calls_us;
   cr->config_retry_us = MAX (cr->config_retry_us, e->store.calls_us);
   cr->needs_read = true;
+  cr->evacuation.needs_list = true;
+  cr->evacuation.retry_us = MAX (cr->evacuation.retry_us, e->store.calls_us);
   cr->next_state_us = 0;
   e->raised_us = now_us;
   e->recheck_us = e->store.calls_us + STORE_ERA_RECHECK_US;
--- a/standins/machines.c
+++ b/standins/machines.c
@@ -46,6 +46,12 @@
      PUT /standin/return      restarts that backend server with a new id
      PUT /standin/late        sends the first report of that backend server's
                               instance ("ready") once more
+     PUT /standin/cold        makes that backend server (body: "NUMBER MS") cold
+                              for a time, as its next report says
+     PUT /standin/mute        keeps that backend server (body: "NUMBER MS") from
+                              sending reports for a time
+     PUT /standin/evacuate    creates evacuations/ZONE; the body is the zone
+     PUT /standin/reopen      removes that object
      PUT /standin/entry       adds the body, as it is, to the items of lists of
                               the daemons; an empty body removes it
      GET /standin/executions  returns the number of requests that each backend
@@ -57,8 +63,10 @@
                               server that closed while a "hang" was open  */
 
 #include "clock.h"
+#include "hanging_request.h"
 #include "http_client.h"
 #include "machines_store.h"
+#include "repeated_refusal.h"
 #include "str.h"
 #include "table.h"
 
@@ -95,6 +103,8 @@
   struct event *timer;
   uint64_t sequence; /* of the last report */
   int64_t born_ms;   /* wall-clock time of the instance's start */
+  int64_t warm_us;   /* when it stops being cold */
+  int64_t muted_us;  /* until then it sends no reports */
   bool draining;
   bool deregistered;
   int executions; /* requests that were run */
@@ -104,10 +114,6 @@
 
 /* State */
 
-/* The connection on which a refusal is to be sent again, or NULL.  */
-static struct evhttp_connection *refused_connection;
-static char *refusal;
-static int repeated_refusals;
 static FILE *run_log;
 static struct backend backends[BACKENDS_MAX];
 static int backends_len;
@@ -159,8 +165,11 @@
   char *body = g_strdup_printf (
       "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z\","
       "\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\","
-      "\"coldRemaining\":\"0ms\",\"seq\":%" PRIu64 ",\"born\":%" PRId64 "}",
-      b->service, b->port, SLOTS, state, sequence, b->born_ms);
+      "\"coldRemaining\":\"%" PRId64 "ms\",\"seq\":%" PRIu64 ","
+      "\"born\":%" PRId64 "}",
+      b->service, b->port, SLOTS, state,
+      MAX (b->warm_us - clock_now_us (), 0) / CLOCK_US_PER_MS, sequence,
+      b->born_ms);
   struct http_client_request q = { .method = "POST",
                                    .target = str_from_cstr (target),
                                    .headers_len = 1,
@@ -194,7 +203,7 @@
 {
   struct backend *b = data;
 
-  if (!b->deregistered)
+  if (!b->deregistered && clock_now_us () >= b->muted_us)
     send_report (b, "heartbeat", b->draining ? "draining" : "ready");
 }
 
@@ -258,77 +267,6 @@
   g_free (s);
 }
 
-/* A request that is never answered.  evhttp does not read while a request is
-   open, so a separate event detects that the connection was closed.  */
-struct hanging_request
-{
-  struct evhttp_request *request;
-  struct backend *backend;
-  struct event *closed;
-};
-
-static void
-on_hanging_request_closed (evutil_socket_t fd, short what, void *data)
-{
-  struct hanging_request *h = data;
-
-  h->backend->cancelled++;
-  event_free (h->closed);
-  evhttp_connection_free (evhttp_request_get_connection (h->request));
-  g_free (h);
-}
-
-static void
-start_hanging_request (struct evhttp_request *r, struct backend *b)
-{
-  struct hanging_request *h = g_new (struct hanging_request, 1);
-  evutil_socket_t fd = bufferevent_getfd (
-      evhttp_connection_get_bufferevent (evhttp_request_get_connection (r)));
-
-  *h = (struct hanging_request){ .request = r, .backend = b };
-  h->closed = event_new (base, fd, EV_CLOSED, on_hanging_request_closed, h);
-  event_add (h->closed, NULL);
-}
-
-/* Answers that the request was not run, and remembers the answer if it is to be
-   repeated.  */
-static void
-refuse_request (struct evhttp_request *r)
-{
-  struct evkeyvalq *headers = evhttp_request_get_output_headers (r);
-  const char *target = evhttp_request_get_uri (r);
-  const char *id = get_header (r, "X-Almondvale-Attempt-Id");
-
-  evhttp_add_header (headers, "X-Almondvale-Attempt-Id", id);
-  evhttp_add_header (headers, "X-Almondvale-Not-Executed", "1");
-  if (strstr (target, "again") != NULL)
-    {
-      refused_connection = evhttp_request_get_connection (r);
-      g_free (refusal);
-      refusal = g_strdup_printf (
-          "HTTP/1.1 503 Full\r\nX-Almondvale-Not-Executed: 1\r\n"
-          "%s%s%sContent-Length: 2\r\n\r\n{}",
-          strstr (target, "nameless") == NULL ? "X-Almondvale-Attempt-Id: "
-                                              : "",
-          strstr (target, "nameless") == NULL ? id : "",
-          strstr (target, "nameless") == NULL ? "\r\n" : "");
-    }
-  reply (r, 503, "{}");
-}
-
-static void
-repeat_refusal (struct evhttp_request *r)
-{
-  struct evhttp_connection *c = evhttp_request_get_connection (r);
-
-  if (c != refused_connection)
-    return;
-  refused_connection = NULL;
-  repeated_refusals++;
-  bufferevent_write (evhttp_connection_get_bufferevent (c), refusal,
-                     strlen (refusal));
-}
-
 /* Sends the beginning of an answer, without the end of its head, and closes
    the connection.  */
 static void
@@ -390,10 +328,10 @@
       reply (r, 421, "{}");
       return;
     }
-  repeat_refusal (r);
+  repeated_refusal_send (r);
   if (strstr (target, "full") != NULL || strstr (target, "again") != NULL)
     {
-      refuse_request (r);
+      repeated_refusal_answer (r);
       return;
     }
   b->executions++;
@@ -424,7 +362,7 @@
     }
   if (strstr (target, "hang") != NULL)
     {
-      start_hanging_request (r, b);
+      hanging_request_start (base, r, &b->cancelled);
       return;
     }
   answer_request (r, b);
@@ -455,6 +393,16 @@
   g_string_free (out, TRUE);
 }
 
+/* Returns the time that is MS milliseconds from now in "NUMBER MS".  */
+static int64_t
+get_time (const char *body)
+{
+  const char *ms = strchr (body, ' ');
+
+  return clock_now_us ()
+         + (ms != NULL ? atoi (ms) : 0) * (int64_t)CLOCK_US_PER_MS;
+}
+
 /* Restarts a backend server with a new id at the same address.  */
 static void
 restart_backend (struct backend *b)
@@ -490,7 +438,7 @@
       }
   if (strcmp (path, "repeated") == 0)
     {
-      char *count = g_strdup_printf ("%d", repeated_refusals);
+      char *count = g_strdup_printf ("%d", repeated_refusal_count);
 
       reply (r, 200, count);
       g_free (count);
@@ -505,6 +453,21 @@
     }
   else if (strcmp (path, "store") == 0)
     set_store_mode (body);
+  else if (strcmp (path, "evacuate") == 0)
+    {
+      root = json_from_string ("{}", NULL);
+      put_object ("evacuations", body, root);
+      json_node_unref (root);
+    }
+  else if (strcmp (path, "reopen") == 0)
+    remove_object ("evacuations", body);
+  else if (strcmp (path, "cold") == 0)
+    {
+      find_backend (body)->warm_us = get_time (body);
+      on_heartbeat (-1, 0, find_backend (body));
+    }
+  else if (strcmp (path, "mute") == 0)
+    find_backend (body)->muted_us = get_time (body);
   else if (strcmp (path, "entry") == 0)
     {
       g_free (foreign_entry);
--- a/standins/machines_store.h
+++ b/standins/machines_store.h
@@ -31,6 +31,7 @@
   char *name;
   JsonNode *spec;
   uint64_t revision;
+  bool removed;
 };
 
 /* An open request that is answered when an object of the kind changes or its
@@ -144,11 +145,13 @@
   for (uint64_t id = table_next (&objects, 0, (void **)&o); id != 0;
        id = table_next (&objects, id, (void **)&o))
     {
-      if (strcmp (o->kind, kind) != 0 || o->revision <= after)
+      if (strcmp (o->kind, kind) != 0 || o->revision <= after
+          || (o->removed && !events))
         continue;
       g_string_append (out, len++ > 0 ? "," : "");
       if (events)
-        g_string_append (out, "{\"removed\":false,\"object\":");
+        g_string_append_printf (
+            out, "{\"removed\":%s,\"object\":", o->removed ? "true" : "false");
       append_object (out, o);
       if (events)
         g_string_append (out, "}");
@@ -170,6 +173,18 @@
   table_remove (&watches, w->id);
 }
 
+/* Answers the watches of a kind, which has changed.  */
+static void
+answer_watches (const char *kind)
+{
+  struct watch *w;
+
+  for (uint64_t id = table_next (&watches, 0, (void **)&w); id != 0;
+       id = table_next (&watches, id, (void **)&w))
+    if (strcmp (w->kind, kind) == 0)
+      answer_watch (w);
+}
+
 static void
 on_watch_timer (evutil_socket_t fd, short what, void *data)
 {
@@ -180,7 +195,6 @@
 put_object (const char *kind, const char *name, JsonNode *spec)
 {
   struct object *o = find_object (kind, name);
-  struct watch *w;
 
   if (o == NULL)
     {
@@ -192,13 +206,24 @@
     json_node_unref (o->spec);
   o->spec = json_node_copy (spec);
   o->revision = ++revision;
-  for (uint64_t id = table_next (&watches, 0, (void **)&w); id != 0;
-       id = table_next (&watches, id, (void **)&w))
-    if (strcmp (w->kind, kind) == 0)
-      answer_watch (w);
+  o->removed = false;
+  answer_watches (kind);
   return o->revision;
 }
 
+/* The row stays, so that later watches get the event.  */
+static void
+remove_object (const char *kind, const char *name)
+{
+  struct object *o = find_object (kind, name);
+
+  if (o == NULL)
+    return;
+  o->removed = true;
+  o->revision = ++revision;
+  answer_watches (kind);
+}
+
 static void
 start_watch (struct evhttp_request *r, const char *kind, const char *query)
 {
@@ -250,6 +275,8 @@
   struct object *o = find_object (kind, name);
   GString *out = g_string_new ("");
 
+  if (o != NULL && o->removed)
+    o = NULL;
   if (o != NULL)
     append_object (out, o);
   answer (r, o != NULL ? 200 : 404, o != NULL ? out->str : "{}");
@@ -273,6 +300,8 @@
   else if (meta != NULL && json_object_has_member (meta, "revision"))
     expected = json_object_get_int_member (meta, "revision");
   old = find_object (kind, name);
+  if (old != NULL && old->removed)
+    old = NULL;
   if (old == NULL && !create)
     return 404;
   if (old != NULL
@@ -392,7 +421,8 @@
     {
       table_add (to, (void **)&copy);
       *copy = (struct object){ g_strdup (o->kind), g_strdup (o->name),
-                               json_node_copy (o->spec), o->revision };
+                               json_node_copy (o->spec), o->revision,
+                               o->removed };
     }
 }
 
