Share the burst of retries among the daemons that a service has

Cause: every daemon had a burst of 3 whatever the size of its service.

Ruled out: the whole slack for the daemons that are known now. Daemons that start in one part of a partitioned fleet would take their part for the whole.

Change: the burst is half the slack divided by the largest number of daemons known, at least 2. The property test has partitions whose daemons restart and know only their part.

--- a/src/repeat_budget.c
+++ b/src/repeat_budget.c
@@ -9,10 +9,16 @@
 /* Share of the credit that is kept for calls by executions that were
    themselves retries: the requirement names a quarter.  */
 #define RESERVE_SHARE 0.25
-/* Daemons of a service that can all have a burst of retries at once within the
-   slack.  The users allow 48 retries beyond the ratio, so that each may have
-   a burst of 3.  */
-#define DAEMONS 16.0
+/* Part of the slack that the bursts of all daemons of a service share.  The
+   other half is for daemons that started in a part of a partitioned fleet and
+   take their part for the whole service.  */
+#define BURST_SHARE 0.5
+/* Daemons of a service until it is known.  */
+#define DAEMONS_ASSUMED 16u
+/* Smallest burst of a daemon, below which it could allow no retry or none for
+   calls by retried executions.  24 daemons with it use up the smaller slack of
+   the users, 48.  */
+#define BURST_MIN 2.0
 /* Part of the burst for calls by executions that were themselves retries.  */
 #define RESERVE_MAX 1.0
 /* Demand and supply decay to a third in this time.  It covers some hundred
@@ -92,6 +98,15 @@
   return true;
 }
 
+static void
+set_burst (struct repeat_budget *b, uint32_t daemons)
+{
+  double burst = BURST_SHARE * b->settings.slack / daemons;
+
+  b->credit_max = MAX (burst, BURST_MIN) - RESERVE_MAX;
+  b->credit = MIN (b->credit, b->credit_max);
+}
+
 /* Internal functions: classes */
 
 static uint64_t
@@ -258,12 +273,29 @@
                     const struct repeat_budget_settings *settings)
 {
   *b = (struct repeat_budget){ .settings = *settings };
-  b->credit_max = MAX (settings->slack / DAEMONS - RESERVE_MAX, 1.0);
+  set_burst (b, DAEMONS_ASSUMED);
   table_init (&b->classes, sizeof (struct repeat_budget_class));
   b->class_by_key
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
 }
 
+/**
+ * repeat_budget_set_daemons - sets the number of daemons that share the slack
+ * @b: ledger
+ * @daemons: daemons of the service that are known now
+ *
+ * The largest number counts: daemons that cannot be reached may still serve
+ * others.
+ */
+void
+repeat_budget_set_daemons (struct repeat_budget *b, uint32_t daemons)
+{
+  if (daemons <= b->daemons)
+    return;
+  b->daemons = daemons;
+  set_burst (b, daemons);
+}
+
 void
 repeat_budget_close (struct repeat_budget *b)
 {
--- a/src/repeat_budget.h
+++ b/src/repeat_budget.h
@@ -89,7 +89,8 @@
   struct repeat_budget_slot slots[REPEAT_BUDGET_SLOTS];
   double credit; /* for retries */
   double credit_max;
-  double reserve; /* for calls by executions that were themselves retries */
+  uint32_t daemons; /* of the service; 0: not known */
+  double reserve;   /* for calls by executions that were themselves retries */
   struct table classes;
   GHashTable *class_by_key;
   /* Retries asked for, by score, and credit added; decaying.  */
@@ -116,6 +117,8 @@
 void repeat_budget_init (struct repeat_budget *b,
                          const struct repeat_budget_settings *settings);
 void repeat_budget_close (struct repeat_budget *b);
+/* Sets the number of daemons of the service, which share the slack.  */
+void repeat_budget_set_daemons (struct repeat_budget *b, uint32_t daemons);
 /* Records the first arrival of a request, which adds credit.  */
 void repeat_budget_record_first (struct repeat_budget *b,
                                  const struct repeat_budget_request *request,
--- a/tests/test_repeat_budget.c
+++ b/tests/test_repeat_budget.c
@@ -264,7 +264,10 @@
       sim.ended[i] = g_array_new (FALSE, FALSE, sizeof (uint64_t));
     }
   for (uint32_t i = 0; i < SERVERS; i++)
-    repeat_budget_init (&sim.ledgers[i], &limits);
+    {
+      repeat_budget_init (&sim.ledgers[i], &limits);
+      repeat_budget_set_daemons (&sim.ledgers[i], SERVERS);
+    }
   for (uint32_t i = 0; i < FRONTS; i++)
     {
       retry_budget_init_ratio (&sim.fronts[i]);
@@ -334,7 +337,8 @@
 struct fleet
 {
   uint32_t servers;
-  bool reachable[FLEET_SERVERS_MAX]; /* by the entry daemons of this side */
+  bool serves[FLEET_SERVERS_MAX];
+  uint32_t part[FLEET_SERVERS_MAX]; /* 0 or 1 while partitioned */
   struct repeat_budget ledgers[FLEET_SERVERS_MAX];
   const struct repeat_budget_ops *ops;
   GArray *events; /* struct event of all servers */
@@ -390,28 +394,43 @@
   g_array_append_val (f->events, e);
 }
 
+static uint32_t
+count_part (const struct fleet *f, uint32_t part)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < f->servers; i++)
+    count += f->part[i] == part;
+  return count;
+}
+
 /* Plays a time with a constant rate and share of retries, in which some
-   servers have restarted or cannot be reached.  */
+   servers have restarted or are down, and the fleet may be in two parts, each
+   with callers of its own.  */
 static void
 play_segment (struct fleet *f, int64_t from_us, int64_t until_us)
 {
   uint32_t gap_us = 1u << g_rand_int_range (f->rand, 9, 22);
   double retries = g_rand_double_range (f->rand, 0, 1);
+  bool partitioned = g_rand_int_range (f->rand, 0, 3) == 0;
 
   for (uint32_t i = 0; i < f->servers; i++)
     {
-      f->reachable[i] = g_rand_int_range (f->rand, 0, 3) > 0;
+      f->serves[i] = g_rand_int_range (f->rand, 0, 3) > 0;
+      f->part[i] = partitioned ? g_rand_int_range (f->rand, 0, 2) : 0;
       if (g_rand_int_range (f->rand, 0, 4) > 0)
         continue;
       repeat_budget_close (&f->ledgers[i]);
       repeat_budget_init (&f->ledgers[i], &limits);
     }
+  for (uint32_t i = 0; i < f->servers; i++)
+    repeat_budget_set_daemons (&f->ledgers[i], count_part (f, f->part[i]));
   for (int64_t t = from_us; t < until_us;
        t += g_rand_int_range (f->rand, 1, 2 * (gint32)gap_us))
     {
       uint32_t server = g_rand_int_range (f->rand, 0, (gint32)f->servers);
 
-      if (f->reachable[server])
+      if (f->serves[server])
         arrive_in_fleet (f, server, g_rand_double (f->rand) < retries, t);
     }
 }
