Send rejected requests again within the ledger of retries

Cause: a rejection as not run by a backend server with free slots ended the request unless its entry daemon had one of its few retries; the rest of retryBudgetRatio stayed unused. Such rejections also counted as failures for the concurrency limit and as fast service for the pressure.

Ruled out: sending again on a connection that carried the rejection.

Change: module serve_resend keeps the ledger beside the backend server. A rejection by a full backend server is reported as overloaded. Settings retry.ledger, ratio, window_ms and slack; the platform's retryBudgetRatio, budgetWindow and budgetSlack turn the ledger on. Without them nothing changes: the frame of a first arrival is the same as before. The stand-in machines has the word busyN.

Conclusion: re-sends take effect where the platform names a ratio.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -143,8 +143,8 @@
  * @t: table
  * @id: attempt
  *
- * Return: true if the attempt is to be sent to the backend server: once for
- * each attempt, and never for one that was voided.
+ * Return: true if the attempt is to be sent to the backend server: once, and
+ * once more after each attempt_requeue, and never for one that was voided.
  */
 bool
 attempt_start (struct attempt_table *t, struct wire_attempt_id id)
@@ -157,6 +157,23 @@
   return true;
 }
 
+/**
+ * attempt_requeue - marks a started attempt as queued again
+ * @t: table
+ * @id: attempt
+ *
+ * Only a complete answer which says that the attempt did not run allows this.
+ * The attempt can then be started again or voided, but not both.
+ */
+void
+attempt_requeue (struct attempt_table *t, struct wire_attempt_id id)
+{
+  struct attempt_row *r = find_row (t, id);
+
+  if (r != NULL && r->state == ATTEMPT_STARTED)
+    r->state = ATTEMPT_QUEUED;
+}
+
 void
 attempt_finish (struct attempt_table *t, struct wire_attempt_id id)
 {
--- a/src/attempt.h
+++ b/src/attempt.h
@@ -75,6 +75,9 @@
 /* Marks an attempt as started, before its first byte is sent to the backend
    server.  Returns false if it must not be sent.  */
 bool attempt_start (struct attempt_table *t, struct wire_attempt_id id);
+/* Marks a started attempt as queued again, after an answer of the backend
+   server that says that it did not run.  */
+void attempt_requeue (struct attempt_table *t, struct wire_attempt_id id);
 /* Marks an attempt as done, after the backend server has responded.  */
 void attempt_finish (struct attempt_table *t, struct wire_attempt_id id);
 /* Marks a queued attempt as void, after it was rejected or cancelled.  */
--- a/src/daemon_metrics.h
+++ b/src/daemon_metrics.h
@@ -36,6 +36,11 @@
   struct metrics_row *queue_time;
   struct metrics_row *service_time;
   struct metrics_row *executions; /* requests sent to the backend server */
+  /* of repeat_budget */
+  struct metrics_row *first_arrivals;
+  struct metrics_row *retries_allowed;
+  struct metrics_row *retries_refused;
+  struct metrics_row *resends;
   struct metrics_row *revision;
   struct metrics_row *members;
   struct metrics_row *control_bytes_sent;
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -153,6 +153,17 @@
               call->deadline_us);
 }
 
+/* Returns how the serving daemon counts the attempt in its ledger.  */
+static enum wire_retry
+get_retry (const struct front *f, const struct front_call *call)
+{
+  if (str_equal (f->shared->settings->retry.ledger, STR_LIT ("none")))
+    return WIRE_RETRY_NONE;
+  if (call->may_have_arrived)
+    return WIRE_RETRY_ATTEMPT;
+  return call->inherited.retry ? WIRE_RETRY_INHERITED : WIRE_RETRY_NONE;
+}
+
 static void
 send_request (struct front *f, struct front_call *call, int64_t now_us)
 {
@@ -184,6 +195,7 @@
     .caller_service = f->shared->settings->service,
     .last_part = body.len <= WIRE_BODY_PART_MAX_BYTES,
     .body = str_slice (body, 0, WIRE_BODY_PART_MAX_BYTES),
+    .retry = get_retry (f, call),
   };
   wire_append_message (&out, &m);
   wire_append_body_parts (
@@ -540,6 +552,7 @@
       = g_hash_table_new_full (str_hash_key, str_equal_keys, NULL, g_free);
   f->attempt_origin = ((uint64_t)g_rand_int (rand) << 32) | g_rand_int (rand);
   retry_budget_init_ratio (&f->retry_ratio);
+  f->retry_ratio.ratio = f->shared->settings->retry.ratio;
   f->next_query_us = INT64_MAX;
   peer_link_init_set (&f->links, f->loop.base, &link_ops, f);
 }
@@ -654,6 +667,8 @@
   call->attempt_error = error;
   if (!err_is_not_run (error))
     call->may_have_run = true;
+  if (retry_policy_may_have_arrived (error))
+    call->may_have_arrived = true;
   if (call->receiving)
     {
       wire_unload_message (&call->result.message);
--- a/src/front.h
+++ b/src/front.h
@@ -107,7 +107,9 @@
   int64_t query_deadline_us;
   enum err_kind attempt_error; /* of the last attempt that failed */
   bool may_have_run;           /* an earlier attempt may have run */
-  bool receiving;              /* part of the response has arrived */
+  /* an earlier attempt may have arrived at a backend server */
+  bool may_have_arrived;
+  bool receiving; /* part of the response has arrived */
   uint32_t attempts;
   uint32_t tried_len;
   uint64_t tried[FRONT_TRIED_MAX];
--- a/src/hop_token.h
+++ b/src/hop_token.h
@@ -47,6 +47,7 @@
   uint32_t importance;
   uint32_t depth; /* of the request that makes the call */
   int64_t deadline_us;
+  bool retry; /* the request that makes the call is itself a retry */
   struct hop_token_text traceparent;
 };
 
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -534,10 +534,10 @@
   return c;
 }
 
-/* Reuses the idle connection used last, since the server is least likely to
-   have closed it, or opens a new one.  */
+/* Returns the idle connection used last, since the server is least likely to
+   have closed it, or NULL.  */
 static struct connection *
-get_connection (struct http_client_pool *pool, int64_t idle_max_us)
+get_idle_connection (struct http_client_pool *pool, int64_t idle_max_us)
 {
   int64_t now_us = clock_now_us ();
 
@@ -561,6 +561,30 @@
       g_array_set_size (pool->idle, pool->idle->len - 1);
       return c;
     }
+  return NULL;
+}
+
+/* Closes an idle connection if there is no room for another one.  */
+static void
+make_room (struct http_client_pool *pool)
+{
+  if (pool->connections.count >= pool->max_connections && pool->idle->len > 0)
+    close_connection (table_get (&pool->connections,
+                                 g_array_index (pool->idle, uint64_t, 0)));
+}
+
+static struct connection *
+get_connection (struct http_client_pool *pool,
+                const struct http_client_request *r)
+{
+  struct connection *c = NULL;
+
+  if (r->new_connection)
+    make_room (pool);
+  else
+    c = get_idle_connection (pool, r->idle_max_us);
+  if (c != NULL)
+    return c;
   if (pool->connections.count >= pool->max_connections)
     return NULL;
   return open_connection (pool);
@@ -680,7 +704,7 @@
 http_client_send (struct http_client_pool *pool,
                   const struct http_client_request *r)
 {
-  struct connection *c = get_connection (pool, r->idle_max_us);
+  struct connection *c = get_connection (pool, r);
   struct http_client_exchange *x;
 
   if (c == NULL)
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -56,6 +56,8 @@
   int64_t timeout_us; /* for the entire exchange; 0 for none */
   /* longest idle time of a connection that is reused; 0 for no limit */
   int64_t idle_max_us;
+  /* open a new connection, on which no earlier answer can be repeated */
+  bool new_connection;
   /* returns false if the answer belongs to another request; it is dropped and
      the exchange waits for the next one; NULL to accept every answer */
   bool (*accept) (void *data, const struct http_client_answer *answer);
--- a/src/retry_policy.c
+++ b/src/retry_policy.c
@@ -45,9 +45,9 @@
 /* Returns true if the serving daemon rejected the attempt before its backend
    server received anything, so that trying the next endpoint adds no work.  */
 static bool
-is_rejected_by_daemon (const struct retry_policy_failure *failure)
+is_rejected_by_daemon (enum err_kind error)
 {
-  switch (failure->error)
+  switch (error)
     {
     case ERR_BACKEND_LEAVING:
     case ERR_BACKEND_UNREACHABLE:
@@ -64,7 +64,7 @@
 static bool
 allow_budget (const struct retry_policy_failure *failure, int64_t now_us)
 {
-  if (is_rejected_by_daemon (failure)
+  if (is_rejected_by_daemon (failure->error)
       && failure->attempts < FREE_RETRY_ATTEMPTS)
     return true;
   if (failure->error == ERR_OVERLOADED || !is_safe_to_retry (failure)
@@ -97,6 +97,12 @@
   return NULL;
 }
 
+bool
+retry_policy_may_have_arrived (enum err_kind error)
+{
+  return !is_rejected_by_daemon (error);
+}
+
 int
 retry_policy_get_retry_after_ms (enum err_kind error, double jitter)
 {
--- a/src/retry_policy.h
+++ b/src/retry_policy.h
@@ -38,6 +38,9 @@
    number from 0 up to 1 that spreads the retries of callers that were refused
    together.  */
 int retry_policy_get_retry_after_ms (enum err_kind error, double jitter);
+/* Returns true if an attempt that failed with the error may have arrived at a
+   backend server, so that another attempt is a retry for its service.  */
+bool retry_policy_may_have_arrived (enum err_kind error);
 /* Returns the policy with a name ("budget" or "per_hop"), or NULL.  */
 const struct retry_policy_ops *retry_policy_find_ops (struct str name);
 
--- a/src/serve.c
+++ b/src/serve.c
@@ -6,6 +6,7 @@
 
 #include "clock.h"
 #include "logger.h"
+#include "serve_resend.h"
 #include "serve_response.h"
 #include "trace.h"
 
@@ -129,6 +130,18 @@
   metrics_observe (s->shared->metric_rows.service_time, sample.service_us);
 }
 
+/* Releases the slot of a job that the backend server rejected although it is
+   not full.  That says nothing about its service time or its capacity, so
+   neither the concurrency limit nor the pressure learns of it.  */
+static void
+release_rejected (struct serve *s, struct serve_job *job,
+                  struct hop_token_usage *usage, int64_t now_us)
+{
+  job->rejected = true;
+  hop_token_revoke (&s->shared->hop_tokens, job->hop_row, now_us, usage);
+  s->running_jobs--;
+}
+
 /* Returns true for results that the concurrency limit counts as failures of
    the backend server.  A timeout does not count, since the request may have
    used up its time in the queue.  */
@@ -166,19 +179,28 @@
   int64_t now_us = clock_now_us ();
   enum err_kind error = get_exchange_error (job, answer);
   struct hop_token_usage usage = { 0 };
+  bool rejected = serve_resend_is_rejection (s, answer, error);
 
   job->exchange = NULL;
+  serve_resend_record_arrival (s, job, answer, now_us);
   success_rate_record (&s->success,
                        is_failure (s, error, answer->status, now_us), now_us);
-  release_slot (s, job, is_backend_fault (answer), &usage, now_us);
+  if (rejected)
+    release_rejected (s, job, &usage, now_us);
+  else
+    release_slot (s, job, is_backend_fault (answer), &usage, now_us);
   record_span (s, job, error, answer->status, now_us);
   if (error == ERR_NONE && answer->status < 500)
     service_time_record (&s->service_times, job->message.u.request.route,
                          now_us - job->started_us);
+  if (rejected && serve_resend_pause (s, job, now_us))
+    return;
   if (error == ERR_NONE)
     serve_response_send (s, job, answer, &usage);
   else
-    serve_response_fail (s, job, error, &usage);
+    serve_response_fail (
+        s, job, serve_resend_get_answer_error (s, answer, rejected, error),
+        &usage);
 }
 
 static bool
@@ -190,6 +212,7 @@
   if (!hop_token_init_context (&context, q->workspace, q->importance, q->depth,
                                job->deadline_us, str_view (&job->traceparent)))
     return false;
+  context.retry = q->retry != WIRE_RETRY_NONE || job->rejected;
   job->hop_row = hop_token_issue (&s->shared->hop_tokens, &context,
                                   q->retry_budget, token);
   return job->hop_row != 0;
@@ -206,6 +229,8 @@
           .target = q->path,
           .timeout_us = job->deadline_us - now_us,
           .idle_max_us = q->idempotent ? 0 : SERVE_IDLE_MAX_US,
+          /* an earlier rejection could be repeated on its connection */
+          .new_connection = job->rejected,
           .accept = is_own_answer,
           .done = on_backend_done,
           .data = job };
@@ -239,12 +264,14 @@
   method = str_dup_cstr (q->method);
   r.method = method;
   job->started_us = now_us;
+  job->sends++;
   job->state = SERVE_RUNNING;
   job->running_at_start = ++s->running_jobs;
   job->exchange = http_client_send (s->http_pool, &r);
   g_free (method);
-  metrics_observe (s->shared->metric_rows.queue_time,
-                   now_us - job->arrived_us);
+  if (!job->rejected)
+    metrics_observe (s->shared->metric_rows.queue_time,
+                     now_us - job->arrived_us);
   if (job->exchange != NULL)
     {
       metrics_increment (s->shared->metric_rows.executions, 1);
@@ -350,6 +377,7 @@
     {
     case SERVE_RECEIVING:
     case SERVE_ARRIVED:
+    case SERVE_PAUSED:
       attempt_void (&s->attempts, job->message.u.request.attempt);
       serve_response_finish (s, job);
       return;
@@ -596,7 +624,8 @@
           .expected_us = service_time_get_us (&s->service_times, q->route) };
   enum err_kind error = check_arrived_job (s, job, now_us);
 
-  s->arrivals_since_tick++;
+  if (!job->rejected && job->waits == 0)
+    s->arrivals_since_tick++;
   if (error == ERR_NONE)
     error = s->admit_ops->offer (s->admission_queue, &item, now_us,
                                  &job->admission_entry);
@@ -652,6 +681,8 @@
 
       if (job == NULL || job->state != SERVE_QUEUED)
         continue;
+      if (!serve_resend_allow (s, job, now_us))
+        continue;
       if (attempt_start (&s->attempts, job->message.u.request.attempt))
         send_to_backend (s, job, now_us);
       else
@@ -746,8 +777,9 @@
 
 static const struct system systems[] = {
   { "notes", run_messages },      { "snapshot", run_snapshot },
-  { "admission", run_admission }, { "dispatch", run_dispatch },
-  { "tick", run_tick },           { "removal", run_removal },
+  { "resend", serve_resend_run }, { "admission", run_admission },
+  { "dispatch", run_dispatch },   { "tick", run_tick },
+  { "removal", run_removal },
 };
 
 /* Public functions */
@@ -785,6 +817,7 @@
   s->admission_queue = s->admit_ops->init (&admit_settings);
   s->limit_ops->init (&s->limit, &limit_settings);
   service_time_init (&s->service_times);
+  serve_resend_init (s);
   attempt_init (&s->attempts, SERVE_ATTEMPTS_MAX, clock_now_us ());
   table_init (&s->jobs, sizeof (struct serve_job));
   s->arrived = g_array_new (FALSE, FALSE, sizeof (uint64_t));
@@ -816,6 +849,7 @@
   g_array_unref (s->finished);
   attempt_close (&s->attempts);
   service_time_close (&s->service_times);
+  serve_resend_close (s);
   s->admit_ops->close (s->admission_queue);
   str_free (&s->backend.service);
   str_free (&s->backend.address);
--- a/src/serve.h
+++ b/src/serve.h
@@ -15,6 +15,7 @@
 #include "http_client.h"
 #include "loop.h"
 #include "peer_link.h"
+#include "serve_resend.h"
 #include "service_time.h"
 #include "success_rate.h"
 #include "thread_message.h"
@@ -29,6 +30,7 @@
   SERVE_ARRIVED,   /* waits for the admission decision */
   SERVE_QUEUED,    /* in the admission queue */
   SERVE_RUNNING,   /* sent to the backend server */
+  SERVE_PAUSED,    /* rejected by it; waits to be queued again */
   SERVE_FINISHED   /* completed; freed by the removal system */
 };
 
@@ -55,6 +57,10 @@
   struct trace_context trace_parent; /* span of the front's attempt */
   struct str_buf traceparent;        /* header for the backend server */
   uint32_t running_at_start;         /* running jobs, this one included */
+  uint32_t sends;                    /* to the backend server */
+  uint32_t waits;    /* pauses for credit since the last send */
+  bool rejected;     /* the backend server has answered that it did not run */
+  int64_t resume_us; /* end of the pause */
   struct http_client_exchange *exchange;
 };
 
@@ -83,6 +89,7 @@
   struct service_time service_times;
   struct success_rate success;
   struct pressure_controller pressure;
+  struct serve_resend resend;
   uint32_t arrivals_since_tick; /* requests */
   uint32_t arrivals_since_log;  /* requests */
   int64_t next_log_us;
--- a/src/serve_response.c
+++ b/src/serve_response.c
@@ -122,9 +122,9 @@
                      enum err_kind error, const struct hop_token_usage *usage)
 {
   struct wire_threshold thresholds[WIRE_THRESHOLDS_MAX];
-  struct wire_response r
-      = { .error = error, .thresholds = thresholds, .body = STR_EMPTY };
+  struct wire_response r = { .thresholds = thresholds, .body = STR_EMPTY };
 
+  r.error = serve_resend_get_error (job, error);
   r.thresholds_len = collect_thresholds (s, usage, thresholds);
   r.unused_budget = usage != NULL ? usage->unused_budget
                                   : job->message.u.request.retry_budget;
--- a/src/settings.h
+++ b/src/settings.h
@@ -70,6 +70,15 @@
   struct str retry;
 };
 
+/* Retries that the backend servers of a service may get.  */
+struct settings_retry
+{
+  struct str ledger; /* policy of repeat_budget, or "none" */
+  double ratio;      /* retries for each request */
+  int64_t window_ms;
+  int64_t slack; /* retries of a service beyond the ratio in a window */
+};
+
 struct settings_limits
 {
   int64_t headers_bytes;
@@ -119,6 +128,7 @@
   struct str log_level;
   struct settings_trace trace;
   struct settings_policy policy;
+  struct settings_retry retry;
   struct settings_limits limits;
   struct settings_fresh fresh;
   struct settings_lease lease;
--- a/src/wire.c
+++ b/src/wire.c
@@ -42,7 +42,7 @@
 static void
 pack_request (msgpack_packer *p, const struct wire_request *r)
 {
-  msgpack_pack_array (p, 21);
+  msgpack_pack_array (p, r->retry != WIRE_RETRY_NONE ? 22 : 21);
   msgpack_pack_int (p, WIRE_REQUEST);
   msgpack_pack_uint64 (p, r->request_id);
   pack_attempt (p, r->attempt);
@@ -63,6 +63,8 @@
   wire_writer_add_str (p, r->caller_service);
   wire_writer_add_bool (p, r->last_part);
   wire_writer_add_bin (p, r->body);
+  if (r->retry != WIRE_RETRY_NONE)
+    msgpack_pack_uint32 (p, (uint32_t)r->retry);
 }
 
 static void
@@ -255,6 +257,8 @@
   q->caller_service = wire_reader_read_str (r);
   q->last_part = wire_reader_read_bool (r);
   q->body = wire_reader_read_bin (r);
+  if (r->next < r->len)
+    q->retry = (enum wire_retry)wire_reader_read_u32 (r, WIRE_RETRY_INHERITED);
 }
 
 static void
--- a/src/wire.h
+++ b/src/wire.h
@@ -61,6 +61,16 @@
   uint32_t min_importance;
 };
 
+/* Whether an attempt counts as a retry for its service; see
+   repeat_budget.h.  */
+enum wire_retry
+{
+  WIRE_RETRY_NONE = 0,     /* first arrival of the request at the service */
+  WIRE_RETRY_ATTEMPT = 1,  /* an earlier attempt may have arrived there */
+  WIRE_RETRY_INHERITED = 2 /* first arrival, of a call by an execution that was
+                              itself a retry */
+};
+
 struct wire_request
 {
   uint64_t request_id;
@@ -86,6 +96,7 @@
   struct str caller_service; /* service of the sending daemon's VM */
   bool last_part;            /* no WIRE_BODY message follows */
   struct str body;
+  enum wire_retry retry; /* sent only if it is one */
 };
 
 struct wire_response
--- a/standins/machines.c
+++ b/standins/machines.c
@@ -15,6 +15,8 @@
      unsigned  answered without a signature
      foreign   answered with the id of another request
      full      not run; answered with 503 and X-Almondvale-Not-Executed
+     busyN     like "full", or like "again" if that is in the target too, the
+               first N times (1 to 9) that the target arrives
      again     like "full"; the next request on the connection is run, but
                before its answer this one is sent once more
      nameless  with "again": sent once more without the id of its request
@@ -52,6 +54,7 @@
 
 #include "clock.h"
 #include "http_client.h"
+#include "refusal.h"
 #include "str.h"
 #include "table.h"
 
@@ -604,13 +607,7 @@
     {
       refused_connection = evhttp_request_get_connection (r);
       g_free (refusal);
-      refusal = g_strdup_printf (
-          "HTTP/1.1 503 Full\r\nX-Almondvale-Not-Executed: 1\r\n"
-          "%s%s%sContent-Length: 2\r\n\r\n{}",
-          strstr (target, "nameless") == NULL ? "X-Almondvale-Attempt-Id: "
-                                              : "",
-          strstr (target, "nameless") == NULL ? id : "",
-          strstr (target, "nameless") == NULL ? "\r\n" : "");
+      refusal = refusal_make_copy (target, id);
     }
   reply (r, 503, "{}");
 }
@@ -660,7 +657,7 @@
       return;
     }
   repeat_refusal (r);
-  if (strstr (target, "full") != NULL || strstr (target, "again") != NULL)
+  if (refusal_is_due (target))
     {
       refuse_request (r);
       return;
--- a/tests/test_attempt.c
+++ b/tests/test_attempt.c
@@ -122,6 +122,36 @@
 }
 END_TEST
 
+/* Guards against an attempt that is voided and still sent again after a
+   rejection, and against one that is sent again after it has run.  */
+START_TEST (rejected_attempt_is_sent_again_or_void)
+{
+  struct attempt_table t = make_table (10);
+  struct wire_attempt_id other = { 1, 77 };
+  uint64_t job;
+
+  attempt_receive (&t, id, 5, TIMEOUT_US, 0);
+  attempt_requeue (&t, id);
+  ck_assert (attempt_start (&t, id));
+  attempt_requeue (&t, id);
+  ck_assert (attempt_start (&t, id));
+  ck_assert (!attempt_start (&t, id));
+  attempt_requeue (&t, id);
+  ck_assert_int_eq (attempt_query (&t, id, TIMEOUT_US, 1, 1, &job),
+                    WIRE_OUTCOME_VOID);
+  ck_assert_uint_eq (job, 5);
+  ck_assert (!attempt_start (&t, id));
+  attempt_requeue (&t, id);
+  ck_assert (!attempt_start (&t, id));
+  attempt_receive (&t, other, 6, TIMEOUT_US, 0);
+  ck_assert (attempt_start (&t, other));
+  attempt_finish (&t, other);
+  attempt_requeue (&t, other);
+  ck_assert (!attempt_start (&t, other));
+  attempt_close (&t);
+}
+END_TEST
+
 /* Guards against any order of messages in which an attempt runs twice, or runs
    after the answer "void".  Random calls are compared with a list of the
    attempts that ran or were answered with void.  */
@@ -131,13 +161,14 @@
   GRand *rand = g_rand_new_with_seed (SEED);
   bool voided[256] = { false };
   bool ran[256] = { false };
+  bool done[256] = { false };
 
   for (int64_t now_us = 0; now_us < STEPS; now_us++)
     {
       uint32_t n = (uint32_t)g_rand_int_range (rand, 0, 256);
       struct wire_attempt_id a = { 1, n };
 
-      switch (g_rand_int_range (rand, 0, 5))
+      switch (g_rand_int_range (rand, 0, 6))
         {
         case 0:
           attempt_receive (&t, a, n, HOUR_US, now_us);
@@ -150,6 +181,13 @@
           break;
         case 2:
           attempt_finish (&t, a);
+          done[n] = ran[n];
+          break;
+        case 4: /* the backend server answers that it did not run */
+          if (!ran[n] || done[n])
+            break;
+          attempt_requeue (&t, a);
+          ran[n] = false;
           break;
         case 3:
           attempt_expire (&t, 3, now_us);
@@ -175,6 +213,7 @@
                                  started_and_done_are_never_void,
                                  unknown_attempt_is_void_only_if_certain,
                                  rows_are_kept_until_the_deadline,
+                                 rejected_attempt_is_sent_again_or_void,
                                  random_order_never_breaks_a_void };
 
   return suite_run ("attempt", cases, G_N_ELEMENTS (cases));
--- a/tests/test_machine_settings.c
+++ b/tests/test_machine_settings.c
@@ -63,6 +63,49 @@
 }
 END_TEST
 
+/* Guards against a limit on retries that is not read, that is read in part if
+   it is odd, or that takes effect although the platform names no ratio.  */
+START_TEST (retry_bounds_are_loaded)
+{
+  static const struct
+  {
+    const char *bounds;
+    const char *ledger;
+    double ratio;
+    int64_t window_ms;
+    int64_t slack;
+  } cases[] = {
+    { "\"grace=6s\"", "none", 0.1, 10000, 0 },
+    { "\"budgetWindow=5s\",\"budgetSlack=48\"", "none", 0.1, 10000, 0 },
+    { "\"retryBudgetRatio=0.2\"", "value", 0.2, 10000, 0 },
+    { "\"retryBudgetRatio=0.2\",\"budgetWindow=5s\",\"budgetSlack=124\"",
+      "value", 0.2, 5000, 124 },
+    { "\"retryBudgetRatio=2\"", "none", 0.1, 10000, 0 },
+    { "\"retryBudgetRatio=0.2x\"", "none", 0.1, 10000, 0 },
+    { "\"retryBudgetRatio=0.2\",\"budgetWindow=x\",\"budgetSlack=-1\"",
+      "value", 0.2, 10000, 0 },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      char **parts = g_strsplit (FILE_TEXT, "\"grace=6s\"", 2);
+      char *text = g_strconcat (parts[0], cases[i].bounds, parts[1], NULL);
+      struct machine_settings m;
+
+      ck_assert (load (&m, text, NULL));
+      ck_assert_msg (
+          str_equal (m.settings.retry.ledger, str_from_cstr (cases[i].ledger)),
+          "case %zu", i);
+      ck_assert_double_eq (m.settings.retry.ratio, cases[i].ratio);
+      ck_assert_int_eq (m.settings.retry.window_ms, cases[i].window_ms);
+      ck_assert_int_eq (m.settings.retry.slack, cases[i].slack);
+      machine_settings_unload (&m);
+      g_free (text);
+      g_strfreev (parts);
+    }
+}
+END_TEST
+
 /* Guards against a daemon that starts without some of its settings, and
    against an error that does not name the missing member.  */
 START_TEST (errors_name_the_member)
@@ -155,9 +198,10 @@
 int
 main (void)
 {
-  const TTest *const cases[] = { settings_are_loaded, errors_name_the_member,
-                                 override_file_replaces_built_in_settings,
-                                 callers_leave_descriptors_to_the_daemon };
+  const TTest *const cases[]
+      = { settings_are_loaded, retry_bounds_are_loaded, errors_name_the_member,
+          override_file_replaces_built_in_settings,
+          callers_leave_descriptors_to_the_daemon };
 
   return suite_run ("machine_settings", cases, sizeof cases / sizeof *cases);
 }
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -64,6 +64,31 @@
 }
 END_TEST
 
+/* Guards against a retry that its serving daemon counts as a first arrival, and
+   against a frame of a first arrival that an older daemon cannot decode.  */
+START_TEST (retry_is_sent_only_if_it_is_one)
+{
+  struct wire_message in = sample_request (), out;
+  size_t lens[WIRE_RETRY_INHERITED + 1];
+
+  for (int retry = WIRE_RETRY_NONE; retry <= WIRE_RETRY_INHERITED; retry++)
+    {
+      struct str_buf b = { 0 };
+
+      in.u.request.retry = (enum wire_retry)retry;
+      wire_append_message (&b, &in);
+      ck_assert (wire_load_message (
+          &out, str_slice (str_view (&b), FRAME_HEADER_BYTES, b.len)));
+      ck_assert_int_eq (out.u.request.retry, retry);
+      lens[retry] = b.len;
+      wire_unload_message (&out);
+      str_reset (&b);
+    }
+  ck_assert_uint_eq (lens[WIRE_RETRY_ATTEMPT], lens[WIRE_RETRY_NONE] + 1);
+  ck_assert_uint_eq (lens[WIRE_RETRY_INHERITED], lens[WIRE_RETRY_NONE] + 1);
+}
+END_TEST
+
 /* Guards against a crash or a memory leak on malformed frames from a peer.
    Decodes every truncation of a valid frame, which has to be rejected, and
    random byte changes of it, which can leave a valid frame.  */
@@ -127,6 +152,7 @@
   int failed;
 
   tcase_add_test (tc, request_round_trip);
+  tcase_add_test (tc, retry_is_sent_only_if_it_is_one);
   tcase_add_test (tc, malformed_frames_are_rejected_or_decoded);
   tcase_add_test (tc, frame_length_is_limited);
   suite_add_tcase (suite, tc);
