Spend saved retry credit on a sudden demand

Cause: the order by value compared the demand with the credit added lately. In a service with few requests a burst of retries, as after a daemon was killed, is above that, so all but the first needed a full burst of credit and were refused although credit was saved.

Ruled out: adding the credit left to the credit added; the part of the demand that is already served then counts against it, and the fifth retry of a burst of seven has to wait.

Change: the demand is compared with the credit spent lately and left.

Figures: saved_credit_is_spent_at_once failed before at its second retry, now seven are allowed.

Conclusion: bursts within the saved credit are served by value.

--- a/src/repeat_budget.c
+++ b/src/repeat_budget.c
@@ -21,7 +21,7 @@
 #define BURST_MIN 2.0
 /* Part of the burst for calls by executions that were themselves retries.  */
 #define RESERVE_MAX 1.0
-/* Demand and supply decay to a third in this time.  It covers some hundred
+/* Demand and credit spent decay to a third in this time.  It covers some hundred
    arrivals at a busy backend server and follows a fault that begins.  */
 #define DECAY_US 500000.0
 #define IMPORTANCES 10u
@@ -95,6 +95,7 @@
   if (b->credit < min || !is_within_ratio (b, 1 - RESERVE_SHARE, now_us))
     return false;
   spend (b, &b->credit, now_us);
+  b->spent++;
   return true;
 }
 
@@ -180,7 +181,7 @@
   double factor = exp (-(double)(now_us - b->decayed_us) / DECAY_US);
 
   b->decayed_us = now_us;
-  b->supply *= factor;
+  b->spent *= factor;
   for (uint32_t i = 0; i < REPEAT_BUDGET_SCORE_BINS; i++)
     b->demand[i] *= factor;
 }
@@ -199,13 +200,14 @@
 static double
 get_min_credit (const struct repeat_budget *b, uint32_t bin)
 {
+  double supply = b->spent + b->credit;
   double above = 0;
 
   for (uint32_t i = bin + 1; i < REPEAT_BUDGET_SCORE_BINS; i++)
     above += b->demand[i];
-  if (above + b->demand[bin] <= b->supply)
+  if (above + b->demand[bin] <= supply)
     return 1;
-  if (above < b->supply)
+  if (above < supply)
     return get_margin_credit (b);
   return b->credit_max - b->settings.ratio * (1 - RESERVE_SHARE);
 }
@@ -313,8 +315,6 @@
   get_slot (b, now_us)->firsts++;
   b->credit = MIN (b->credit + ratio * (1 - RESERVE_SHARE), b->credit_max);
   b->reserve = MIN (b->reserve + ratio * RESERVE_SHARE, RESERVE_MAX);
-  decay (b, now_us);
-  b->supply += ratio * (1 - RESERVE_SHARE);
   record_class (b, request, now_us);
 }
 
--- a/src/repeat_budget.h
+++ b/src/repeat_budget.h
@@ -93,10 +93,10 @@
   double reserve;   /* for calls by executions that were themselves retries */
   struct table classes;
   GHashTable *class_by_key;
-  /* Retries asked for, by score, and credit added; decaying.  */
+  /* Retries asked for, by score, and credit spent on them; decaying.  */
   double demand[REPEAT_BUDGET_SCORE_BINS];
-  double supply;
-  int64_t decayed_us; /* time up to which demand and supply have decayed */
+  double spent;
+  int64_t decayed_us; /* time up to which demand and spent have decayed */
 };
 
 struct repeat_budget_ops
--- a/tests/test_repeat_budget.c
+++ b/tests/test_repeat_budget.c
@@ -507,6 +507,28 @@
 }
 END_TEST
 
+/* Guards against saved credit that is refused to the requests of a daemon that
+   was killed, which are all retried at once in a service with few requests.  */
+START_TEST (saved_credit_is_spent_at_once)
+{
+  const struct repeat_budget_ops *ops
+      = repeat_budget_find_ops (STR_LIT ("value"));
+  struct repeat_budget_request q
+      = { .route = STR_LIT ("deep"), .importance = 7, .left_us = 1000000 };
+  int64_t now_us = CLOCK_US_PER_S;
+  struct repeat_budget b;
+
+  repeat_budget_init (&b, &limits);
+  repeat_budget_set_daemons (&b, SERVERS);
+  for (int i = 0; i < 100; i++, now_us += 50000)
+    repeat_budget_record_first (&b, &q, now_us);
+  for (uint32_t i = 0; i + 1 < SLACK / 2 / SERVERS; i++)
+    ck_assert_int_eq (ops->ask (&b, &q, now_us), REPEAT_BUDGET_ALLOWED);
+  ck_assert_int_ne (ops->ask (&b, &q, now_us), REPEAT_BUDGET_ALLOWED);
+  repeat_budget_close (&b);
+}
+END_TEST
+
 /* Guards against calls of a retried execution that find no credit although a
    quarter of it is kept for them.  */
 START_TEST (reserve_is_kept_for_calls_of_retried_executions)
@@ -568,6 +590,7 @@
       = { credit_spent_by_value_serves_callers_best,
           retries_stay_within_the_ratio_in_every_window,
           new_or_idle_ledger_has_no_credit,
+          saved_credit_is_spent_at_once,
           reserve_is_kept_for_calls_of_retried_executions,
           score_rises_with_progress_and_importance };
 
