--- a/tests/test_hop_token.c
+++ b/tests/test_hop_token.c
@@ -27,6 +27,7 @@
 
   ck_assert (hop_token_init_context (&c, STR_LIT ("w1"), 7, 3, DEADLINE_US,
                                      STR_LIT ("00-a-b-01")));
+  c.retry = true;
   return hop_token_issue (&table, &c, budget, token);
 }
 
@@ -40,7 +41,8 @@
 }
 
 /* Guards against nested calls that do not inherit the workspace, importance
-   and deadline of their request (requirement R3 of docs/design.md).  */
+   and deadline of their request (requirement R3 of docs/design.md), or that do
+   not count as retries although it is one.  */
 START_TEST (token_resolves_to_its_context)
 {
   struct hop_token_context c;
@@ -54,6 +56,7 @@
   ck_assert_uint_eq (c.importance, 7);
   ck_assert_uint_eq (c.depth, 3);
   ck_assert_int_eq (c.deadline_us, DEADLINE_US);
+  ck_assert (c.retry);
   hop_token_close (&table);
 }
 END_TEST
