--- a/tests/test_serve_resend.c
+++ b/tests/test_serve_resend.c
@@ -11,6 +11,8 @@
 #define WARM_REQUESTS 60
 /* Requests that keep 7 of the 8 slots of each backend server of books.  */
 #define FULL_REQUESTS 14
+#define CALLERS 4
+#define REQUESTS_PER_CALLER 100
 
 #define BOUNDS                                                                \
   ",\"retryBudgetRatio=0.2\",\"budgetWindow=10s\",\"budgetSlack=48\""
@@ -219,6 +221,60 @@
 }
 END_TEST
 
+/* One of several callers; 55 in 100 of its requests are rejected once.  */
+struct caller
+{
+  const struct fixture *f;
+  int index;
+  int answered;
+};
+
+static gpointer
+send_requests (gpointer data)
+{
+  struct caller *c = data;
+
+  for (int i = 0; i < REQUESTS_PER_CALLER; i++)
+    {
+      char *target = g_strdup_printf (
+          "/book/%s-%d-%d", i * 37 % 100 < 55 ? "busy1" : "x", c->index, i);
+
+      c->answered += book (c->f, target) == 200;
+      g_free (target);
+    }
+  return NULL;
+}
+
+/* Guards against a request that runs twice, that runs although it is answered
+   as not run, or that is sent again beyond the ratio while several callers have
+   most of their requests rejected.  */
+START_TEST (each_answered_request_runs_once_while_most_are_rejected)
+{
+  struct fixture f = start (BOUNDS);
+  struct caller callers[CALLERS];
+  GThread *threads[CALLERS];
+  int answered = 0;
+
+  for (int i = 0; i < CALLERS; i++)
+    {
+      callers[i] = (struct caller){ .f = &f, .index = i };
+      threads[i] = g_thread_new ("caller", send_requests, &callers[i]);
+    }
+  for (int i = 0; i < CALLERS; i++)
+    {
+      g_thread_join (threads[i]);
+      answered += callers[i].answered;
+    }
+  ck_assert_int_eq (get_executions (&f), answered);
+  ck_assert_int_eq (get_sum (&f, "almondvale_first_arrivals_total"),
+                    CALLERS * REQUESTS_PER_CALLER);
+  ck_assert_int_gt (get_sum (&f, "almondvale_resends_total"), 0);
+  ck_assert_double_le (get_sum (&f, "almondvale_retries_allowed_total"),
+                       0.2 * CALLERS * REQUESTS_PER_CALLER + 48);
+  stop (&f);
+}
+END_TEST
+
 /* Guards against retries beyond the ledger: a fleet that has just started has
    no credit, so neither its serving daemon sends a rejected booking again, nor
    does a retry of the entry daemon reach the other backend server.  */
@@ -253,12 +309,14 @@
 int
 main (void)
 {
-  const TTest *const cases[] = { rejected_booking_is_sent_again_and_runs_once,
-                                 booking_that_may_have_run_is_not_sent_again,
-                                 booking_is_sent_again_on_a_new_connection,
-                                 rejection_by_a_full_backend_is_not_sent_again,
-                                 retry_without_credit_does_not_arrive,
-                                 nothing_is_sent_again_without_a_ratio };
+  const TTest *const cases[]
+      = { rejected_booking_is_sent_again_and_runs_once,
+          booking_that_may_have_run_is_not_sent_again,
+          booking_is_sent_again_on_a_new_connection,
+          rejection_by_a_full_backend_is_not_sent_again,
+          each_answered_request_runs_once_while_most_are_rejected,
+          retry_without_credit_does_not_arrive,
+          nothing_is_sent_again_without_a_ratio };
 
   return suite_run ("serve_resend", cases, G_N_ELEMENTS (cases));
 }
