Count first arrivals as the operators' rule does

Change: the ledger checks that rule for every window that ends now or later; what is allowed is spread over 4 s of a fault and spent by value.

--- a/src/repeat_budget.c
+++ b/src/repeat_budget.c
@@ -2,28 +2,23 @@
 
 #include "repeat_budget.h"
 
+#include <float.h>
 #include <math.h>
 
 /* Constants */
 
-/* Share of the credit that is kept for calls by executions that were
+/* Share of the retries that is kept for calls by executions that were
    themselves retries: the requirement names a quarter.  */
 #define RESERVE_SHARE 0.25
-/* Part of the slack that the bursts of all daemons of a service share.  The
-   other half is for daemons that started in a part of a partitioned fleet and
-   take their part for the whole service.  */
-#define BURST_SHARE 0.5
-/* Daemons of a service until it is known.  */
-#define DAEMONS_ASSUMED 16u
-/* Smallest burst of a daemon, below which it could allow no retry or none for
-   calls by retried executions.  24 daemons with it use up the smaller slack of
-   the users, 48.  */
-#define BURST_MIN 2.0
-/* Part of the burst for calls by executions that were themselves retries.  */
-#define RESERVE_MAX 1.0
-/* Demand and credit spent decay to a third in this time.  It covers some hundred
-   arrivals at a busy backend server and follows a fault that begins.  */
+/* Demand decays to a third in this time.  It covers some hundred arrivals at a
+   busy backend server and follows a fault that begins.  */
 #define DECAY_US 500000.0
+/* The retries that are allowed now are meant to last for this time of a fault,
+   as long as a backend server usually takes to recover.  */
+#define SPENDING_US 4000000.0
+/* As many are allowed at once whatever they are worth: the requests that one
+   daemon had open when it was killed.  */
+#define AT_ONCE_MAX 32.0
 #define IMPORTANCES 10u
 /* Scores are at most the largest importance plus 1.  */
 #define SCORE_MAX ((double)IMPORTANCES)
@@ -60,54 +55,51 @@
   return slot;
 }
 
-/* Returns true if the window holds the retries after this one.  */
-static bool
-is_within_ratio (const struct repeat_budget *b, double share, int64_t now_us)
+/* Returns how many retries may arrive now.  In each window the rule compares the
+   retries with the first arrivals of that window, of the one before it or of
+   the one half a window before it, whichever has most; this checks every
+   window that ends now or later.  */
+static double
+get_allowance (const struct repeat_budget *b, double share, int64_t now_us)
 {
-  return repeat_budget_count_retries (b, now_us) + 1
-         <= share * b->settings.ratio * repeat_budget_count_firsts (b, now_us);
-}
+  const uint32_t window = REPEAT_BUDGET_INTERVALS;
+  int64_t interval = now_us / get_interval_us (b);
+  /* arrivals of the last i intervals */
+  uint32_t firsts[REPEAT_BUDGET_SLOTS + 1] = { 0 };
+  uint32_t retries[REPEAT_BUDGET_SLOTS + 1] = { 0 };
+  double allowance = DBL_MAX;
 
-static void
-spend (struct repeat_budget *b, double *credit, int64_t now_us)
-{
-  *credit -= 1;
-  get_slot (b, now_us)->retries++;
-}
+  for (uint32_t i = 0; i < REPEAT_BUDGET_SLOTS; i++)
+    {
+      const struct repeat_budget_slot *slot
+          = &b->slots[(uint64_t)(interval - i) % REPEAT_BUDGET_SLOTS];
+      bool current = slot->interval == interval - i;
 
-/* Spends credit that is kept for calls by executions that were themselves
-   retries.  */
-static bool
-spend_reserve (struct repeat_budget *b, int64_t now_us)
-{
-  double *credit = b->reserve >= 1 ? &b->reserve : &b->credit;
+      firsts[i + 1] = firsts[i] + (current ? slot->firsts : 0);
+      retries[i + 1] = retries[i] + (current ? slot->retries : 0);
+    }
+  for (uint32_t begin = 1; begin <= window + 1; begin++)
+    {
+      uint32_t half = begin > window / 2 ? firsts[begin - window / 2] : 0;
+      uint32_t most = MAX (firsts[MIN (begin, window)],
+                           firsts[begin + window - 1] - firsts[begin - 1]);
 
-  if (*credit < 1 || !is_within_ratio (b, 1, now_us))
-    return false;
-  spend (b, credit, now_us);
-  return true;
+      most = MAX (most, firsts[begin + window / 2 - 1] - half);
+      allowance
+          = MIN (allowance, share * b->settings.ratio * most - retries[begin]);
+    }
+  return allowance;
 }
 
-/* Spends credit if there is at least `min`.  */
 static bool
-spend_credit (struct repeat_budget *b, double min, int64_t now_us)
+spend (struct repeat_budget *b, double share, int64_t now_us)
 {
-  if (b->credit < min || !is_within_ratio (b, 1 - RESERVE_SHARE, now_us))
+  if (get_allowance (b, share, now_us) < 1)
     return false;
-  spend (b, &b->credit, now_us);
-  b->spent++;
+  get_slot (b, now_us)->retries++;
   return true;
 }
 
-static void
-set_burst (struct repeat_budget *b, uint32_t daemons)
-{
-  double burst = BURST_SHARE * b->settings.slack / daemons;
-
-  b->credit_max = MAX (burst, BURST_MIN) - RESERVE_MAX;
-  b->credit = MIN (b->credit, b->credit_max);
-}
-
 /* Internal functions: classes */
 
 static uint64_t
@@ -186,30 +178,37 @@
     b->demand[i] *= factor;
 }
 
-/* Returns the credit that a retry needs if the retries worth more than it, or
-   as much, ask for all the credit there is.  */
+/* Returns the number of retries that can be allowed in the time over which the
+   demand is counted, so that those allowed now last for a fault.  */
 static double
-get_margin_credit (const struct repeat_budget *b)
+get_supply (const struct repeat_budget *b, int64_t now_us)
 {
-  return (1 + b->credit_max) / 2;
+  double share = 1 - RESERVE_SHARE;
+  double allowance = MAX (get_allowance (b, share, now_us), 0);
+  double inflow
+      = share * b->settings.ratio * repeat_budget_count_firsts (b, now_us);
+
+  return MAX (allowance * DECAY_US / SPENDING_US
+                  + inflow * DECAY_US / (double)b->settings.window_us,
+              MIN (allowance + b->spent, AT_ONCE_MAX));
 }
 
-/* Returns the credit that a retry of this score needs.  While the credit is
-   short, those that are worth least get only what would be lost otherwise
-   because no more can be saved.  */
-static double
-get_min_credit (const struct repeat_budget *b, uint32_t bin)
+/* Returns true if the retries that are worth more leave room for one of this
+   score.  Of the scores at the limit, the part that fits is taken in turn.  */
+static bool
+is_worth_retry (struct repeat_budget *b, uint32_t bin, int64_t now_us)
 {
-  double supply = b->spent + b->credit;
-  double above = 0;
+  double supply = get_supply (b, now_us);
 
   for (uint32_t i = bin + 1; i < REPEAT_BUDGET_SCORE_BINS; i++)
-    above += b->demand[i];
-  if (above + b->demand[bin] <= supply)
-    return 1;
-  if (above < supply)
-    return get_margin_credit (b);
-  return b->credit_max - b->settings.ratio * (1 - RESERVE_SHARE);
+    supply -= b->demand[i];
+  if (supply >= b->demand[bin])
+    return true;
+  b->part_taken += MAX (supply, 0) / b->demand[bin];
+  if (b->part_taken < 1)
+    return false;
+  b->part_taken -= 1;
+  return true;
 }
 
 /* Internal functions: policies */
@@ -218,32 +217,31 @@
 ask_equal (struct repeat_budget *b,
            const struct repeat_budget_request *request, int64_t now_us)
 {
-  bool spent = request->inherited ? spend_reserve (b, now_us)
-                                  : spend_credit (b, 1, now_us);
+  double share = request->inherited ? 1 : 1 - RESERVE_SHARE;
 
-  return spent ? REPEAT_BUDGET_ALLOWED : REPEAT_BUDGET_REFUSED;
+  return spend (b, share, now_us) ? REPEAT_BUDGET_ALLOWED
+                                  : REPEAT_BUDGET_REFUSED;
 }
 
 static enum repeat_budget_decision
 ask_value (struct repeat_budget *b,
            const struct repeat_budget_request *request, int64_t now_us)
 {
-  double min;
-  uint32_t bin;
-
-  if (request->inherited)
-    return spend_reserve (b, now_us) ? REPEAT_BUDGET_ALLOWED
-                                     : REPEAT_BUDGET_WAIT;
-  bin = (uint32_t)(repeat_budget_get_score (b, request) / SCORE_MAX
-                   * (REPEAT_BUDGET_SCORE_BINS - 1));
-  decay (b, now_us);
-  if (!request->asked)
-    b->demand[bin]++;
-  min = get_min_credit (b, bin);
-  if (spend_credit (b, min, now_us))
-    return REPEAT_BUDGET_ALLOWED;
-  return min <= get_margin_credit (b) ? REPEAT_BUDGET_WAIT
-                                      : REPEAT_BUDGET_REFUSED;
+  uint32_t bin = (uint32_t)(repeat_budget_get_score (b, request) / SCORE_MAX
+                            * (REPEAT_BUDGET_SCORE_BINS - 1));
+
+  if (!request->inherited)
+    {
+      decay (b, now_us);
+      if (!request->asked)
+        b->demand[bin]++;
+      if (!is_worth_retry (b, bin, now_us))
+        return REPEAT_BUDGET_REFUSED;
+    }
+  if (ask_equal (b, request, now_us) != REPEAT_BUDGET_ALLOWED)
+    return REPEAT_BUDGET_WAIT;
+  b->spent++;
+  return REPEAT_BUDGET_ALLOWED;
 }
 
 static const struct repeat_budget_ops policies[] = {
@@ -263,7 +261,7 @@
 }
 
 /**
- * repeat_budget_init - makes a ledger without credit
+ * repeat_budget_init - makes a ledger without arrivals
  * @b: ledger
  * @settings: limits; the window is at least REPEAT_BUDGET_INTERVALS us
  *
@@ -275,29 +273,11 @@
                     const struct repeat_budget_settings *settings)
 {
   *b = (struct repeat_budget){ .settings = *settings };
-  set_burst (b, DAEMONS_ASSUMED);
   table_init (&b->classes, sizeof (struct repeat_budget_class));
   b->class_by_key
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
 }
 
-/**
- * repeat_budget_set_daemons - sets the number of daemons that share the slack
- * @b: ledger
- * @daemons: daemons of the service that are known now
- *
- * The largest number counts: daemons that cannot be reached may still serve
- * others.
- */
-void
-repeat_budget_set_daemons (struct repeat_budget *b, uint32_t daemons)
-{
-  if (daemons <= b->daemons)
-    return;
-  b->daemons = daemons;
-  set_burst (b, daemons);
-}
-
 void
 repeat_budget_close (struct repeat_budget *b)
 {
@@ -310,11 +290,7 @@
                             const struct repeat_budget_request *request,
                             int64_t now_us)
 {
-  double ratio = b->settings.ratio;
-
   get_slot (b, now_us)->firsts++;
-  b->credit = MIN (b->credit + ratio * (1 - RESERVE_SHARE), b->credit_max);
-  b->reserve = MIN (b->reserve + ratio * RESERVE_SHARE, RESERVE_MAX);
   record_class (b, request, now_us);
 }
 
--- a/src/repeat_budget.h
+++ b/src/repeat_budget.h
@@ -5,13 +5,12 @@
    run although it has free slots.  A request that needs several such calls in
    sequence then almost never completes, unless rejected calls are sent again.
 
-   The first arrival of a request adds credit, every further arrival (a retry)
-   spends 1.  All arrivals pass through the daemon beside the backend server,
-   so the retries of a service never exceed the ratio plus a small burst for
-   each backend server, whatever the daemons know of each other.  The credit is
-   too small for all rejected calls: the policy "value" gives it to those whose
-   request is important and has made most of its calls, "equal" to whoever asks
-   first.
+   The first arrivals of requests in a window allow a ratio of them as further
+   arrivals (retries).  All arrivals pass through the daemon beside the backend
+   server, so the retries of a service stay within the ratio, whatever the
+   daemons know of each other.  They are too few for all rejected calls: the
+   policy "value" allows those whose request is important and has made most of
+   its calls, "equal" whoever asks first.
 
    A class is the requests of a route with the same importance.  The progress
    of a request is the time that it has used, relative to the time that requests
@@ -33,8 +32,8 @@
 
 /* Intervals of the window in which arrivals are counted.  */
 #define REPEAT_BUDGET_INTERVALS 64u
-/* The window and the parts of an interval at both of its ends.  */
-#define REPEAT_BUDGET_SLOTS (REPEAT_BUDGET_INTERVALS + 2u)
+/* The window, the one before it, and the parts of an interval at the ends.  */
+#define REPEAT_BUDGET_SLOTS (2 * REPEAT_BUDGET_INTERVALS + 2u)
 #define REPEAT_BUDGET_SCORE_BINS 32u
 
 /* Types */
@@ -43,7 +42,6 @@
 {
   double ratio; /* retries for each first arrival */
   int64_t window_us;
-  uint32_t slack; /* retries of a service beyond the ratio in a window */
 };
 
 /* A request at its arrival.  */
@@ -60,8 +58,8 @@
 enum repeat_budget_decision
 {
   REPEAT_BUDGET_ALLOWED,
-  REPEAT_BUDGET_WAIT,   /* worth the next credit: ask again after a pause */
-  REPEAT_BUDGET_REFUSED /* the credit is needed for others */
+  REPEAT_BUDGET_WAIT,   /* worth the next retry: ask again after a pause */
+  REPEAT_BUDGET_REFUSED /* the retries are needed for others */
 };
 
 /* Arrivals of one interval.  */
@@ -87,23 +85,21 @@
 {
   struct repeat_budget_settings settings;
   struct repeat_budget_slot slots[REPEAT_BUDGET_SLOTS];
-  double credit; /* for retries */
-  double credit_max;
-  uint32_t daemons; /* of the service; 0: not known */
-  double reserve;   /* for calls by executions that were themselves retries */
   struct table classes;
   GHashTable *class_by_key;
-  /* Retries asked for, by score, and credit spent on them; decaying.  */
-  double demand[REPEAT_BUDGET_SCORE_BINS];
-  double spent;
-  int64_t decayed_us; /* time up to which demand and spent have decayed */
+  double demand[REPEAT_BUDGET_SCORE_BINS]; /* retries asked for, by score,
+                                              decaying */
+  double spent; /* retries allowed, decaying */
+  int64_t decayed_us; /* time up to which both have decayed */
+  /* sum of the parts of retries that fit, below 1; see is_worth_retry */
+  double part_taken;
 };
 
 struct repeat_budget_ops
 {
   struct str name;
-  /* Decides whether a retry may be sent to the backend server now, and spends
-     its credit if so.  */
+  /* Decides whether a retry may be sent to the backend server now, and records
+     its arrival if so.  */
   enum repeat_budget_decision (*ask) (
       struct repeat_budget *b, const struct repeat_budget_request *request,
       int64_t now_us);
@@ -113,13 +109,11 @@
 
 /* Returns the policy of a name ("equal" or "value"), or NULL.  */
 const struct repeat_budget_ops *repeat_budget_find_ops (struct str name);
-/* Makes a ledger without credit.  */
+/* Makes a ledger without arrivals.  */
 void repeat_budget_init (struct repeat_budget *b,
                          const struct repeat_budget_settings *settings);
 void repeat_budget_close (struct repeat_budget *b);
-/* Sets the number of daemons of the service, which share the slack.  */
-void repeat_budget_set_daemons (struct repeat_budget *b, uint32_t daemons);
-/* Records the first arrival of a request, which adds credit.  */
+/* Records the first arrival of a request.  */
 void repeat_budget_record_first (struct repeat_budget *b,
                                  const struct repeat_budget_request *request,
                                  int64_t now_us);
--- a/src/serve_resend.c
+++ b/src/serve_resend.c
@@ -103,17 +103,6 @@
   return true;
 }
 
-static uint32_t
-count_endpoints (const struct serve *s)
-{
-  uint32_t count = 0;
-
-  for (uint32_t i = 0; s->snapshot != NULL && i < s->snapshot->endpoints_len;
-       i++)
-    count += str_equal (s->snapshot->endpoints[i].service, s->backend.service);
-  return count;
-}
-
 /* Once a second, also logs what the ledger has allowed.  */
 static void
 update_ledger (struct serve *s, int64_t now_us)
@@ -124,7 +113,6 @@
     return;
   r->next_update_us = now_us + UPDATE_INTERVAL_US;
   repeat_budget_expire (&r->ledger, now_us);
-  repeat_budget_set_daemons (&r->ledger, count_endpoints (s));
   if (r->allowed + r->refused > 0)
     LOGGER_WRITE (
         LOGGER_INFO, "retries_limited",
@@ -146,8 +134,7 @@
   const struct settings_retry *settings = &s->shared->settings->retry;
   struct repeat_budget_settings limits
       = { .ratio = settings->ratio,
-          .window_us = settings->window_ms * CLOCK_US_PER_MS,
-          .slack = (uint32_t)settings->slack };
+          .window_us = settings->window_ms * CLOCK_US_PER_MS };
   struct serve_resend *r = &s->resend;
 
   r->ops = repeat_budget_find_ops (settings->ledger);
