--- a/src/settings.c
+++ b/src/settings.c
@@ -109,7 +109,7 @@
   { "retry.ledger", TYPE_CHOICE, 0, 0, "none, equal, value", "\"none\"", OFFSET (retry.ledger), "How the daemon beside a backend server spends the retries that its service may get. With none, only the entry daemons limit retries." },
   { "retry.ratio", TYPE_RATIO, 0, 1, NULL, "0.1", OFFSET (retry.ratio), "Maximum number of retries for each request, of an entry daemon and of a backend server's ledger." },
   { "retry.window_ms", TYPE_INTEGER, 100, 600000, NULL, "10000", OFFSET (retry.window_ms), "Time over which the ledger counts." },
-  { "retry.slack", TYPE_INTEGER, 0, 10000, NULL, "0", OFFSET (retry.slack), "Retries beyond the ratio that all backend servers of a service may get in a window. Half of it is shared as bursts, but each backend server may have a burst of 2, so it should be twice their number or more." },
+  { "retry.slack", TYPE_INTEGER, 0, 10000, NULL, "0", OFFSET (retry.slack), "Retries beyond the ratio that the operators allow a service in a window. Not spent; reserve for what the ledgers of a service count differently." },
   { "limits.headers_bytes", TYPE_INTEGER, KIB, 256 * KIB, NULL, "32768", OFFSET (limits.headers_bytes), "Maximum size of the headers of a request." },
   { "limits.body_bytes", TYPE_INTEGER, 0, 8 * MIB, NULL, "8388608", OFFSET (limits.body_bytes), "Maximum size of the body of a request." },
   { "limits.answer_bytes", TYPE_INTEGER, KIB, 8 * MIB, NULL, "8388608", OFFSET (limits.answer_bytes), "Maximum size of the body of an answer of the backend server." },
