--- a/src/daemon_metrics.h
+++ b/src/daemon_metrics.h
@@ -44,6 +44,11 @@
   struct metrics_row *cold_refusals;
   struct metrics_row *evacuated;
   struct metrics_row *evacuation_revision;
+  /* of repeat_budget */
+  struct metrics_row *first_arrivals;
+  struct metrics_row *retries_allowed;
+  struct metrics_row *retries_refused;
+  struct metrics_row *resends;
   struct metrics_row *revision;
   struct metrics_row *members;
   struct metrics_row *store_era;        /* highest one seen; 0: none */
--- a/src/err.h
+++ b/src/err.h
@@ -61,6 +61,7 @@
   ERR_BACKEND_REFUSED,
   ERR_BACKEND_COLD,
   ERR_BACKEND_EVACUATED,
+  ERR_RETRY_REFUSED,
   ERR_KINDS /* number of kinds */
 };
 
