--- a/tests/test_control_registry.c
+++ b/tests/test_control_registry.c
@@ -566,6 +566,42 @@
 }
 END_TEST
 
+/* Guards against a daemon that starts after a restore and grants from pools,
+   although a daemon that it does not know owns them, and against one that
+   refuses because others know of more for another reason.  */
+START_TEST (part_of_the_fleet_owns_no_pool)
+{
+  struct daemon_registry_state state = { .member = 7,
+                                         .name = STR_LIT ("n7"),
+                                         .address = STR_LIT ("127.0.0.1"),
+                                         .control_port = process_get_port (),
+                                         .domain = STR_LIT ("fd"),
+                                         .service = STR_EMPTY,
+                                         .live = 3 };
+  struct control_registry *cr;
+  struct fixture f;
+
+  start (&f, false, false);
+  fake.era = 1;
+  run (&f, 20);
+  cr = f.control.control_registry;
+  cr->era.start.answered_us -= 3 * CLOCK_US_PER_S;
+  for (int restored = 0; restored < 2; restored++)
+    {
+      state.store_restored = restored;
+      daemon_registry_apply (&cr->registry, &state, clock_now_us ());
+      run (&f, 1);
+      ck_assert (registry_era_knows_fleet (&f.control, clock_now_us ())
+                 == !restored);
+    }
+  state.live = 2;
+  daemon_registry_apply (&cr->registry, &state, clock_now_us ());
+  run (&f, 1);
+  ck_assert (registry_era_knows_fleet (&f.control, clock_now_us ()));
+  stop (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -580,7 +616,8 @@
           lost_stop_is_written_again,
           write_that_matched_by_chance_is_no_success,
           answer_of_the_earlier_era_is_ignored,
-          late_write_of_the_earlier_era_is_found };
+          late_write_of_the_earlier_era_is_found,
+          part_of_the_fleet_owns_no_pool };
 
   return suite_run ("control_registry", cases, G_N_ELEMENTS (cases));
 }
