Do not send states of a whole failure domain at each evacuation

Cause: each daemon of an evacuated failure domain announced at once that it does not serve: at 22,000 daemons 3,700 of them would send 80 million states. Found by reading.

Change: the state says that a backend server serves also while it is evacuated; the others know the set from the watchers' states, and a daemon beside an evacuated backend server refuses anyway. Only the first knowledge of a new process is announced at once.

--- a/src/control_registry.c
+++ b/src/control_registry.c
@@ -288,7 +288,7 @@
     .domain = s->failure_domain,
     .service = c->backend.service,
     .serving = c->backend_state == CONTROL_BACKEND_SERVING
-               && registry_evacuation_is_served (c),
+               && registry_evacuation_is_known (c),
     .leaving = c->shutting_down,
     .store_failed = c->control_registry->config_failures > 0,
     .revision
@@ -396,7 +396,7 @@
 
   daemon_registry_append_endpoints (&cr->registry, found, now_us);
   if (c->backend_state == CONTROL_BACKEND_SERVING && !c->shutting_down
-      && registry_evacuation_is_served (c))
+      && registry_evacuation_is_known (c))
     g_array_append_val (found, own);
   registry_evacuation_filter (c, found);
   for (guint i = 0; i < found->len; i++)
--- a/src/registry_evacuation.c
+++ b/src/registry_evacuation.c
@@ -212,10 +212,14 @@
 
   if (!r->known || (r->notified && r->notified_evacuated == evacuated))
     return;
+  /* From now on the backend server may get requests.  Of later changes the
+     others learn from the watchers: a whole failure domain must not send states
+     to the whole fleet at once.  */
+  if (!r->notified)
+    cr->next_state_us = 0;
   r->notified = true;
   r->notified_evacuated = evacuated;
   cr->members_changed = true;
-  cr->next_state_us = 0;
   metrics_set (c->shared->metric_rows.evacuated, evacuated);
   message = thread_message_create (THREAD_MESSAGE_EVACUATION);
   message->evacuated = evacuated;
@@ -273,14 +277,9 @@
 }
 
 bool
-registry_evacuation_is_served (const struct control *c)
+registry_evacuation_is_known (const struct control *c)
 {
-  const struct registry_evacuation *r = &c->control_registry->evacuation;
-
-  return !is_enabled (c)
-         || (r->known
-             && !evacuation_contains (&r->known_set,
-                                      c->settings->failure_domain));
+  return !is_enabled (c) || c->control_registry->evacuation.known;
 }
 
 void
--- a/src/registry_evacuation.h
+++ b/src/registry_evacuation.h
@@ -17,8 +17,9 @@
 /* Sets the members of a state message; the names are views.  */
 void registry_evacuation_fill (const struct control *c,
                                struct daemon_registry_state *state);
-/* Returns true if requests may be sent to the backend server of this VM.  */
-bool registry_evacuation_is_served (const struct control *c);
+/* Returns true if the evacuations are known, or are not asked for.  Until then
+   the backend server of this VM gets no requests.  */
+bool registry_evacuation_is_known (const struct control *c);
 /* Removes the endpoints in evacuated failure domains.  Those whose evacuation
    has ended count as announced then.  */
 void registry_evacuation_filter (const struct control *c, GArray *endpoints);
