Use an endpoint again after its warm-up

Cause: a cold backend server reported a concurrency limit of 1 (16 requests a second of 25 ms). Senders keep the last limit until the next response, so least_loaded did not choose the endpoint again while others had any room, and no response could correct the limit: endpoint_is_used_again_after_its_warm_up chose it 0 times of 100 with the other endpoint at 30 of 40.

Ruled out: forgetting old limits in route (changes deployments without warm-up limits; route belongs to another part).

Change: at least a quarter of the warm limit is reported. The rate is enforced beside the backend server, and what is too much is refused without cost.

--- a/src/serve_warmup.c
+++ b/src/serve_warmup.c
@@ -147,16 +147,12 @@
   return true;
 }
 
-/* By Little's law this many requests run at once at the limited rate.  At least
-   one is reported, since 0 means that there is no report.  */
 uint32_t
 serve_warmup_get_limit (const struct serve *s, uint32_t limit, int64_t now_us)
 {
-  double running = s->warmup.per_window * s->mean_service_us / CLOCK_US_PER_S;
-
   if (!warmup_limit_is_cold (&s->warmup, now_us))
     return limit;
-  return MIN (limit, (uint32_t)running + 1);
+  return warmup_limit_get_concurrency (&s->warmup, limit, s->mean_service_us);
 }
 
 void
--- a/src/warmup_limit.c
+++ b/src/warmup_limit.c
@@ -6,6 +6,12 @@
 #include <glib.h>
 #include <stdlib.h>
 
+/* Constants */
+
+/* The reported limit is at least this part of the warm one: an endpoint of
+   equal size is then chosen again when the others are a quarter full.  */
+#define REPORTED_PART_MIN 4u
+
 /* Internal functions */
 
 /* Returns the time of the send that is `back` sends ago, 1 for the last.  */
@@ -135,6 +141,28 @@
   return MIN (time_us, l->cold_until_us);
 }
 
+/**
+ * warmup_limit_get_concurrency - returns the concurrency limit to report
+ * @l: limit
+ * @limit: concurrency limit of the warm backend server
+ * @service_us: mean service time
+ *
+ * By Little's law @l allows its rate x the service time at once.  Senders keep
+ * a reported limit until the next response, so one far below @limit would keep
+ * them away for good; requests beyond the rate are refused without cost.
+ *
+ * Return: that number, but not less than a part of @limit, and at least 1 since
+ * a report of 0 counts as none.
+ */
+uint32_t
+warmup_limit_get_concurrency (const struct warmup_limit *l, uint32_t limit,
+                              double service_us)
+{
+  double running = l->per_window * service_us / WARMUP_LIMIT_WINDOW_US;
+
+  return MIN (limit, MAX ((uint32_t)running + 1, limit / REPORTED_PART_MIN));
+}
+
 void
 warmup_limit_record_send (struct warmup_limit *l, int64_t now_us)
 {
--- a/src/warmup_limit.h
+++ b/src/warmup_limit.h
@@ -85,6 +85,10 @@
 /* Returns when the request that follows `ahead` others may be sent.  */
 int64_t warmup_limit_get_send_time (const struct warmup_limit *l,
                                     uint32_t ahead, int64_t now_us);
+/* Returns the concurrency limit to report to the senders while cold, at most
+   `limit`.  */
+uint32_t warmup_limit_get_concurrency (const struct warmup_limit *l,
+                                       uint32_t limit, double service_us);
 /* Records that a request is sent, also while the backend server is warm.  */
 void warmup_limit_record_send (struct warmup_limit *l, int64_t now_us);
 /* Removes a send that did not reach the backend server, by its time.  */
--- a/tests/test_warmup_limit.c
+++ b/tests/test_warmup_limit.c
@@ -1,6 +1,7 @@
 /* Tests of warmup_limit in virtual time: one cold backend server with many
    senders, and a whole fleet that returns cold.  */
 
+#include "route.h"
 #include "suite.h"
 #include "warmup_limit.h"
 
@@ -217,6 +218,39 @@
 }
 END_TEST
 
+/* Guards against an endpoint that gets nothing after its warm-up, although the
+   others have little room left: a sender keeps the limit of the last report,
+   and without requests there is no other.  */
+START_TEST (endpoint_is_used_again_after_its_warm_up)
+{
+  struct warmup_limit *l = make_limit (0);
+  uint32_t limit = warmup_limit_get_concurrency (l, 40, 25 * MS);
+  const struct route_ops *ops = route_find_ops (STR_LIT ("least_loaded"));
+  struct route_pool p;
+  int used = 0;
+
+  route_init_pool (&p, 9, 0, 1);
+  for (uint64_t member = 1; member <= 2; member++)
+    {
+      route_set_endpoint (&p, member, 0, -60 * S);
+      route_record_send (&p, member, 0);
+    }
+  route_record_response (&p, 1, 0, limit, 1000, 0, 0);
+  for (int i = 0; i < 100; i++)
+    {
+      int64_t now = 5 * S + i * MS;
+
+      route_record_response (&p, 2, 30, 40, 1000, now, now);
+      used += ops->choose (&p, NULL, 0, now) == 1;
+      route_record_send (&p, 2, now);
+    }
+  ck_assert_int_ge (used, 50);
+  ck_assert_uint_le (limit, 20);
+  route_close_pool (&p);
+  g_free (l);
+}
+END_TEST
+
 /* A fleet that returns cold.  A backend server that gets more than the bound in
    a second while cold crashes and is cold again.  */
 
@@ -388,6 +422,7 @@
           earlier_sends_count,
           sends_that_did_not_arrive_do_not_count,
           important_work_starts_and_hopeless_work_is_refused,
+          endpoint_is_used_again_after_its_warm_up,
           cold_fleet_starts_with_the_most_important_work };
 
   return suite_run ("warmup_limit", cases, G_N_ELEMENTS (cases));
