Report arrivals, service time and residence with responses

Cause: a load report has the requests in flight and the limit. Neither says how fast a backend server is now, nor how a report ages, so entry daemons cannot tell a slow endpoint from a quick one until its queue is long.

REQUEST carries response_max_us: a request that has to wait and is expected later than that is refused with endpoint_busy before the backend server gets it. No daemon sends the member yet.

Ruled out: the moving average mean_service_us (2% a request), which follows a change of speed only after some 50 requests.

--- a/src/err.c
+++ b/src/err.c
@@ -60,6 +60,7 @@
   [ERR_STORE_OUTCOME_UNKNOWN] = { "store_outcome_unknown", 502, MAY_HAVE_RUN, ERR_RETRY_IDEMPOTENT, RETRY_RATE_MS, "The platform's answer was lost; the write may have taken effect." },
   [ERR_NOT_FOUND] = { "not_found", 404, NOT_RUN, ERR_RETRY_NEVER, 0, "There is no such object." },
   [ERR_BACKEND_REFUSED] = { "backend_refused", 503, NOT_RUN, ERR_RETRY_LATER, RETRY_SOON_MS, "The backend server did not run the request." },
+  [ERR_ENDPOINT_BUSY] = { "endpoint_busy", 503, NOT_RUN, ERR_RETRY_LATER, RETRY_SOON_MS, "The backend server is busy and another one was expected to be sooner." },
   [ERR_PROTOCOL] = { "protocol", 502, MAY_HAVE_RUN, ERR_RETRY_NEVER, 0, "A message could not be decoded." },
 };
 /* clang-format on */
--- a/src/err.h
+++ b/src/err.h
@@ -59,6 +59,7 @@
   ERR_NOT_FOUND,
   ERR_PROTOCOL,
   ERR_BACKEND_REFUSED,
+  ERR_ENDPOINT_BUSY,
   ERR_KINDS /* number of kinds */
 };
 
--- a/src/serve.c
+++ b/src/serve.c
@@ -120,6 +120,7 @@
   hop_token_revoke (&s->shared->hop_tokens, job->hop_row, now_us, usage);
   sample.nested_us = usage->nested_us;
   s->running_jobs--;
+  load_meter_record_end (&s->load_meter, sample.service_us, now_us);
   s->mean_service_us
       += SERVE_MEAN_GAIN * ((double)sample.service_us - s->mean_service_us);
   s->limit_ops->record_completion (&s->limit, &sample, now_us);
@@ -247,6 +248,7 @@
                    now_us - job->arrived_us);
   if (job->exchange != NULL)
     {
+      load_meter_record_start (&s->load_meter, now_us);
       metrics_increment (s->shared->metric_rows.executions, 1);
       return;
     }
@@ -479,6 +481,7 @@
       http_client_unload_pool (s->http_pool);
       s->http_pool = NULL;
       s->success = (struct success_rate){ 0 };
+      s->load_meter = (struct load_meter){ 0 };
     }
   if (s->http_pool == NULL)
     s->http_pool = http_client_load_pool (
@@ -582,6 +585,18 @@
   return ERR_NONE;
 }
 
+/* Returns true if the entry daemon expects another endpoint to respond before
+   this one would.  */
+static bool
+is_sooner_elsewhere (struct serve *s, const struct wire_request *q,
+                     int64_t now_us)
+{
+  return load_meter_is_later_than (
+      &s->load_meter,
+      s->running_jobs + s->admit_ops->get_length (s->admission_queue),
+      s->limit_ops->get (&s->limit, now_us), q->response_max_us, now_us);
+}
+
 static void
 admit_job (struct serve *s, struct serve_job *job, int64_t now_us)
 {
@@ -596,7 +611,12 @@
           .expected_us = service_time_get_us (&s->service_times, q->route) };
   enum err_kind error = check_arrived_job (s, job, now_us);
 
-  s->arrivals_since_tick++;
+  load_meter_record_arrival (&s->load_meter, now_us);
+  if (error == ERR_NONE && is_sooner_elsewhere (s, q, now_us))
+    error = ERR_ENDPOINT_BUSY;
+  /* A request that is sent elsewhere is no load of this backend server.  */
+  if (error != ERR_ENDPOINT_BUSY)
+    s->arrivals_since_tick++;
   if (error == ERR_NONE)
     error = s->admit_ops->offer (s->admission_queue, &item, now_us,
                                  &job->admission_entry);
--- a/src/serve.h
+++ b/src/serve.h
@@ -13,6 +13,7 @@
 #include "concurrency_limit.h"
 #include "daemon_context.h"
 #include "http_client.h"
+#include "load_meter.h"
 #include "loop.h"
 #include "peer_link.h"
 #include "service_time.h"
@@ -86,6 +87,7 @@
   uint32_t arrivals_since_tick; /* requests */
   uint32_t arrivals_since_log;  /* requests */
   int64_t next_log_us;
+  struct load_meter load_meter;
   double mean_service_us; /* moving average of backend response times */
   struct http_client_pool *http_pool;
   struct thread_message_backend backend;
--- a/src/serve_response.c
+++ b/src/serve_response.c
@@ -61,14 +61,17 @@
   struct pressure_downstream_service services[PRESSURE_PATH_SERVICES_MAX];
   struct str_buf out = { 0 };
   struct str body = r->body;
+  int64_t now_us = clock_now_us ();
 
   r->request_id = q->request_id;
   r->attempt = q->attempt;
   r->in_flight
       = s->running_jobs + s->admit_ops->get_length (s->admission_queue);
-  r->limit = s->limit_ops->get (&s->limit, clock_now_us ());
-  r->success_permille
-      = success_rate_get_permille (&s->success, clock_now_us ());
+  r->limit = s->limit_ops->get (&s->limit, now_us);
+  r->success_permille = success_rate_get_permille (&s->success, now_us);
+  r->arrivals_per_s = load_meter_get_arrivals_per_s (&s->load_meter, now_us);
+  r->service_us = load_meter_get_service_us (&s->load_meter, now_us);
+  r->residence_us = (uint32_t)CLAMP (now_us - job->arrived_us, 0, UINT32_MAX);
   r->last_part = body.len <= WIRE_BODY_PART_MAX_BYTES;
   r->body = str_slice (body, 0, WIRE_BODY_PART_MAX_BYTES);
   add_pressure_reports (s, r, reports, services);
--- a/src/wire.c
+++ b/src/wire.c
@@ -42,7 +42,7 @@
 static void
 pack_request (msgpack_packer *p, const struct wire_request *r)
 {
-  msgpack_pack_array (p, 21);
+  msgpack_pack_array (p, 22);
   msgpack_pack_int (p, WIRE_REQUEST);
   msgpack_pack_uint64 (p, r->request_id);
   pack_attempt (p, r->attempt);
@@ -57,6 +57,7 @@
   msgpack_pack_int64 (p, r->due_in_us);
   msgpack_pack_uint32 (p, r->retry_budget);
   msgpack_pack_uint32 (p, r->depth);
+  msgpack_pack_uint32 (p, r->response_max_us);
   wire_writer_add_bool (p, r->idempotent);
   wire_writer_add_str (p, r->traceparent);
   wire_writer_add_str (p, r->caller_id);
@@ -68,7 +69,7 @@
 static void
 pack_response (msgpack_packer *p, const struct wire_response *r)
 {
-  msgpack_pack_array (p, 15);
+  msgpack_pack_array (p, 18);
   msgpack_pack_int (p, WIRE_RESPONSE);
   msgpack_pack_uint64 (p, r->request_id);
   pack_attempt (p, r->attempt);
@@ -92,6 +93,9 @@
   msgpack_pack_uint32 (p, r->in_flight);
   msgpack_pack_uint32 (p, r->limit);
   msgpack_pack_uint32 (p, r->success_permille);
+  msgpack_pack_uint32 (p, r->arrivals_per_s);
+  msgpack_pack_uint32 (p, r->service_us);
+  msgpack_pack_uint32 (p, r->residence_us);
   wire_writer_add_bool (p, r->last_part);
   wire_writer_add_bin (p, r->body);
 }
@@ -249,6 +253,7 @@
   q->due_in_us = wire_reader_read_i64 (r);
   q->retry_budget = wire_reader_read_u32 (r, 1000);
   q->depth = wire_reader_read_u32 (r, 1000);
+  q->response_max_us = wire_reader_read_u32 (r, UINT32_MAX);
   q->idempotent = wire_reader_read_bool (r);
   q->traceparent = wire_reader_read_str (r);
   q->caller_id = wire_reader_read_str (r);
@@ -273,6 +278,9 @@
   q->in_flight = wire_reader_read_u32 (r, UINT32_MAX);
   q->limit = wire_reader_read_u32 (r, UINT32_MAX);
   q->success_permille = wire_reader_read_u32 (r, SUCCESS_RATE_SCALE);
+  q->arrivals_per_s = wire_reader_read_u32 (r, UINT32_MAX);
+  q->service_us = wire_reader_read_u32 (r, UINT32_MAX);
+  q->residence_us = wire_reader_read_u32 (r, UINT32_MAX);
   q->last_part = wire_reader_read_bool (r);
   q->body = wire_reader_read_bin (r);
 }
--- a/src/wire.h
+++ b/src/wire.h
@@ -80,6 +80,9 @@
   /* largest number of retries by the nested calls of this request, in total */
   uint32_t retry_budget;
   uint32_t depth; /* 1 for a request that is not a nested call */
+  /* if the request has to wait and its response is expected later than this,
+     the serving daemon refuses it with ERR_ENDPOINT_BUSY; 0: never */
+  uint32_t response_max_us;
   bool idempotent;
   struct str traceparent;
   struct str caller_id;      /* the caller's own id of the attempt, or empty */
@@ -109,6 +112,9 @@
                          runs concurrently */
   uint32_t success_permille; /* share of requests that its backend server did
                                 lately; see success_rate.h */
+  uint32_t arrivals_per_s;   /* requests from all daemons; see load_meter.h */
+  uint32_t service_us;       /* service time; 0: not known yet */
+  uint32_t residence_us;     /* time of the request at the serving daemon */
   bool last_part;            /* no WIRE_BODY message follows */
   struct str body;
 };
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -33,6 +33,7 @@
                                        .timeout_us = -5,
                                        .retry_budget = 2,
                                        .depth = 17,
+                                       .response_max_us = 70000,
                                        .traceparent = STR_EMPTY,
                                        .last_part = true,
                                        .body = { 3, "a\0b" } };
@@ -59,6 +60,38 @@
   ck_assert (str_equal (out.u.request.headers[0].value, headers[0].value));
   ck_assert_int_eq (out.u.request.timeout_us, -5);
   ck_assert_uint_eq (out.u.request.depth, 17);
+  ck_assert_uint_eq (out.u.request.response_max_us, 70000);
+  wire_unload_message (&out);
+  str_reset (&b);
+}
+END_TEST
+
+/* Guards against members of a load report that are swapped: an entry daemon
+   would take a rate for a time.  */
+START_TEST (load_report_round_trip)
+{
+  struct wire_message in = { .type = WIRE_RESPONSE }, out;
+  struct str_buf b = { 0 };
+
+  in.u.response = (struct wire_response){ .error = ERR_ENDPOINT_BUSY,
+                                          .in_flight = 12,
+                                          .limit = 8,
+                                          .success_permille = 990,
+                                          .arrivals_per_s = 400,
+                                          .service_us = 20000,
+                                          .residence_us = 31000,
+                                          .last_part = true,
+                                          .body = STR_EMPTY };
+  wire_append_message (&b, &in);
+  ck_assert (wire_load_message (
+      &out, str_slice (str_view (&b), FRAME_HEADER_BYTES, b.len)));
+  ck_assert_int_eq (out.u.response.error, ERR_ENDPOINT_BUSY);
+  ck_assert_uint_eq (out.u.response.in_flight, 12);
+  ck_assert_uint_eq (out.u.response.limit, 8);
+  ck_assert_uint_eq (out.u.response.success_permille, 990);
+  ck_assert_uint_eq (out.u.response.arrivals_per_s, 400);
+  ck_assert_uint_eq (out.u.response.service_us, 20000);
+  ck_assert_uint_eq (out.u.response.residence_us, 31000);
   wire_unload_message (&out);
   str_reset (&b);
 }
@@ -127,6 +160,7 @@
   int failed;
 
   tcase_add_test (tc, request_round_trip);
+  tcase_add_test (tc, load_report_round_trip);
   tcase_add_test (tc, malformed_frames_are_rejected_or_decoded);
   tcase_add_test (tc, frame_length_is_limited);
   suite_add_tcase (suite, tc);
