Choose endpoints by expected response time: policy even_load

Cause: least_loaded compares reported requests in flight as if every report were new, and as if endpoints were equally fast.

A choice by stale reports alone does not come near fresh knowledge: an endpoint that has become slow gets its share until its senders hear of it.

Change: even_load draws a few endpoints in proportion to capacity, corrected by a use that persists, and compares expected response times from reports interpreted by their age. The request carries the response time that another endpoint is expected to offer; a serving daemon without a free slot that expects to be later refuses it, and it goes elsewhere at no retry budget, at most three times. A request leaves the failure domain only for a gain in response time, the measured distance included. Metrics count crossing attempts and refusals, a log line shows what a daemon believes of an endpoint. The built-in policy remains least_loaded.

--- a/src/daemon_metrics.h
+++ b/src/daemon_metrics.h
@@ -20,6 +20,10 @@
   struct metrics_row *call_time;
   struct metrics_row *attempts;
   struct metrics_row *retries;
+  /* attempts sent to another failure domain */
+  struct metrics_row *attempts_crossing;
+  /* attempts refused because another endpoint was expected to be sooner */
+  struct metrics_row *refusals_busy;
   struct metrics_row *queries; /* requests for the outcome of an attempt */
   struct metrics_row *late_responses;
   struct metrics_row *bad_frames;
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -5,6 +5,8 @@
 #include "dispatch.h"
 
 #include "clock.h"
+#include "logger.h"
+#include "route_even.h"
 
 #include <glib.h>
 #include <string.h>
@@ -178,6 +180,7 @@
     .due_in_us = get_due_us (call) - now_us,
     .retry_budget = call->attempt_budget,
     .depth = call->depth,
+    .response_max_us = call->response_max_us,
     .idempotent = call->route->idempotent,
     .traceparent = str_view (&parent),
     .caller_id = call->caller_headers.id,
@@ -195,6 +198,20 @@
   str_reset (&parent);
 }
 
+/* Returns the response time beyond which the serving daemon may refuse the
+   attempt, or 0 for the last attempt that is free of charge after refusals:
+   that one stays where it is.  */
+static uint32_t
+get_response_max_us (const struct front *f, const struct front_call *call,
+                     struct front_service *service, int64_t now_us)
+{
+  if (f->route_ops->get_response_max_us == NULL
+      || call->attempts + 1 >= RETRY_POLICY_FREE_ATTEMPTS)
+    return 0;
+  return f->route_ops->get_response_max_us (
+      &service->pool, call->tried, call->tried_len, call->member, now_us);
+}
+
 static void
 start_attempt (struct front *f, struct front_call *call,
                struct front_service *service, struct front_peer *peer,
@@ -207,6 +224,7 @@
   call->attempt_budget = retry_budget_allocate_attempt (&call->budget);
   call->sent_us = now_us;
   call->receiving = false;
+  call->response_max_us = get_response_max_us (f, call, service, now_us);
   call->attempts++;
   if (call->tried_len < FRONT_TRIED_MAX)
     call->tried[call->tried_len++] = peer->member;
@@ -216,6 +234,8 @@
   else
     metrics_increment (f->shared->metric_rows.retries, 1);
   metrics_increment (f->shared->metric_rows.attempts, 1);
+  if (route_is_crossing (&service->pool, peer->member))
+    metrics_increment (f->shared->metric_rows.attempts_crossing, 1);
   front_set_state (f, call, FRONT_SENT);
   send_request (f, call, now_us);
 }
@@ -232,6 +252,10 @@
   if (service != NULL)
     member = f->route_ops->choose (&service->pool, call->tried,
                                    call->tried_len, now_us);
+  /* A busy endpoint is better than none if the others have gone since.  */
+  if (service != NULL && member == 0
+      && call->attempt_error == ERR_ENDPOINT_BUSY)
+    member = f->route_ops->choose (&service->pool, NULL, 0, now_us);
   if (member == 0)
     {
       front_fail (f, call,
@@ -268,12 +292,24 @@
 
   if (service == NULL)
     return;
-  if (answered && !is_endpoint_unavailable (r->error))
+  if (!answered || is_endpoint_unavailable (r->error))
+    {
+      route_record_failure (&service->pool, call->member, now_us);
+      return;
+    }
+  if (r->error == ERR_ENDPOINT_BUSY)
+    {
+      metrics_increment (f->shared->metric_rows.refusals_busy, 1);
+      route_record_refusal (&service->pool, call->member, r->in_flight,
+                            r->limit, r->success_permille, now_us);
+    }
+  else
     route_record_response (&service->pool, call->member, r->in_flight,
                            r->limit, r->success_permille, call->sent_us,
                            now_us);
-  else
-    route_record_failure (&service->pool, call->member, now_us);
+  if (r->limit > 0)
+    route_record_rates (&service->pool, call->member, r->arrivals_per_s,
+                        r->service_us, r->residence_us, call->sent_us, now_us);
 }
 
 static void
@@ -290,6 +326,9 @@
   if (call->workspace.len == 0 || call->hop_row != 0)
     pressure_record_downstream (&f->shared->downstream_pressures, r->pressures,
                                 r->pressures_len, now_us);
+  /* The next attempt decides.  */
+  if (r->error == ERR_ENDPOINT_BUSY)
+    return;
   feedback_record_outcome (
       &f->feedback, call->route->name, call->workspace, call->importance,
       r->error != ERR_OVERLOADED && r->error != ERR_DEADLINE_NOT_RUN, now_us);
@@ -527,6 +566,28 @@
     }
 }
 
+static void
+log_belief (const struct front_service *service,
+            const struct route_endpoint *e, int64_t now_us)
+{
+  struct route_even_belief b
+      = route_even_get_belief (&service->pool, e, now_us);
+  char member[17];
+
+  g_snprintf (member, sizeof member, "%016" G_GINT64_MODIFIER "x",
+              (guint64)e->member);
+  LOGGER_WRITE (
+      LOGGER_INFO, "endpoint_believed", LOGGER_TEXT ("service", service->name),
+      LOGGER_TEXT ("member", str_from_cstr (member)),
+      LOGGER_NUMBER ("in_flight", (int64_t)(b.in_flight + 0.5)),
+      LOGGER_NUMBER ("limit", (int64_t)(b.limit + 0.5)),
+      LOGGER_NUMBER ("service_us", (int64_t)b.service_us),
+      LOGGER_NUMBER ("wait_us", (int64_t)b.wait_us),
+      LOGGER_NUMBER ("distance_us", (int64_t)e->distance_us),
+      LOGGER_NUMBER ("own", e->outstanding),
+      LOGGER_NUMBER ("age_ms", (now_us - e->reported_us) / CLOCK_US_PER_MS));
+}
+
 /* Public functions */
 
 void
@@ -611,6 +672,35 @@
   expire_queries (f, now_us);
 }
 
+/**
+ * dispatch_log_beliefs - logs what the policy even_load believes
+ * @f: front
+ * @now_us: current time
+ *
+ * Logs one endpoint of each service in use, the next one with each call, so
+ * that a daemon writes few lines.
+ */
+void
+dispatch_log_beliefs (struct front *f, int64_t now_us)
+{
+  struct front_service *service;
+
+  if (f->route_ops->get_response_max_us == NULL)
+    return;
+  for (uint64_t id = table_next (&f->services, 0, (void **)&service); id != 0;
+       id = table_next (&f->services, id, (void **)&service))
+    {
+      const struct route_endpoint *e = NULL;
+
+      if (service->pool.subset_len > 0)
+        e = table_get (&service->pool.endpoints,
+                       service->pool.subset[service->log_turn++
+                                            % service->pool.subset_len]);
+      if (e != NULL && route_has_recent_report (e, now_us))
+        log_belief (service, e, now_us);
+    }
+}
+
 void
 dispatch_cancel (struct front *f, struct front_call *call)
 {
--- a/src/front.c
+++ b/src/front.c
@@ -385,6 +385,7 @@
     return;
   f->next_log_us = now_us + FRONT_LOG_US;
   log_shed_requests (f, now_us);
+  dispatch_log_beliefs (f, now_us);
   for (int i = 0; i < FRONT_SOURCE_COUNT; i++)
     report_listener (f, (enum front_source)i);
 }
--- a/src/front.h
+++ b/src/front.h
@@ -103,6 +103,9 @@
   uint64_t member; /* serving daemon; 0: no attempt in progress */
   uint64_t link;
   uint32_t attempt_budget; /* retry budget sent with the attempt */
+  /* the serving daemon refuses the attempt if it expects its response later
+     than this; 0: never */
+  uint32_t response_max_us;
   int64_t sent_us;
   int64_t query_deadline_us;
   enum err_kind attempt_error; /* of the last attempt that failed */
@@ -128,6 +131,7 @@
 {
   struct str name; /* owned */
   struct route_pool pool;
+  uint32_t log_turn; /* next endpoint of the pool's subset to log */
 };
 
 /* An exchange that waits until the store has a drain or leave.  */
--- a/src/retry_policy.c
+++ b/src/retry_policy.c
@@ -9,10 +9,6 @@
 /* Largest number of attempts under the per_hop policy: the default of many
    client libraries.  */
 #define PER_HOP_ATTEMPTS 3u
-/* Number of attempts below which a retry costs no budget if a serving daemon
-   rejected the attempt.  Few retries suffice: a view of the fleet that is some
-   seconds old has few wrong endpoints.  */
-#define FREE_RETRY_ATTEMPTS 4u
 /* Ratio of the longest to the shortest Retry-After time: the retries of
    callers that were refused together are spread over twice the shortest
    time.  */
@@ -33,6 +29,7 @@
     case ERR_NO_BACKEND:
     case ERR_OVERLOADED:
     case ERR_BACKEND_REFUSED:
+    case ERR_ENDPOINT_BUSY:
       return true;
     case ERR_BACKEND_FAILED:
     case ERR_OUTCOME_UNKNOWN:
@@ -53,6 +50,7 @@
     case ERR_BACKEND_UNREACHABLE:
     case ERR_SHUTTING_DOWN:
     case ERR_NO_BACKEND:
+    case ERR_ENDPOINT_BUSY:
       return true;
     default:
       return false;
@@ -65,7 +63,7 @@
 allow_budget (const struct retry_policy_failure *failure, int64_t now_us)
 {
   if (is_rejected_by_daemon (failure)
-      && failure->attempts < FREE_RETRY_ATTEMPTS)
+      && failure->attempts < RETRY_POLICY_FREE_ATTEMPTS)
     return true;
   if (failure->error == ERR_OVERLOADED || !is_safe_to_retry (failure)
       || failure->pool->left == 0)
@@ -78,6 +76,8 @@
 static bool
 allow_per_hop (const struct retry_policy_failure *failure, int64_t now_us)
 {
+  if (failure->error == ERR_ENDPOINT_BUSY)
+    return failure->attempts < RETRY_POLICY_FREE_ATTEMPTS;
   return failure->attempts < PER_HOP_ATTEMPTS && is_safe_to_retry (failure);
 }
 
--- a/src/retry_policy.h
+++ b/src/retry_policy.h
@@ -10,6 +10,13 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* Constants */
+
+/* Number of attempts below which a retry costs no budget if a serving daemon
+   rejected the attempt.  Few retries suffice: a view of the fleet that is some
+   seconds old has few wrong endpoints.  */
+#define RETRY_POLICY_FREE_ATTEMPTS 4u
+
 /* Types */
 
 /* A failed attempt.  */
--- a/src/route.c
+++ b/src/route.c
@@ -5,8 +5,10 @@
 
 #include "route.h"
 
+#include "route_even.h"
 #include "success_rate.h"
 
+#include <math.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -45,29 +47,13 @@
 #define UNRESPONSIVE_MIN_US 150000
 /* Weight of one response in the moving average of the response time.  */
 #define MEAN_RESPONSE_GAIN 0.05
-
-/* Types */
-
-/* Candidates for one request.  */
-struct candidates
-{
-  /* neither in backoff, unresponsive nor failing */
-  struct route_endpoint *available[ROUTE_SUBSET_MAX];
-  uint32_t available_len;
-  /* those of `available` in this daemon's failure domain */
-  struct route_endpoint *local[ROUTE_SUBSET_MAX];
-  uint32_t local_len;
-  /* endpoint whose backoff ends first, or NULL; used only if there is no other
-     candidate */
-  struct route_endpoint *earliest_retry;
-  uint32_t best_success; /* largest success rate of those not in backoff */
-  /* used only if those in `available` are busy */
-  struct route_endpoint *failing[ROUTE_SUBSET_MAX];
-  uint32_t failing_len;
-  /* used only if `available` is empty */
-  struct route_endpoint *unresponsive[ROUTE_SUBSET_MAX];
-  uint32_t unresponsive_len;
-};
+/* Weight of a longer distance in its estimate; a shorter one replaces it.  The
+   difference between both is the time in the queues of the threads, which the
+   shortest ones do not contain.  */
+#define DISTANCE_GAIN_UP 0.01
+/* Time over which the use of an endpoint is averaged: several times the age of
+   reports and the time for which a backend server is slow.  */
+#define USE_AVERAGE_US 2000000.0
 
 /* State */
 
@@ -180,8 +166,8 @@
 
 /* Internal functions: endpoints */
 
-static bool
-is_disabled (const struct route_pool *p, enum route_rule rule)
+bool
+route_is_disabled (const struct route_pool *p, enum route_rule rule)
 {
   return (p->disabled_rules & rule) != 0;
 }
@@ -259,20 +245,20 @@
   return false;
 }
 
-static double
-get_slow_start_weight (const struct route_pool *p,
-                       const struct route_endpoint *e, int64_t now_us)
+double
+route_get_slow_start_weight (const struct route_pool *p,
+                             const struct route_endpoint *e, int64_t now_us)
 {
   double age_us = (double)(now_us - e->announced_us);
 
-  if (is_disabled (p, ROUTE_RULE_SLOW_START))
+  if (route_is_disabled (p, ROUTE_RULE_SLOW_START))
     return 1;
   return CLAMP (age_us / ROUTE_SLOW_START_US, ROUTE_SLOW_START_WEIGHT_MIN,
                 1.0);
 }
 
-static bool
-has_recent_report (const struct route_endpoint *e, int64_t now_us)
+bool
+route_has_recent_report (const struct route_endpoint *e, int64_t now_us)
 {
   return now_us - e->reported_us <= ROUTE_REPORT_MAX_AGE_US;
 }
@@ -288,9 +274,9 @@
   double limit = e->limit > 0 ? e->limit : ROUTE_LIMIT_DEFAULT;
   double busy = e->outstanding;
 
-  if (has_recent_report (e, now_us))
+  if (route_has_recent_report (e, now_us))
     busy = MAX (busy, e->in_flight);
-  return (busy + 1) / (limit * get_slow_start_weight (p, e, now_us));
+  return (busy + 1) / (limit * route_get_slow_start_weight (p, e, now_us));
 }
 
 /* Returns true if the endpoint has outstanding requests and has not responded
@@ -304,30 +290,31 @@
 
   return e->outstanding > 0 && p->mean_response_us > 0
          && (double)(now_us - e->no_response_since_us) > limit_us
-         && !is_disabled (p, ROUTE_RULE_UNRESPONSIVE);
+         && !route_is_disabled (p, ROUTE_RULE_UNRESPONSIVE);
 }
 
 static bool
 is_in_backoff (const struct route_pool *p, const struct route_endpoint *e,
                int64_t now_us)
 {
-  return now_us < e->backoff_until_us && !is_disabled (p, ROUTE_RULE_BACKOFF);
+  return now_us < e->backoff_until_us
+         && !route_is_disabled (p, ROUTE_RULE_BACKOFF);
 }
 
 /* Returns true if the endpoint fails far more often than the best one.  One
    without a recent report is tried, so that the end of its failures is
    noticed.  */
 static bool
-is_failing (const struct route_pool *p, const struct candidates *c,
+is_failing (const struct route_pool *p, const struct route_candidates *c,
             const struct route_endpoint *e, int64_t now_us)
 {
-  return has_recent_report (e, now_us)
+  return route_has_recent_report (e, now_us)
          && e->success_permille < c->best_success * SUCCESS_FACTOR
-         && !is_disabled (p, ROUTE_RULE_SUCCESS);
+         && !route_is_disabled (p, ROUTE_RULE_SUCCESS);
 }
 
 static void
-add_candidate (const struct route_pool *p, struct candidates *c,
+add_candidate (const struct route_pool *p, struct route_candidates *c,
                struct route_endpoint *e, int64_t now_us)
 {
   if (is_in_backoff (p, e, now_us))
@@ -348,15 +335,15 @@
       return;
     }
   c->available[c->available_len++] = e;
-  if (e->domain == p->domain && !is_disabled (p, ROUTE_RULE_DOMAIN))
+  if (e->domain == p->domain && !route_is_disabled (p, ROUTE_RULE_DOMAIN))
     c->local[c->local_len++] = e;
 }
 
-static struct candidates
-collect_candidates (struct route_pool *p, const uint64_t *tried,
-                    uint32_t tried_len, int64_t now_us)
+struct route_candidates
+route_collect_candidates (struct route_pool *p, const uint64_t *tried,
+                          uint32_t tried_len, int64_t now_us)
 {
-  struct candidates c = { .available_len = 0 };
+  struct route_candidates c = { .available_len = 0 };
 
   build_subset (p);
   for (uint32_t i = 0; i < p->subset_len; i++)
@@ -364,8 +351,8 @@
       struct route_endpoint *e = table_get (&p->endpoints, p->subset[i]);
 
       if (!is_tried (e->member, tried, tried_len)
-          && has_recent_report (e, now_us) && !is_in_backoff (p, e, now_us)
-          && !is_unresponsive (p, e, now_us))
+          && route_has_recent_report (e, now_us)
+          && !is_in_backoff (p, e, now_us) && !is_unresponsive (p, e, now_us))
         c.best_success = MAX (c.best_success, e->success_permille);
     }
   for (uint32_t i = 0; i < p->subset_len; i++)
@@ -384,6 +371,15 @@
   return from[g_rand_int_range (p->rand, 0, (gint32)len)];
 }
 
+uint64_t
+route_choose_last_resort (struct route_pool *p,
+                          const struct route_candidates *c)
+{
+  if (c->unresponsive_len > 0)
+    return pick (p, c->unresponsive, c->unresponsive_len)->member;
+  return c->earliest_retry != NULL ? c->earliest_retry->member : 0;
+}
+
 /* Returns true if the request should go to `other` instead of `first`.
    Traffic between failure domains costs bytes and time, so an endpoint in
    another domain is better only if the local one is well used and clearly
@@ -396,7 +392,7 @@
   double other_load = get_load (p, other, now_us);
 
   if (first->domain != p->domain || other->domain == p->domain
-      || is_disabled (p, ROUTE_RULE_DOMAIN))
+      || route_is_disabled (p, ROUTE_RULE_DOMAIN))
     return other_load < load;
   return load > LOCAL_LOAD_MAX && other_load < load * REMOTE_LOAD_FACTOR;
 }
@@ -404,7 +400,7 @@
 /* Returns a random candidate other than `first`, or `first` if there is no
    other.  */
 static struct route_endpoint *
-pick_other (struct route_pool *p, const struct candidates *c,
+pick_other (struct route_pool *p, const struct route_candidates *c,
             struct route_endpoint *first)
 {
   struct route_endpoint *other;
@@ -419,14 +415,15 @@
    is in the daemon's failure domain if possible and is used unless the second
    is better.  */
 static struct route_endpoint *
-pick_of_two (struct route_pool *p, const struct candidates *c, int64_t now_us)
+pick_of_two (struct route_pool *p, const struct route_candidates *c,
+             int64_t now_us)
 {
   struct route_endpoint *first
       = c->local_len > 0 ? pick (p, c->local, c->local_len)
                          : pick (p, c->available, c->available_len);
   struct route_endpoint *second = pick_other (p, c, first);
 
-  if (is_disabled (p, ROUTE_RULE_LOAD))
+  if (route_is_disabled (p, ROUTE_RULE_LOAD))
     return second;
   return is_better (p, first, second, now_us) ? second : first;
 }
@@ -435,7 +432,8 @@
 choose_least_loaded (struct route_pool *p, const uint64_t *tried,
                      uint32_t tried_len, int64_t now_us)
 {
-  struct candidates c = collect_candidates (p, tried, tried_len, now_us);
+  struct route_candidates c
+      = route_collect_candidates (p, tried, tried_len, now_us);
   struct route_endpoint *chosen = NULL;
 
   if (c.available_len > 0)
@@ -450,11 +448,7 @@
       if (get_load (p, failing, now_us) < get_load (p, chosen, now_us))
         chosen = failing;
     }
-  if (chosen != NULL)
-    return chosen->member;
-  if (c.unresponsive_len > 0)
-    return pick (p, c.unresponsive, c.unresponsive_len)->member;
-  return c.earliest_retry != NULL ? c.earliest_retry->member : 0;
+  return chosen != NULL ? chosen->member : route_choose_last_resort (p, &c);
 }
 
 static uint64_t
@@ -482,6 +476,9 @@
 
 static const struct route_ops policies[] = {
   { .name = STR_LIT ("least_loaded"), .choose = choose_least_loaded },
+  { .name = STR_LIT ("even_load"),
+    .choose = route_even_choose,
+    .get_response_max_us = route_even_get_response_max_us },
   { .name = STR_LIT ("round_robin"), .choose = choose_round_robin },
 };
 
@@ -501,6 +498,22 @@
     e->outstanding--;
 }
 
+/* Adds the last report to the moving average of the use.  */
+static void
+update_use (struct route_endpoint *e, int64_t now_us)
+{
+  double use = MIN ((double)e->arrivals_per_s * e->service_us
+                        / (MAX (e->limit, 1) * (double)G_USEC_PER_SEC),
+                    1);
+  double age_us = (double)(now_us - e->use_updated_us);
+
+  if (e->use_updated_us == 0)
+    e->use = use;
+  else
+    e->use += (1 - exp (-age_us / USE_AVERAGE_US)) * (use - e->use);
+  e->use_updated_us = now_us;
+}
+
 /* Public functions: matching */
 
 void
@@ -731,6 +744,7 @@
 
   if (e == NULL)
     return;
+  e->sent_since_report++;
   if (e->outstanding++ == 0)
     e->no_response_since_us = now_us;
   if (e->consecutive_failures > 0)
@@ -743,17 +757,40 @@
                        uint32_t success_permille, int64_t sent_us,
                        int64_t now_us)
 {
-  struct route_endpoint *e = find_endpoint (p, member);
   double response_us = (double)MAX (now_us - sent_us, 1);
 
-  if (e == NULL)
+  if (find_endpoint (p, member) == NULL)
     return;
-  decrement_outstanding (e);
-  e->no_response_since_us = now_us;
   if (p->mean_response_us == 0)
     p->mean_response_us = response_us;
   p->mean_response_us
       += MEAN_RESPONSE_GAIN * (response_us - p->mean_response_us);
+  route_record_refusal (p, member, in_flight, limit, success_permille, now_us);
+}
+
+/**
+ * route_record_refusal - records a response that was given at once
+ * @p: pool
+ * @member: endpoint
+ * @in_flight: load report
+ * @limit: load report; 0: none
+ * @success_permille: load report
+ * @now_us: current time
+ *
+ * Unlike route_record_response, this does not count in the mean response time:
+ * refusals would make it so short that busy endpoints look unresponsive.
+ */
+void
+route_record_refusal (struct route_pool *p, uint64_t member,
+                      uint32_t in_flight, uint32_t limit,
+                      uint32_t success_permille, int64_t now_us)
+{
+  struct route_endpoint *e = find_endpoint (p, member);
+
+  if (e == NULL)
+    return;
+  decrement_outstanding (e);
+  e->no_response_since_us = now_us;
   e->consecutive_failures = 0;
   e->backoff_until_us = 0;
   if (limit == 0)
@@ -762,6 +799,25 @@
   e->limit = limit;
   e->success_permille = success_permille;
   e->reported_us = now_us;
+  e->sent_since_report = 0;
+}
+
+void
+route_record_rates (struct route_pool *p, uint64_t member,
+                    uint32_t arrivals_per_s, uint32_t service_us,
+                    int64_t residence_us, int64_t sent_us, int64_t now_us)
+{
+  struct route_endpoint *e = find_endpoint (p, member);
+  double distance_us = (double)MAX (now_us - sent_us - residence_us, 1);
+
+  if (e == NULL)
+    return;
+  e->arrivals_per_s = arrivals_per_s;
+  e->service_us = service_us;
+  update_use (e, now_us);
+  if (e->distance_us == 0 || distance_us < e->distance_us)
+    e->distance_us = distance_us;
+  e->distance_us += DISTANCE_GAIN_UP * (distance_us - e->distance_us);
 }
 
 void
@@ -776,6 +832,14 @@
   e->backoff_until_us = now_us + get_backoff_us (e);
 }
 
+bool
+route_is_crossing (const struct route_pool *p, uint64_t member)
+{
+  const struct route_endpoint *e = find_endpoint (p, member);
+
+  return e != NULL && e->domain != p->domain;
+}
+
 void
 route_record_cancel (struct route_pool *p, uint64_t member, int64_t sent_us,
                      int64_t now_us)
--- a/src/route.h
+++ b/src/route.h
@@ -57,7 +57,7 @@
 
 /* Types: endpoints */
 
-/* Rules of the least_loaded policy.  Tests can disable each of them.  */
+/* Rules of the least_loaded and even_load policies.  Tests can disable each of them.  */
 enum route_rule
 {
   ROUTE_RULE_LOAD = 1,          /* choose the less loaded of two endpoints */
@@ -65,7 +65,8 @@
   ROUTE_RULE_BACKOFF = 4,       /* skip endpoints that failed recently */
   ROUTE_RULE_SLOW_START = 8,    /* send fewer requests to new endpoints */
   ROUTE_RULE_UNRESPONSIVE = 16, /* skip endpoints that stopped responding */
-  ROUTE_RULE_SUCCESS = 32       /* skip endpoints that fail more than others */
+  ROUTE_RULE_SUCCESS = 32,      /* skip endpoints that fail more than others */
+  ROUTE_RULE_AGE = 64           /* even_load: interpret reports by their age */
 };
 
 struct route_endpoint
@@ -81,6 +82,16 @@
   uint32_t limit;
   uint32_t success_permille; /* share of its requests that succeed */
   int64_t reported_us;       /* time of that report */
+  uint32_t arrivals_per_s;   /* of all daemons, in that report */
+  /* share of its capacity that all daemons use, moving average */
+  double use;
+  int64_t use_updated_us; /* time of the last report in it; 0: none */
+  /* service time in that report; 0: none */
+  uint32_t service_us;
+  uint32_t sent_since_report; /* requests sent from this pool since then */
+  /* round trip without the time at the serving daemon, low estimate; 0: not
+     measured */
+  double distance_us;
   /* time of the last response, or of the first outstanding request if that is
      later */
   int64_t no_response_since_us;
@@ -105,6 +116,27 @@
   uint32_t disabled_rules; /* bits of enum route_rule; 0 outside tests */
 };
 
+/* Candidates for one request.  */
+struct route_candidates
+{
+  /* neither in backoff, unresponsive nor failing */
+  struct route_endpoint *available[ROUTE_SUBSET_MAX];
+  uint32_t available_len;
+  /* those of `available` in this daemon's failure domain */
+  struct route_endpoint *local[ROUTE_SUBSET_MAX];
+  uint32_t local_len;
+  /* endpoint whose backoff ends first, or NULL; used only if there is no other
+     candidate */
+  struct route_endpoint *earliest_retry;
+  uint32_t best_success; /* largest success rate of those not in backoff */
+  /* used only if those in `available` are busy */
+  struct route_endpoint *failing[ROUTE_SUBSET_MAX];
+  uint32_t failing_len;
+  /* used only if `available` is empty */
+  struct route_endpoint *unresponsive[ROUTE_SUBSET_MAX];
+  uint32_t unresponsive_len;
+};
+
 struct route_ops
 {
   struct str name;
@@ -112,6 +144,12 @@
      are not chosen again.  */
   uint64_t (*choose) (struct route_pool *p, const uint64_t *tried,
                       uint32_t tried_len, int64_t now_us);
+  /* Returns the response time up to which the request should stay at the
+     chosen member rather than be refused there, since another endpoint is
+     expected to be sooner; 0: it should stay.  May be NULL.  */
+  uint32_t (*get_response_max_us) (struct route_pool *p, const uint64_t *tried,
+                                   uint32_t tried_len, uint64_t chosen,
+                                   int64_t now_us);
 };
 
 /* Public functions: matching */
@@ -134,8 +172,8 @@
 
 /* Public functions: endpoints */
 
-/* Returns the policy with a name ("least_loaded" or "round_robin"), or
-   NULL.  */
+/* Returns the policy with a name ("least_loaded", "even_load" or
+   "round_robin"), or NULL.  */
 const struct route_ops *route_find_ops (struct str name);
 void route_init_pool (struct route_pool *p, uint64_t self, uint32_t domain,
                       uint32_t seed);
@@ -152,6 +190,18 @@
                             uint32_t in_flight, uint32_t limit,
                             uint32_t success_permille, int64_t sent_us,
                             int64_t now_us);
+/* Records that an endpoint refused a request because another one was expected
+   to be sooner, with its load report.  */
+void route_record_refusal (struct route_pool *p, uint64_t member,
+                           uint32_t in_flight, uint32_t limit,
+                           uint32_t success_permille, int64_t now_us);
+/* Records the rest of the load report of a response, after
+   route_record_response or route_record_refusal.  residence_us is the time that the request spent at
+   the serving daemon.  */
+void route_record_rates (struct route_pool *p, uint64_t member,
+                         uint32_t arrivals_per_s, uint32_t service_us,
+                         int64_t residence_us, int64_t sent_us,
+                         int64_t now_us);
 /* Records a failed connect, a broken link or an endpoint that accepts no new
    requests.  */
 void route_record_failure (struct route_pool *p, uint64_t member,
@@ -162,4 +212,28 @@
 void route_record_cancel (struct route_pool *p, uint64_t member,
                           int64_t sent_us, int64_t now_us);
 
+/* Returns true if the member is an endpoint in another failure domain than
+   this daemon.  */
+bool route_is_crossing (const struct route_pool *p, uint64_t member);
+
+/* Functions for the policies */
+
+/* Sorts the endpoints that may be chosen by the rules that exclude them.  */
+struct route_candidates route_collect_candidates (struct route_pool *p,
+                                                  const uint64_t *tried,
+                                                  uint32_t tried_len,
+                                                  int64_t now_us);
+/* Returns the endpoint to use if all candidates other than the available ones
+   were skipped, or 0: an unresponsive one, or that whose backoff ends first. */
+uint64_t route_choose_last_resort (struct route_pool *p,
+                                   const struct route_candidates *c);
+/* Returns the share of its work that a new endpoint gets, up to 1.  */
+double route_get_slow_start_weight (const struct route_pool *p,
+                                    const struct route_endpoint *e,
+                                    int64_t now_us);
+/* Returns true if the last load report is recent enough to be used.  */
+bool route_has_recent_report (const struct route_endpoint *e, int64_t now_us);
+/* Returns true if a test has disabled the rule.  */
+bool route_is_disabled (const struct route_pool *p, enum route_rule rule);
+
 #endif
--- a/src/settings.c
+++ b/src/settings.c
@@ -104,7 +104,7 @@
   { "trace.sample_ratio", TYPE_RATIO, 0, 1, NULL, "0.01", OFFSET (trace.sample_ratio), "Fraction of the traces begun by this daemon that are recorded." },
   { "policy.admit", TYPE_CHOICE, 0, 0, "priority, urgency, naive", "\"priority\"", OFFSET (policy.admit), "Admission policy for requests to the backend server." },
   { "policy.limit", TYPE_CHOICE, 0, 0, "adaptive, fixed", "\"adaptive\"", OFFSET (policy.limit), "Policy for the concurrency limit of the backend server." },
-  { "policy.route", TYPE_CHOICE, 0, 0, "least_loaded, round_robin", "\"least_loaded\"", OFFSET (policy.route), "Policy for the choice of the endpoint for a request." },
+  { "policy.route", TYPE_CHOICE, 0, 0, "least_loaded, even_load, round_robin", "\"least_loaded\"", OFFSET (policy.route), "Policy for the choice of the endpoint for a request." },
   { "policy.retry", TYPE_CHOICE, 0, 0, "budget, per_hop", "\"budget\"", OFFSET (policy.retry), "Policy that limits retries." },
   { "limits.headers_bytes", TYPE_INTEGER, KIB, 256 * KIB, NULL, "32768", OFFSET (limits.headers_bytes), "Maximum size of the headers of a request." },
   { "limits.body_bytes", TYPE_INTEGER, 0, 8 * MIB, NULL, "8388608", OFFSET (limits.body_bytes), "Maximum size of the body of a request." },
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -8,6 +8,7 @@
 #define KEY "av_k1_0123456789abcdef0123"
 #define AUTHORIZATION "Authorization: Bearer " KEY
 #define SERVERS 2
+#define SLOTS 32
 #define SEED "4242"
 
 struct fixture
@@ -40,9 +41,10 @@
 }
 
 static void
-start_server (struct fixture *f, int i, const char *members,
+start_server (struct fixture *f, int i, const char *members, int slots,
               const char *service_time)
 {
+  char *slots_option = g_strdup_printf ("--slots=%d", slots);
   char *id = g_strdup_printf ("d%d", i + 2);
   char *domain = g_strdup_printf ("fd%d", i + 2);
   char *log = g_strdup_printf ("%s/backend%d.log", f->dir, i);
@@ -55,8 +57,9 @@
   port = g_strdup_printf ("--port=%u", f->ports[i]);
   f->backends[i] = process_start (
       log, "backend", "--service=booking", "--address=127.0.0.1", port, local,
-      "--slots=32", "--queue=100", "--connections=64", time, "--seed=1", NULL);
+      slots_option, "--queue=100", "--connections=64", time, "--seed=1", NULL);
   process_wait_for_status (f->ports[i], "/executions", 200);
+  g_free (slots_option);
   g_free (id);
   g_free (domain);
   g_free (log);
@@ -66,14 +69,15 @@
 }
 
 static struct fixture
-start (const char *service_time)
+start_with (const char *route_policy, int slots, const char *service_time)
 {
   struct fixture f = { .dir = process_make_dir () };
   char *members;
 
   write_inventory (f.dir);
-  members
-      = g_strdup_printf (",\"inventory_file\":\"%s/inventory.json\"", f.dir);
+  members = g_strdup_printf (",\"inventory_file\":\"%s/"
+                             "inventory.json\",\"policy\":{\"route\":\"%s\"}",
+                             f.dir, route_policy);
   process_start_daemon (&f.entry_daemon, f.dir, "d1", "fd1", members);
   g_free (members);
   members = g_strdup_printf (
@@ -81,13 +85,19 @@
       "\"127.0.0.1\",\"port\":%u}]",
       f.dir, f.entry_daemon.control_port);
   for (int i = 0; i < SERVERS; i++)
-    start_server (&f, i, members, service_time);
+    start_server (&f, i, members, slots, service_time);
   g_free (members);
   process_wait_for_text (f.entry_daemon.local_port, "/almondvale/status",
                          "\"endpoints\" : 2");
   return f;
 }
 
+static struct fixture
+start (const char *service_time)
+{
+  return start_with ("least_loaded", SLOTS, service_time);
+}
+
 static void
 stop (struct fixture *f)
 {
@@ -314,6 +324,30 @@
 }
 END_TEST
 
+static void
+do_nothing (struct fixture *f)
+{
+}
+
+/* Guards against a booking that is lost or runs twice when busy endpoints
+   refuse requests for a better one, and against a caller that gets such a
+   refusal.  The backend servers have two slots each and are used to three
+   quarters.  */
+START_TEST (requests_refused_by_busy_endpoints_run_elsewhere)
+{
+  struct fixture f = start_with ("even_load", 2, "exponential:15");
+  struct process_reply r;
+
+  run_load (&f, do_nothing);
+  r = process_send (f.entry_daemon.local_port, "GET", "/metrics", "", NULL);
+  ck_assert_ptr_null (strstr (r.body, "almondvale_refusals_busy_total 0"));
+  ck_assert_ptr_nonnull (
+      strstr (r.body, "answers_total{error=\"endpoint_busy\"} 0"));
+  ck_assert_ptr_null (strstr (r.body, "almondvale_attempts_crossing_total 0"));
+  stop (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -321,7 +355,8 @@
       = { booking_at_a_paused_daemon_times_out_at_its_deadline,
           daemon_killed_under_load_loses_no_booking,
           daemon_paused_under_load_loses_no_booking,
-          drain_under_load_fails_no_request };
+          drain_under_load_fails_no_request,
+          requests_refused_by_busy_endpoints_run_elsewhere };
   const TTest *const red[]
       = { running_booking_executes_once_when_its_daemon_is_killed };
 
--- a/tests/test_retry_policy.c
+++ b/tests/test_retry_policy.c
@@ -44,6 +44,34 @@
 }
 END_TEST
 
+/* Guards against a request that fails because busy endpoints refused it for
+   another one, under either policy, or that is passed on without end.  */
+START_TEST (refusals_by_busy_endpoints_are_sent_elsewhere)
+{
+  static const struct str names[]
+      = { STR_LIT ("budget"), STR_LIT ("per_hop") };
+  struct retry_budget_pool pool;
+  struct retry_budget_ratio ratio;
+
+  retry_budget_init_ratio (&ratio);
+  retry_budget_init_pool (&pool, 0);
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      struct retry_policy_failure c
+          = { .error = ERR_ENDPOINT_BUSY,
+              .attempts = RETRY_POLICY_FREE_ATTEMPTS - 1,
+              .destination = S,
+              .pool = &pool,
+              .ratio = &ratio };
+
+      ck_assert (retry_policy_find_ops (names[i])->allow (&c, 0));
+      c.attempts++;
+      ck_assert (!retry_policy_find_ops (names[i])->allow (&c, 0));
+    }
+  retry_budget_close_ratio (&ratio);
+}
+END_TEST
+
 /* Guards against a request that uses up its budget because the view of the
    fleet is out of date: a retry after a serving daemon rejected the attempt
    costs no budget, but the number of such retries is limited.  */
@@ -82,6 +110,7 @@
 {
   const TTest *const cases[]
       = { only_safe_retries_are_made, rejections_by_daemons_cost_no_budget,
+          refusals_by_busy_endpoints_are_sent_elsewhere,
           retry_after_is_spread };
 
   return suite_run ("retry_policy", cases, sizeof cases / sizeof *cases);
