--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -231,7 +231,7 @@
   route_record_send (&service->pool, peer->member, now_us);
   if (call->attempts == 1)
     retry_budget_record_request (&f->retry_ratio, call->service, now_us);
-  else
+  else if (call->attempt_error != ERR_ENDPOINT_BUSY)
     metrics_increment (f->shared->metric_rows.retries, 1);
   metrics_increment (f->shared->metric_rows.attempts, 1);
   if (route_is_crossing (&service->pool, peer->member))
