Do not let failing endpoints look quick to even_load

Cause: requests that fail at once counted as completions, so the service time of a failing backend server fell and its capacity seemed to rise; and even_load gave a failing endpoint the request as soon as the chosen one had half of its slots in use, since the failing one was expected to respond sooner.

Ruled out: the rule of success rates itself; it classified the endpoint as failing.

Change: the load meter counts a failed request as time in use only. A failing endpoint is used only while the chosen one makes the request wait for a service time, that is, while the others are full.

--- a/src/load_meter.c
+++ b/src/load_meter.c
@@ -50,13 +50,15 @@
 }
 
 void
-load_meter_record_end (struct load_meter *m, int64_t service_us,
+load_meter_record_end (struct load_meter *m, int64_t service_us, bool failed,
                        int64_t now_us)
 {
   update (m, now_us);
-  m->completions++;
   if (m->running > 0)
     m->running--;
+  if (failed)
+    return;
+  m->completions++;
   if (m->mean_us == 0)
     m->mean_us = (double)service_us;
   m->mean_us += MEAN_GAIN * ((double)service_us - m->mean_us);
--- a/src/load_meter.h
+++ b/src/load_meter.h
@@ -31,9 +31,11 @@
 void load_meter_record_arrival (struct load_meter *m, int64_t now_us);
 /* Records that a request occupies a slot from now on.  */
 void load_meter_record_start (struct load_meter *m, int64_t now_us);
-/* Records that a request that ran for service_us released its slot.  */
+/* Records that a request that ran for service_us released its slot.  A failed
+   one counts as time in use, not as a completion, so that a backend server
+   that fails at once does not look quick.  */
 void load_meter_record_end (struct load_meter *m, int64_t service_us,
-                            int64_t now_us);
+                            bool failed, int64_t now_us);
 /* Returns the arrivals in a second.  */
 uint32_t load_meter_get_arrivals_per_s (struct load_meter *m, int64_t now_us);
 /* Returns the service time, or 0 if no request has ended yet.  */
--- a/src/route_even.c
+++ b/src/route_even.c
@@ -60,9 +60,9 @@
 #define EVEN_LOAD_DEFAULT 0.5
 /* Assumed round trip to another failure domain until it was measured.  */
 #define EVEN_CROSSING_DEFAULT_US 1500.0
-/* A failing endpoint is used only while the chosen one is loaded above this,
-   as with least_loaded.  */
-#define EVEN_FAILING_LOAD_MIN 0.5
+/* A failing endpoint is used only while the chosen one is expected to make the
+   request wait for this many service times: the others are full then.  */
+#define EVEN_FAILING_WAIT_MIN 1.0
 
 /* Types */
 
@@ -226,7 +226,7 @@
   struct route_endpoint *failing;
 
   if (c->failing_len == 0
-      || b->in_flight + 1 <= b->limit * EVEN_FAILING_LOAD_MIN)
+      || b->wait_us < b->service_us * EVEN_FAILING_WAIT_MIN)
     return chosen;
   failing = c->failing[g_rand_int_range (p->rand, 0, (gint32)c->failing_len)];
   return route_even_get_belief (p, failing, now_us).response_us
--- a/src/serve.c
+++ b/src/serve.c
@@ -107,10 +107,11 @@
 }
 
 /* Releases the concurrency slot and revokes the hop token of a job that ran,
-   and records its service time.  */
+   and records its service time.  `completed` tells whether the backend server
+   did the work, `failed` whether the concurrency limit counts a failure.  */
 static void
 release_slot (struct serve *s, struct serve_job *job, bool failed,
-              struct hop_token_usage *usage, int64_t now_us)
+              bool completed, struct hop_token_usage *usage, int64_t now_us)
 {
   struct concurrency_limit_sample sample
       = { .service_us = now_us - job->started_us,
@@ -120,7 +121,8 @@
   hop_token_revoke (&s->shared->hop_tokens, job->hop_row, now_us, usage);
   sample.nested_us = usage->nested_us;
   s->running_jobs--;
-  load_meter_record_end (&s->load_meter, sample.service_us, now_us);
+  load_meter_record_end (&s->load_meter, sample.service_us, !completed,
+                         now_us);
   s->mean_service_us
       += SERVE_MEAN_GAIN * ((double)sample.service_us - s->mean_service_us);
   s->limit_ops->record_completion (&s->limit, &sample, now_us);
@@ -167,11 +169,11 @@
   int64_t now_us = clock_now_us ();
   enum err_kind error = get_exchange_error (job, answer);
   struct hop_token_usage usage = { 0 };
+  bool failure = is_failure (s, error, answer->status, now_us);
 
   job->exchange = NULL;
-  success_rate_record (&s->success,
-                       is_failure (s, error, answer->status, now_us), now_us);
-  release_slot (s, job, is_backend_fault (answer), &usage, now_us);
+  success_rate_record (&s->success, failure, now_us);
+  release_slot (s, job, is_backend_fault (answer), !failure, &usage, now_us);
   record_span (s, job, error, answer->status, now_us);
   if (error == ERR_NONE && answer->status < 500)
     service_time_record (&s->service_times, job->message.u.request.route,
@@ -365,7 +367,7 @@
         return;
       http_client_cancel (job->exchange);
       job->exchange = NULL;
-      release_slot (s, job, false, &usage, clock_now_us ());
+      release_slot (s, job, false, false, &usage, clock_now_us ());
       attempt_finish (&s->attempts, job->message.u.request.attempt);
       serve_response_finish (s, job);
       return;
@@ -475,7 +477,7 @@
 
             http_client_cancel (job->exchange);
             job->exchange = NULL;
-            release_slot (s, job, true, &usage, now_us);
+            release_slot (s, job, true, false, &usage, now_us);
             serve_response_fail (s, job, ERR_BACKEND_FAILED, &usage);
           }
       http_client_unload_pool (s->http_pool);
--- a/tests/test_route_even.c
+++ b/tests/test_route_even.c
@@ -342,7 +342,7 @@
       e->running--;
       if (s->now_us >= WARM_US)
         e->busy_us += (double)r->service_us;
-      load_meter_record_end (&e->meter, r->service_us, s->now_us);
+      load_meter_record_end (&e->meter, r->service_us, false, s->now_us);
       respond (s, ev.request);
       fill_slots (s, e);
       break;
