Explain where a daemon would send a request now

Cause: an operator could see which route and importance a request gets, but not which endpoint, nor why another one gets nothing.

Change: route_explain gives a row for each endpoint that a pool chooses from: belief, age of the report, the rule that excluded it, chance. The reports of dispatch are in dispatch_report.

--- a/src/admin.c
+++ b/src/admin.c
@@ -3,6 +3,8 @@
 
 #include "admin.h"
 
+#include "clock.h"
+#include "dispatch_report.h"
 #include "json_field.h"
 #include "logger.h"
 
@@ -128,6 +130,16 @@
   str_reset (&body);
 }
 
+static void
+handle_endpoints (struct front *f, struct http_server_exchange *x)
+{
+  struct str_buf body = { 0 };
+
+  dispatch_report_append (f, &body, clock_now_us ());
+  answer_text (x, 200, STR_LIT ("application/json"), str_view (&body));
+  str_reset (&body);
+}
+
 static void
 handle_log_level (struct front *f, struct http_server_exchange *x)
 {
@@ -169,6 +181,7 @@
   { STR_LIT ("GET"), STR_LIT ("/almondvale/metrics"), handle_metrics },
   { STR_LIT ("GET"), STR_LIT ("/metrics"), handle_metrics },
   { STR_LIT ("GET"), STR_LIT ("/almondvale/status"), handle_status },
+  { STR_LIT ("GET"), STR_LIT ("/almondvale/endpoints"), handle_endpoints },
   { STR_LIT ("PUT"), STR_LIT ("/almondvale/log-level"), handle_log_level },
 };
 
--- a/src/ctl.h
+++ b/src/ctl.h
@@ -100,6 +100,14 @@
 /* Adds a string member to the current JSON object.  */
 void ctl_add_string (JsonBuilder *builder, const char *name, struct str text);
 
+/* Public functions: ctl_endpoints.c */
+
+/* Adds the endpoints of a service, as the daemon with the local port `address`
+   sees them now, to the builder or, if it is NULL, to the output.  Returns
+   CTL_OK, or prints an error line and returns another exit code.  */
+int ctl_add_endpoints (struct ctl *ctl, const char *address,
+                       struct str service, JsonBuilder *builder);
+
 /* Public functions: the commands */
 
 int ctl_import (struct ctl *ctl, const struct ctl_command *self, int argc,
--- a/src/ctl_explain.c
+++ b/src/ctl_explain.c
@@ -180,10 +180,11 @@
   json_builder_add_value (b, node);
 }
 
-static void
-append_json (struct ctl *ctl, const struct decision *d)
+static int
+append_json (struct ctl *ctl, const struct decision *d, const char *daemon)
 {
   JsonBuilder *b = json_builder_new ();
+  int code = CTL_OK;
   char *text = str_dup_cstr (str_view (&d->reasons));
   char **lines = g_strsplit (text, "\n", -1);
 
@@ -200,10 +201,13 @@
     if (**line != '\0')
       json_builder_add_string_value (b, *line);
   json_builder_end_array (b);
+  if (daemon != NULL && d->error == ERR_NONE)
+    code = ctl_add_endpoints (ctl, daemon, d->route->service, b);
   json_builder_end_object (b);
   ctl_append_json (ctl, b);
   g_strfreev (lines);
   g_free (text);
+  return code;
 }
 
 /* Loads the inventory from a file instead of the platform.  */
@@ -239,6 +243,7 @@
   char *key_id = NULL;
   char *host = NULL;
   char *file = NULL;
+  char *daemon = NULL;
   GOptionEntry entries[]
       = { { "workspace", 0, 0, G_OPTION_ARG_STRING, &workspace,
             "Workspace of the caller", "NAME" },
@@ -249,6 +254,9 @@
             "Host header of the request", "NAME" },
           { "file", 0, 0, G_OPTION_ARG_STRING, &file,
             "Use the inventory in a file instead of the platform's", "FILE" },
+          { "daemon", 0, 0, G_OPTION_ARG_STRING, &daemon,
+            "Show where the daemon with this local port would send it now",
+            "ADDRESS:PORT" },
           { 0 } };
   struct snapshot_config *config;
   struct decision d = { 0 };
@@ -268,9 +276,11 @@
       config = snapshot_load_config (&ctl->journal.inv);
       decide (config, &q, &d);
       if (ctl->json)
-        append_json (ctl, &d);
+        code = append_json (ctl, &d, daemon);
       else
         append_text (ctl, &d);
+      if (!ctl->json && daemon != NULL && d.error == ERR_NONE)
+        code = ctl_add_endpoints (ctl, daemon, d.route->service, NULL);
       refcount_put (&config->ref);
     }
   str_reset (&d.reasons);
@@ -278,5 +288,6 @@
   g_free (key_id);
   g_free (host);
   g_free (file);
+  g_free (daemon);
   return code;
 }
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -5,8 +5,6 @@
 #include "dispatch.h"
 
 #include "clock.h"
-#include "logger.h"
-#include "route_even.h"
 
 #include <glib.h>
 #include <string.h>
@@ -566,28 +564,6 @@
     }
 }
 
-static void
-log_belief (const struct front_service *service,
-            const struct route_endpoint *e, int64_t now_us)
-{
-  struct route_even_belief b
-      = route_even_get_belief (&service->pool, e, now_us);
-  char member[17];
-
-  g_snprintf (member, sizeof member, "%016" G_GINT64_MODIFIER "x",
-              (guint64)e->member);
-  LOGGER_WRITE (
-      LOGGER_INFO, "endpoint_believed", LOGGER_TEXT ("service", service->name),
-      LOGGER_TEXT ("member", str_from_cstr (member)),
-      LOGGER_NUMBER ("in_flight", (int64_t)(b.in_flight + 0.5)),
-      LOGGER_NUMBER ("limit", (int64_t)(b.limit + 0.5)),
-      LOGGER_NUMBER ("service_us", (int64_t)b.service_us),
-      LOGGER_NUMBER ("wait_us", (int64_t)b.wait_us),
-      LOGGER_NUMBER ("distance_us", (int64_t)e->distance_us),
-      LOGGER_NUMBER ("own", e->outstanding),
-      LOGGER_NUMBER ("age_ms", (now_us - e->reported_us) / CLOCK_US_PER_MS));
-}
-
 /* Public functions */
 
 void
@@ -672,35 +648,6 @@
   expire_queries (f, now_us);
 }
 
-/**
- * dispatch_log_beliefs - logs what the policy even_load believes
- * @f: front
- * @now_us: current time
- *
- * Logs one endpoint of each service in use, the next one with each call, so
- * that a daemon writes few lines.
- */
-void
-dispatch_log_beliefs (struct front *f, int64_t now_us)
-{
-  struct front_service *service;
-
-  if (f->route_ops->get_response_max_us == NULL)
-    return;
-  for (uint64_t id = table_next (&f->services, 0, (void **)&service); id != 0;
-       id = table_next (&f->services, id, (void **)&service))
-    {
-      const struct route_endpoint *e = NULL;
-
-      if (service->pool.subset_len > 0)
-        e = table_get (&service->pool.endpoints,
-                       service->pool.subset[service->log_turn++
-                                            % service->pool.subset_len]);
-      if (e != NULL && route_has_recent_report (e, now_us))
-        log_belief (service, e, now_us);
-    }
-}
-
 void
 dispatch_cancel (struct front *f, struct front_call *call)
 {
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -25,7 +25,4 @@
 void dispatch_fail_attempt (struct front *f, struct front_call *call,
                             enum err_kind error, int64_t now_us);
 
-/* Logs what this front believes of one endpoint of each service.  */
-void dispatch_log_beliefs (struct front *f, int64_t now_us);
-
 #endif
--- a/src/front.c
+++ b/src/front.c
@@ -7,6 +7,7 @@
 #include "admin.h"
 #include "clock.h"
 #include "dispatch.h"
+#include "dispatch_report.h"
 #include "front_report.h"
 #include "request_check.h"
 
@@ -385,7 +386,7 @@
     return;
   f->next_log_us = now_us + FRONT_LOG_US;
   log_shed_requests (f, now_us);
-  dispatch_log_beliefs (f, now_us);
+  dispatch_report_log (f, now_us);
   for (int i = 0; i < FRONT_SOURCE_COUNT; i++)
     report_listener (f, (enum front_source)i);
 }
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -358,6 +358,32 @@
 }
 END_TEST
 
+/* Guards against an explanation that leaves out where the daemon would send
+   the request, or that succeeds without the daemon's answer.  */
+START_TEST (explanation_shows_the_endpoints_of_a_daemon)
+{
+  struct process_daemon d = { 0 };
+  char *members, *text, *json;
+
+  start ();
+  members = g_strdup_printf (",\"inventory_file\":\"%s/inventory.json\"", dir);
+  process_write_file (dir, "inventory.json", "{\"revision\": 5}");
+  process_start_daemon (&d, dir, "d1", "fd1", members);
+  text = g_strdup_printf ("explain GET /pages/1 --file " INVENTORY
+                          " --daemon 127.0.0.1:%u",
+                          d.local_port);
+  json = g_strdup_printf ("%s --json", text);
+  expect (text, 0, "at this daemon: 0");
+  expect (json, 0, "\"endpoints\" : null");
+  process_stop (d.pid, SIGTERM);
+  expect (text, 69, "cannot be reached");
+  g_free (text);
+  g_free (json);
+  g_free (members);
+  stop ();
+}
+END_TEST
+
 /* Guards against a trace that merges the logs of several daemons in the wrong
    order, omits the state that a daemon had when it decided, shows lines of
    other requests or services, or ends at a line that is not a log line.  */
@@ -437,6 +463,7 @@
           lost_answers_and_outages_are_reported,
           issued_keys_are_shown_once_and_revoked_keys_are_refused,
           explain_reports_the_decision_and_its_reason,
+          explanation_shows_the_endpoints_of_a_daemon,
           daemon_status_is_shown,
           logs_of_several_daemons_are_merged };
 
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -344,6 +344,12 @@
   ck_assert_ptr_nonnull (
       strstr (r.body, "answers_total{error=\"endpoint_busy\"} 0"));
   ck_assert_ptr_null (strstr (r.body, "almondvale_attempts_crossing_total 0"));
+  r = process_send (f.entry_daemon.local_port, "GET", "/almondvale/endpoints",
+                    "", NULL);
+  ck_assert_int_eq (r.status, 200);
+  ck_assert_ptr_nonnull (strstr (r.body, "\"service\" : \"booking\""));
+  ck_assert_ptr_nonnull (strstr (r.body, "\"excluded_by\" : null"));
+  ck_assert_ptr_nonnull (strstr (r.body, "\"chance_percent\" : "));
   stop (&f);
 }
 END_TEST
--- a/tests/test_route_even.c
+++ b/tests/test_route_even.c
@@ -27,7 +27,7 @@
 /* Ring of steps: longer than any delay of an event.  */
 #define STEPS 16384
 #define WARM_US 1000000
-#define END_US 8000000
+#define END_US 6000000
 #define SERVICE_US 20000
 #define TARGET_US 400000
 /* A request that waited for longer is not run.  */
