Keep large bodies where they are, test a restart of all daemons

Found by reading.

Ruled out: refusing before the body arrives; the serving daemon admits a request when it is whole, and an entry daemon sends all parts at once.

Change: such a request carries no bound. test_route_even restarts all daemons of the simulation at once.

--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -197,14 +197,16 @@
 }
 
 /* Returns the response time beyond which the serving daemon may refuse the
-   attempt, or 0 for the last attempt that is free of charge after refusals:
-   that one stays where it is.  */
+   attempt, or 0 if it stays where it is: the last attempt that is free of
+   charge after refusals, and a request whose body has several parts, since
+   sending them again costs more than a wait.  */
 static uint32_t
 get_response_max_us (const struct front *f, const struct front_call *call,
                      struct front_service *service, int64_t now_us)
 {
   if (f->route_ops->get_response_max_us == NULL
-      || call->attempts + 1 >= RETRY_POLICY_FREE_ATTEMPTS)
+      || call->attempts + 1 >= RETRY_POLICY_FREE_ATTEMPTS
+      || call->exchange->body.len > WIRE_BODY_PART_MAX_BYTES)
     return 0;
   return f->route_ops->get_response_max_us (
       &service->pool, call->tried, call->tried_len, call->member, now_us);
--- a/tests/test_route_even.c
+++ b/tests/test_route_even.c
@@ -96,7 +96,8 @@
   uint64_t (*choose) (struct sim *s, uint32_t daemon);
   const char *policy; /* name of the policy, if choose is NULL */
   uint32_t disabled_rules;
-  bool refuses; /* endpoints may refuse a request, as even_load has it */
+  bool refuses;       /* endpoints may refuse a request, as even_load has it */
+  int64_t restart_us; /* all daemons start again then; 0: never */
 };
 
 struct sim
@@ -356,6 +357,26 @@
     }
 }
 
+static void
+start_daemons (struct sim *s)
+{
+  for (uint32_t d = 0; d < DAEMONS; d++)
+    {
+      route_init_pool (&s->pools[d], d + 1000, d % DOMAINS, SEED + d);
+      s->pools[d].disabled_rules = s->approach->disabled_rules;
+      for (uint32_t i = 0; i < ENDPOINTS; i++)
+        route_set_endpoint (&s->pools[d], i + 1, i % DOMAINS, -100000000);
+    }
+}
+
+static void
+restart_daemons (struct sim *s)
+{
+  for (uint32_t d = 0; d < DAEMONS; d++)
+    route_close_pool (&s->pools[d]);
+  start_daemons (s);
+}
+
 static void
 init (struct sim *s)
 {
@@ -373,13 +394,7 @@
           = s->equal ? 1 : 0.5 + 1.1 * step / (ENDPOINTS - 1);
       s->endpoints[i].queue = g_array_new (FALSE, FALSE, sizeof (uint32_t));
     }
-  for (uint32_t d = 0; d < DAEMONS; d++)
-    {
-      route_init_pool (&s->pools[d], d + 1000, d % DOMAINS, SEED + d);
-      s->pools[d].disabled_rules = s->approach->disabled_rules;
-      for (uint32_t i = 0; i < ENDPOINTS; i++)
-        route_set_endpoint (&s->pools[d], i + 1, i % DOMAINS, -100000000);
-    }
+  start_daemons (s);
 }
 
 static void
@@ -457,6 +472,8 @@
     {
       GArray *events = s->ring[s->now_us / STEP_US % STEPS];
 
+      if (a->restart_us > 0 && s->now_us == a->restart_us)
+        restart_daemons (s);
       for (guint i = 0; i < events->len; i++)
         run_event (s, g_array_index (events, struct event, i));
       g_array_set_size (events, 0);
@@ -539,6 +556,11 @@
 static const struct approach even = { .name = "(a)+(c)+(d) even_load",
                                       .policy = "even_load",
                                       .refuses = true };
+static const struct approach restarted
+    = { .name = "even_load, daemons restarted",
+        .policy = "even_load",
+        .refuses = true,
+        .restart_us = 3000000 };
 
 static void
 print_others (double load, bool equal)
@@ -613,6 +635,17 @@
 }
 END_TEST
 
+/* Guards against daemons that start without any information, all at once, and
+   overload some endpoints until the first reports arrive.  */
+START_TEST (restart_of_all_daemons_makes_no_queue)
+{
+  double fresh_ms = simulate (&fresh, 0.8, false).p99_ms;
+
+  ck_assert_double_le (simulate (&restarted, 0.8, false).p99_ms,
+                       1.3 * fresh_ms);
+}
+END_TEST
+
 #define NOW_US 100000000
 #define MEMBERS 6
 
@@ -758,6 +791,7 @@
           overload_waits_little_longer_than_with_fresh_knowledge,
           equal_endpoints_are_equally_busy_at_half_load,
           equal_endpoints_are_equally_busy_at_high_load,
+          restart_of_all_daemons_makes_no_queue,
           failure_domain_is_left_only_for_a_gain,
           belief_follows_the_age_of_the_report,
           excluded_endpoints_are_neither_chosen_nor_offered,
