--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -190,6 +190,7 @@
     .due_in_us = get_due_us (call) - now_us,
     .retry_budget = call->attempt_budget,
     .depth = call->depth,
+    .response_max_us = call->response_max_us,
     .idempotent = call->route->idempotent,
     .traceparent = str_view (&parent),
     .caller_id = call->caller_headers.id,
@@ -208,6 +209,22 @@
   str_reset (&parent);
 }
 
+/* Returns the response time beyond which the serving daemon may refuse the
+   attempt, or 0 if it stays where it is: the last attempt that is free of
+   charge after refusals, and a request whose body has several parts, since
+   sending them again costs more than a wait.  */
+static uint32_t
+get_response_max_us (const struct front *f, const struct front_call *call,
+                     struct front_service *service, int64_t now_us)
+{
+  if (f->route_ops->get_response_max_us == NULL
+      || call->attempts + 1 >= RETRY_POLICY_FREE_ATTEMPTS
+      || call->exchange->body.len > WIRE_BODY_PART_MAX_BYTES)
+    return 0;
+  return f->route_ops->get_response_max_us (
+      &service->pool, call->tried, call->tried_len, call->member, now_us);
+}
+
 static void
 start_attempt (struct front *f, struct front_call *call,
                struct front_service *service, struct front_peer *peer,
@@ -220,15 +237,18 @@
   call->attempt_budget = retry_budget_allocate_attempt (&call->budget);
   call->sent_us = now_us;
   call->receiving = false;
+  call->response_max_us = get_response_max_us (f, call, service, now_us);
   call->attempts++;
   if (call->tried_len < FRONT_TRIED_MAX)
     call->tried[call->tried_len++] = peer->member;
   route_record_send (&service->pool, peer->member, now_us);
   if (call->attempts == 1)
     retry_budget_record_request (&f->retry_ratio, call->service, now_us);
-  else
+  else if (call->attempt_error != ERR_ENDPOINT_BUSY)
     metrics_increment (f->shared->metric_rows.retries, 1);
   metrics_increment (f->shared->metric_rows.attempts, 1);
+  if (route_is_crossing (&service->pool, peer->member))
+    metrics_increment (f->shared->metric_rows.attempts_crossing, 1);
   front_set_state (f, call, FRONT_SENT);
   send_request (f, call, now_us);
 }
@@ -245,6 +265,10 @@
   if (service != NULL)
     member = f->route_ops->choose (&service->pool, call->tried,
                                    call->tried_len, now_us);
+  /* A busy endpoint is better than none if the others have gone since.  */
+  if (service != NULL && member == 0
+      && call->attempt_error == ERR_ENDPOINT_BUSY)
+    member = f->route_ops->choose (&service->pool, NULL, 0, now_us);
   if (member == 0)
     {
       front_fail (f, call,
@@ -282,12 +306,24 @@
 
   if (service == NULL)
     return;
-  if (answered && !is_endpoint_unavailable (r->error))
+  if (!answered || is_endpoint_unavailable (r->error))
+    {
+      route_record_failure (&service->pool, call->member, now_us);
+      return;
+    }
+  if (r->error == ERR_ENDPOINT_BUSY)
+    {
+      metrics_increment (f->shared->metric_rows.refusals_busy, 1);
+      route_record_refusal (&service->pool, call->member, r->in_flight,
+                            r->limit, r->success_permille, now_us);
+    }
+  else
     route_record_response (&service->pool, call->member, r->in_flight,
                            r->limit, r->success_permille, call->sent_us,
                            now_us);
-  else
-    route_record_failure (&service->pool, call->member, now_us);
+  if (r->limit > 0)
+    route_record_rates (&service->pool, call->member, r->arrivals_per_s,
+                        r->service_us, r->residence_us, call->sent_us, now_us);
 }
 
 static void
@@ -304,6 +340,9 @@
   if (call->workspace.len == 0 || call->hop_row != 0)
     pressure_record_downstream (&f->shared->downstream_pressures, r->pressures,
                                 r->pressures_len, now_us);
+  /* The next attempt decides.  */
+  if (r->error == ERR_ENDPOINT_BUSY)
+    return;
   feedback_record_outcome (
       &f->feedback, call->route->name, call->workspace, call->importance,
       r->error != ERR_OVERLOADED && r->error != ERR_DEADLINE_NOT_RUN, now_us);
--- a/src/err.c
+++ b/src/err.c
@@ -63,6 +63,7 @@
   [ERR_BACKEND_COLD] = { "backend_cold", 503, NOT_RUN, ERR_RETRY_LATER, RETRY_OVERLOAD_MS, "The backend server has just started and cannot run the request in time." },
   [ERR_BACKEND_EVACUATED] = { "backend_evacuated", 503, NOT_RUN, ERR_RETRY_LATER, RETRY_SOON_MS, "The failure domain of the backend server is evacuated, or it is not known yet whether it is." },
   [ERR_RETRY_REFUSED] = { "retry_refused", 503, NOT_RUN, ERR_RETRY_LATER, RETRY_SOON_MS, "The retries that the service may get are needed for other requests." },
+  [ERR_ENDPOINT_BUSY] = { "endpoint_busy", 503, NOT_RUN, ERR_RETRY_LATER, RETRY_SOON_MS, "The backend server is busy and another one was expected to be sooner." },
   [ERR_PROTOCOL] = { "protocol", 502, MAY_HAVE_RUN, ERR_RETRY_NEVER, 0, "A message could not be decoded." },
 };
 /* clang-format on */
--- a/src/err.h
+++ b/src/err.h
@@ -62,6 +62,7 @@
   ERR_BACKEND_COLD,
   ERR_BACKEND_EVACUATED,
   ERR_RETRY_REFUSED,
+  ERR_ENDPOINT_BUSY,
   ERR_KINDS /* number of kinds */
 };
 
--- a/src/serve.c
+++ b/src/serve.c
@@ -110,10 +110,11 @@
 }
 
 /* Releases the concurrency slot and revokes the hop token of a job that ran,
-   and records its service time.  */
+   and records its service time.  `completed` tells whether the backend server
+   did the work, `failed` whether the concurrency limit counts a failure.  */
 static void
 release_slot (struct serve *s, struct serve_job *job, bool failed,
-              struct hop_token_usage *usage, int64_t now_us)
+              bool completed, struct hop_token_usage *usage, int64_t now_us)
 {
   struct concurrency_limit_sample sample
       = { .service_us = now_us - job->started_us,
@@ -123,6 +124,8 @@
   hop_token_revoke (&s->shared->hop_tokens, job->hop_row, now_us, usage);
   sample.nested_us = usage->nested_us;
   s->running_jobs--;
+  load_meter_record_end (&s->load_meter, sample.service_us, !completed,
+                         now_us);
   s->mean_service_us
       += SERVE_MEAN_GAIN * ((double)sample.service_us - s->mean_service_us);
   s->limit_ops->record_completion (&s->limit, &sample, now_us);
@@ -141,6 +144,8 @@
 {
   job->rejected = true;
   hop_token_revoke (&s->shared->hop_tokens, job->hop_row, now_us, usage);
+  load_meter_record_end (&s->load_meter, now_us - job->started_us, true,
+                         now_us);
   s->running_jobs--;
 }
 
@@ -203,15 +208,15 @@
   enum err_kind error = get_exchange_error (job, answer);
   struct hop_token_usage usage = { 0 };
   bool rejected = serve_resend_is_rejection (s, answer, error);
+  bool failure = is_failure (s, error, answer->status, now_us);
 
   job->exchange = NULL;
   serve_resend_record_arrival (s, job, answer, now_us);
-  success_rate_record (&s->success,
-                       is_failure (s, error, answer->status, now_us), now_us);
+  success_rate_record (&s->success, failure, now_us);
   if (rejected)
     release_rejected (s, job, &usage, now_us);
   else
-    release_slot (s, job, is_backend_fault (answer), &usage, now_us);
+    release_slot (s, job, is_backend_fault (answer), !failure, &usage, now_us);
   serve_warmup_record_answer (s, answer, job->started_us, now_us);
   record_span (s, job, error, answer, now_us);
   report_refused_answer (s, job, answer->fault, now_us);
@@ -301,6 +306,7 @@
                      now_us - job->arrived_us);
   if (job->exchange != NULL)
     {
+      load_meter_record_start (&s->load_meter, now_us);
       metrics_increment (s->shared->metric_rows.executions, 1);
       return;
     }
@@ -418,7 +424,7 @@
         return;
       http_client_cancel (job->exchange);
       job->exchange = NULL;
-      release_slot (s, job, false, &usage, clock_now_us ());
+      release_slot (s, job, false, false, &usage, clock_now_us ());
       attempt_finish (&s->attempts, job->message.u.request.attempt);
       serve_response_finish (s, job);
       return;
@@ -529,12 +535,13 @@
 
             http_client_cancel (job->exchange);
             job->exchange = NULL;
-            release_slot (s, job, true, &usage, now_us);
+            release_slot (s, job, true, false, &usage, now_us);
             serve_response_fail (s, job, ERR_BACKEND_FAILED, &usage);
           }
       http_client_unload_pool (s->http_pool);
       s->http_pool = NULL;
       s->success = (struct success_rate){ 0 };
+      s->load_meter = (struct load_meter){ 0 };
     }
   if (s->http_pool == NULL)
     s->http_pool = http_client_load_pool (
@@ -661,6 +668,32 @@
   return ERR_NONE;
 }
 
+/* Returns true if the entry daemon expects another endpoint to respond before
+   this one would.  */
+static bool
+is_sooner_elsewhere (struct serve *s, const struct wire_request *q,
+                     int64_t now_us)
+{
+  return load_meter_is_later_than (
+      &s->load_meter,
+      s->running_jobs + s->admit_ops->get_length (s->admission_queue),
+      s->limit_ops->get (&s->limit, now_us), q->response_max_us, now_us);
+}
+
+/* Counts a request that arrives for the first time.  Returns the error with
+   which it is refused, or ERR_NONE.  A request that is sent elsewhere is no load
+   of this backend server.  */
+static enum err_kind
+record_arrival (struct serve *s, const struct wire_request *q,
+                enum err_kind error, int64_t now_us)
+{
+  load_meter_record_arrival (&s->load_meter, now_us);
+  if (error == ERR_NONE && is_sooner_elsewhere (s, q, now_us))
+    return ERR_ENDPOINT_BUSY;
+  s->arrivals_since_tick++;
+  return error;
+}
+
 static void
 admit_job (struct serve *s, struct serve_job *job, int64_t now_us)
 {
@@ -676,7 +709,7 @@
   enum err_kind error = check_arrived_job (s, job, now_us);
 
   if (!job->rejected && job->waits == 0)
-    s->arrivals_since_tick++;
+    error = record_arrival (s, q, error, now_us);
   if (error == ERR_NONE)
     error = s->admit_ops->offer (s->admission_queue, &item, now_us,
                                  &job->admission_entry);
--- a/src/settings.c
+++ b/src/settings.c
@@ -104,7 +104,7 @@
   { "trace.sample_ratio", TYPE_RATIO, 0, 1, NULL, "0.01", OFFSET (trace.sample_ratio), "Fraction of the traces begun by this daemon that are recorded." },
   { "policy.admit", TYPE_CHOICE, 0, 0, "priority, urgency, naive", "\"priority\"", OFFSET (policy.admit), "Admission policy for requests to the backend server." },
   { "policy.limit", TYPE_CHOICE, 0, 0, "adaptive, fixed", "\"adaptive\"", OFFSET (policy.limit), "Policy for the concurrency limit of the backend server." },
-  { "policy.route", TYPE_CHOICE, 0, 0, "least_loaded, round_robin", "\"least_loaded\"", OFFSET (policy.route), "Policy for the choice of the endpoint for a request." },
+  { "policy.route", TYPE_CHOICE, 0, 0, "least_loaded, even_load, round_robin", "\"least_loaded\"", OFFSET (policy.route), "Policy for the choice of the endpoint for a request." },
   { "policy.retry", TYPE_CHOICE, 0, 0, "budget, per_hop", "\"budget\"", OFFSET (policy.retry), "Policy that limits retries." },
   { "retry.ledger", TYPE_CHOICE, 0, 0, "none, equal, value", "\"none\"", OFFSET (retry.ledger), "How the daemon beside a backend server spends the retries that its service may get. With none, only the entry daemons limit retries." },
   { "retry.ratio", TYPE_RATIO, 0, 1, NULL, "0.1", OFFSET (retry.ratio), "Maximum number of retries for each request, of an entry daemon and of a backend server's ledger." },
