--- a/tests/process.h
+++ b/tests/process.h
@@ -347,6 +347,9 @@
   uint16_t caller, control, ready, backend, peer;
   uint16_t store; /* port of the metadata store, or of a proxy for it */
   const char *settings_path; /* almondvale's settings (--settings), or NULL */
+  /* more members of the platform's file, each with a comma before it, or
+     NULL */
+  const char *members;
 };
 
 /* Initializes a daemon with free ports.  */
@@ -374,9 +377,11 @@
       "\"region\":\"r\",\"service\":\"%s\",\"appAddr\":\"127.0.0.1:%u\","
       "\"listen\":{\"outbound\":\"127.0.0.1:%u\",\"ready\":\"127.0.0.1:%u\","
       "\"control\":\"127.0.0.1:%u\"},\"internalPortRange\":[%u,%u],"
-      "\"bounds\":[\"grace=6s\"],\"platform\":{\"address\":\"127.0.0.1:%u\"}}",
+      "\"bounds\":[\"grace=6s\"],\"platform\":{\"address\":\"127.0.0.1:%u\"}"
+      "%s}",
       m->index, m->index % 3, m->service, m->backend, m->caller, m->ready,
-      m->control, m->peer, m->peer + 1, m->store);
+      m->control, m->peer, m->peer + 1, m->store,
+      m->members != NULL ? m->members : "");
   char *name = g_strdup_printf ("n-%d.json", m->index);
   char *path = g_build_filename (dir, name, NULL);
   char *log = g_strdup_printf ("%s/n-%d.log", dir, m->index);
