--- a/src/control.c
+++ b/src/control.c
@@ -224,6 +224,17 @@
   mailbox_wake (c->shared->serve);
 }
 
+/* Reports the byte budget, which the control state owns.  */
+static void
+run_budget (void *owner, int64_t now_us)
+{
+  struct control *c = owner;
+  const struct byte_budget *b = &c->shared->byte_budget;
+
+  metrics_set (c->shared->metric_rows.memory_total, b->total);
+  metrics_set (c->shared->metric_rows.memory_free, byte_budget_get_free (b));
+}
+
 static void
 run_trace (void *owner, int64_t now_us)
 {
@@ -267,9 +278,9 @@
 }
 
 static const struct system systems[] = {
-  { "notes", run_messages },    { "nodes", run_components },
-  { "publish", run_publish },   { "trace", run_trace },
-  { "shutdown", run_shutdown },
+  { "notes", run_messages },  { "nodes", run_components },
+  { "publish", run_publish }, { "budget", run_budget },
+  { "trace", run_trace },     { "shutdown", run_shutdown },
 };
 
 /* Internal functions: set-up */
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -11,6 +11,7 @@
 
 #include <apr_general.h>
 #include <glib.h>
+#include <malloc.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <sys/random.h>
@@ -22,6 +23,13 @@
    call.  */
 #define HOP_TOKENS_MAX 65536u
 
+/* glibc raises the size from which it maps memory to that of the largest block
+   freed so far, up to 32 MiB.  Bodies and responses then come from the heap,
+   which cannot be returned: 191 MB in place of 86 MB in the case
+   pipelined_requests_stay_within_memory of test_clients.  Setting its initial
+   value keeps it.  */
+#define MAPPED_FROM_BYTES 131072
+
 /* Types */
 
 struct daemon_state
@@ -66,6 +74,7 @@
   shared->member = get_random_u64 () | 1;
   shared->started_ms = clock_wall_ms ();
   shared->fronts_len = (uint32_t)s->front_threads;
+  byte_budget_init (&shared->byte_budget, s->limits.memory_bytes);
   snapshot_init_publisher (&shared->snapshots);
   hop_token_init (&shared->hop_tokens, HOP_TOKENS_MAX);
   pressure_init_downstream (&shared->downstream_pressures);
@@ -176,6 +185,7 @@
       g_free (d);
       return EX_SOFTWARE;
     }
+  mallopt (M_MMAP_THRESHOLD, MAPPED_FROM_BYTES);
   d->deployment = deployment;
   d->shared.settings = settings;
   logger_find_level (settings->log_level, &level);
--- a/src/daemon_context.h
+++ b/src/daemon_context.h
@@ -7,6 +7,7 @@
 #ifndef ALMONDVALE_DAEMON_CONTEXT_H
 #define ALMONDVALE_DAEMON_CONTEXT_H
 
+#include "byte_budget.h"
 #include "daemon_metrics.h"
 #include "hop_token.h"
 #include "http_dialect.h"
@@ -39,6 +40,7 @@
   const struct http_dialect_ops *dialect; /* HTTP dialect of the deployment */
   /* enforces the rate limits of workspaces */
   const struct rate_limit_ops *rate_ops;
+  struct byte_budget byte_budget; /* bytes held for others */
   struct snapshot_publisher snapshots;
   struct hop_token_table hop_tokens;
   /* pressures of the services that the backend server calls: recorded by the
--- a/src/daemon_metrics.c
+++ b/src/daemon_metrics.c
@@ -28,6 +28,14 @@
     = { METRICS_GAUGE, "almondvale_listeners_waiting",
         "Listeners with a connection that is not accepted yet.", "listener" };
 
+static const struct metrics_definition memory_refusals
+    = { METRICS_COUNTER, "almondvale_memory_refusals_total",
+        "Requests refused because they did not fit the limit on memory.",
+        "place" };
+static const struct metrics_definition connections_closed
+    = { METRICS_COUNTER, "almondvale_connections_closed_total",
+        "Connections of callers closed because of a limit.", "reason" };
+
 static const struct str listener_names[DAEMON_METRICS_LISTENERS]
     = { STR_LIT ("caller"), STR_LIT ("local"), STR_LIT ("health") };
 
@@ -79,6 +87,14 @@
   ROW (COUNTER, "almondvale_control_received_bytes_total",
        "Bytes of control messages received, without IP headers.",
        control_bytes_received),
+  ROW (COUNTER, "almondvale_answers_dropped_total",
+       "Answers replaced by 502 because they did not fit the limit on memory.",
+       answers_dropped),
+  ROW (GAUGE, "almondvale_memory_free_bytes",
+       "Bytes of the limit on memory that no thread has reserved.",
+       memory_free),
+  ROW (GAUGE, "almondvale_memory_limit_bytes",
+       "Limit on the bytes held for others.", memory_total),
 };
 
 /* Public functions */
@@ -99,6 +115,14 @@
           = metrics_register (m, &connections_accepted, name);
       s->listeners_waiting[i] = metrics_register (m, &listeners_waiting, name);
     }
+  s->memory_refusals_front
+      = metrics_register (m, &memory_refusals, STR_LIT ("front"));
+  s->memory_refusals_serve
+      = metrics_register (m, &memory_refusals, STR_LIT ("serve"));
+  for (int i = CLIENT_LIMIT_KEEP + 1; i < CLIENT_LIMIT_REASONS; i++)
+    s->connections_closed[i] = metrics_register (
+        m, &connections_closed,
+        str_from_cstr (client_limit_get_name ((enum client_limit_reason)i)));
   for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
     *(struct metrics_row **)((char *)s + rows[i].offset)
         = metrics_register (m, &rows[i].definition, STR_EMPTY);
--- a/src/daemon_metrics.h
+++ b/src/daemon_metrics.h
@@ -3,6 +3,7 @@
 #ifndef ALMONDVALE_DAEMON_METRICS_H
 #define ALMONDVALE_DAEMON_METRICS_H
 
+#include "client_limit.h"
 #include "err.h"
 #include "metrics.h"
 
@@ -40,6 +41,14 @@
   struct metrics_row *members;
   struct metrics_row *control_bytes_sent;
   struct metrics_row *control_bytes_received;
+  /* requests refused for lack of memory, at the fronts and beside the backend
+     server */
+  struct metrics_row *memory_refusals_front;
+  struct metrics_row *memory_refusals_serve;
+  struct metrics_row *answers_dropped;
+  struct metrics_row *connections_closed[CLIENT_LIMIT_REASONS];
+  struct metrics_row *memory_free;  /* bytes of the budget */
+  struct metrics_row *memory_total; /* bytes of the budget */
 };
 
 /* Public functions */
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -153,12 +153,23 @@
               call->deadline_us);
 }
 
+static void *
+share_body (void *data)
+{
+  return http_server_share_body (data);
+}
+
 static void
 send_request (struct front *f, struct front_call *call, int64_t now_us)
 {
   struct str body = str_view (&call->exchange->body);
   struct wire_message m = { .type = WIRE_REQUEST };
   struct str_buf parent = { 0 };
+  const struct wire_bytes shared = { .bytes = body,
+                                     .share = share_body,
+                                     .put = http_server_put_body,
+                                     .data = call->exchange };
+  struct evbuffer *frames = evbuffer_new ();
   struct str_buf out = { 0 };
 
   trace_begin_child (&call->attempt_trace, &call->trace);
@@ -186,11 +197,13 @@
     .body = str_slice (body, 0, WIRE_BODY_PART_MAX_BYTES),
   };
   wire_append_message (&out, &m);
-  wire_append_body_parts (
-      &out,
+  evbuffer_add (frames, out.data, out.len);
+  wire_add_body_parts (
+      frames,
       &(struct wire_body){ .request_id = call->id, .attempt = call->attempt },
-      body);
-  peer_link_send (&f->links, call->link, str_view (&out));
+      &shared);
+  peer_link_send_buffer (&f->links, call->link, frames);
+  evbuffer_free (frames);
   str_reset (&out);
   str_reset (&parent);
 }
--- a/src/frame.c
+++ b/src/frame.c
@@ -17,6 +17,15 @@
   str_append (out, payload);
 }
 
+void
+frame_append_head (struct str_buf *out, struct str payload, size_t more)
+{
+  uint32_t length = htonl ((uint32_t)(payload.len + more));
+
+  str_append (out, (struct str){ sizeof length, (const char *)&length });
+  str_append (out, payload);
+}
+
 /**
  * frame_read - removes one complete frame from a receive buffer
  * @in: received bytes
--- a/src/frame.h
+++ b/src/frame.h
@@ -24,6 +24,9 @@
 
 /* appends the length prefix and the payload */
 void frame_append (struct str_buf *out, struct str payload);
+/* appends the length prefix and the first bytes of a payload; `more` bytes of
+   it follow */
+void frame_append_head (struct str_buf *out, struct str payload, size_t more);
 /* removes one complete frame from a buffer; `payload` receives a copy, freed
    with str_free */
 enum frame_state frame_read (struct evbuffer *in, size_t max_bytes,
--- a/src/front.c
+++ b/src/front.c
@@ -67,6 +67,14 @@
 
 /* Internal functions: callers */
 
+/* A GET of the daemon's own paths needs no body, so it is answered without
+   space for one.  */
+static bool
+is_get (const struct http_server_exchange *x)
+{
+  return str_equal (x->method, STR_LIT ("GET"));
+}
+
 static void
 on_request (void *owner, struct http_server_exchange *x)
 {
@@ -74,7 +82,7 @@
   struct front_call *call;
   uint64_t id;
 
-  if (x->source != FRONT_CALLER
+  if (x->source != FRONT_CALLER && (!x->refused || is_get (x))
       && f->shared->dialect->handle_daemon_request (f, x))
     return;
   id = table_add (&f->calls, (void **)&call);
@@ -89,7 +97,10 @@
   call->result.frame = STR_EMPTY;
   call->result.content_type = STR_EMPTY;
   x->call = id;
-  if (f->calls.count > (uint32_t)f->shared->settings->limits.open_requests)
+  if (x->refused)
+    front_fail (f, call, ERR_OVERLOADED, STR_LIT ("memory"));
+  else if (f->calls.count
+           > (uint32_t)f->shared->settings->limits.open_requests)
     front_fail (f, call, ERR_TOO_MANY_REQUESTS_OPEN, STR_EMPTY);
   else if (x->source == FRONT_CALLER && call->arrived_us >= f->reject_from_us)
     front_fail (f, call, ERR_SHUTTING_DOWN, STR_EMPTY);
@@ -177,6 +188,34 @@
     }
 }
 
+/* Applies the limits on callers that the configuration sets; those of the
+   settings apply where they are lower.  */
+static void
+apply_limits (struct front *f)
+{
+  const struct inventory_limits *from = &f->snapshot->config->inventory.limits;
+  struct http_server_limits limits = { .headers_bytes = SIZE_MAX,
+                                       .body_bytes = SIZE_MAX,
+                                       .client = { .idle_us = INT64_MAX,
+                                                   .head_us = INT64_MAX,
+                                                   .stall_us = INT64_MAX } };
+
+  if (from->headers_bytes > 0)
+    limits.headers_bytes = (size_t)from->headers_bytes;
+  if (from->body_bytes > 0)
+    limits.body_bytes = (size_t)from->body_bytes;
+  if (from->header_timeout_us > 0)
+    limits.client.head_us = from->header_timeout_us;
+  if (from->idle_timeout_us > 0)
+    {
+      limits.client.idle_us = from->idle_timeout_us;
+      limits.client.stall_us = from->idle_timeout_us;
+    }
+  for (int i = 0; i < FRONT_SOURCE_COUNT; i++)
+    if (f->servers[i] != NULL)
+      http_server_set_limits (f->servers[i], &limits);
+}
+
 static void
 run_snapshot (void *owner, int64_t now_us)
 {
@@ -189,7 +228,10 @@
   f->snapshot = snapshot_get (&f->shared->snapshots);
   f->snapshot_generation = generation;
   if (f->snapshot != NULL)
-    dispatch_set_endpoints (f, f->snapshot);
+    {
+      apply_limits (f);
+      dispatch_set_endpoints (f, f->snapshot);
+    }
 }
 
 static enum quota_result
@@ -337,6 +379,11 @@
         LOGGER_TEXT ("listener", daemon_metrics_get_listener (source)),
         LOGGER_NUMBER ("connections", now.open),
         LOGGER_NUMBER ("limit", f->shared->settings->limits.connections));
+  metrics_increment (rows->memory_refusals_front, now.refused - old->refused);
+  metrics_increment (rows->answers_dropped, now.dropped - old->dropped);
+  for (int i = CLIENT_LIMIT_KEEP + 1; i < CLIENT_LIMIT_REASONS; i++)
+    metrics_increment (rows->connections_closed[i],
+                       now.closed[i] - old->closed[i]);
   *old = now;
 }
 
@@ -480,16 +527,20 @@
 static void
 answer_result (struct front_call *call)
 {
-  const struct front_result *r = &call->result;
+  struct front_result *r = &call->result;
   struct wire_header recorded = { STR_LIT ("Content-Type"), r->content_type };
 
   if (r->recorded)
     http_server_answer (call->exchange, r->status, &recorded,
                         r->content_type.len > 0, get_body (call));
+  else if (r->message.u.response.last_part)
+    http_server_answer (
+        call->exchange, r->status, r->message.u.response.headers,
+        r->message.u.response.headers_len, r->message.u.response.body);
   else
-    http_server_answer (call->exchange, r->status,
-                        r->message.u.response.headers,
-                        r->message.u.response.headers_len, get_body (call));
+    http_server_answer_taking (call->exchange, r->status,
+                               r->message.u.response.headers,
+                               r->message.u.response.headers_len, &r->body);
 }
 
 /* Returns the address of the daemon that got the last attempt, or an empty
@@ -605,7 +656,13 @@
           .body_bytes = (size_t)s->limits.body_bytes,
           .connections = (uint32_t)s->limits.connections,
           .idle_timeout_s
-          = (uint32_t)((s->limits.idle_timeout_ms + 999) / CLOCK_US_PER_MS) };
+          = (uint32_t)((s->limits.idle_timeout_ms + 999) / CLOCK_US_PER_MS),
+          .client
+          = { .head_us = s->limits.header_timeout_ms * CLOCK_US_PER_MS,
+              .idle_us = s->limits.idle_timeout_ms * CLOCK_US_PER_MS,
+              .stall_us = s->limits.idle_timeout_ms * CLOCK_US_PER_MS,
+              .request_us = s->limits.request_timeout_ms * CLOCK_US_PER_MS,
+              .progress_bytes_per_s = s->limits.progress_bytes_per_s } };
   const struct
   {
     struct str address;
@@ -620,10 +677,16 @@
     {
       if (listeners[i].port == 0)
         continue;
+      /* The health port needs no bodies.  */
+      limits.body_bytes = i == FRONT_HEALTH
+                              ? (size_t)BYTE_BUDGET_SMALL_MAX_BYTES / 2
+                              : (size_t)s->limits.body_bytes;
       f->servers[i] = http_server_load (f->loop.base, listeners[i].address,
                                         (uint16_t)listeners[i].port, &limits,
                                         &server_ops, f, (uint64_t)i);
       ok = ok && f->servers[i] != NULL;
+      if (f->servers[i] != NULL)
+        http_server_set_slice (f->servers[i], &f->slice);
     }
   if (ok)
     return true;
@@ -653,6 +716,7 @@
 
   memset (f, 0, sizeof *f);
   f->shared = shared;
+  byte_budget_open_slice (&f->slice, &shared->byte_budget);
   f->index = index;
   f->route_ops = route_find_ops (settings->policy.route);
   f->retry_ops = retry_policy_find_ops (settings->policy.retry);
@@ -713,6 +777,7 @@
     g_array_unref (f->queues[i]);
   snapshot_put (f->snapshot);
   loop_close (&f->loop);
+  byte_budget_close_slice (&f->slice);
 }
 
 void
--- a/src/front.h
+++ b/src/front.h
@@ -143,6 +143,7 @@
 {
   struct loop loop;
   struct daemon_context *shared;
+  struct byte_budget_slice slice;
   uint32_t index; /* index of this front */
   /* by front_source; the health server is NULL without a health port */
   struct http_server *servers[FRONT_SOURCE_COUNT];
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -588,6 +588,9 @@
 write_request (struct connection *c, const struct http_client_request *r)
 {
   struct str_buf head = { 0 };
+  size_t body_len
+      = r->body.len
+        + (r->more_body != NULL ? evbuffer_get_length (r->more_body) : 0);
 
   str_append (&head, str_from_cstr (r->method));
   str_append_char (&head, ' ');
@@ -597,13 +600,15 @@
     append_header (&head, STR_LIT ("Host"), str_view (&c->pool->host));
   for (uint32_t i = 0; i < r->headers_len; i++)
     append_header (&head, r->headers[i].name, r->headers[i].value);
-  if (r->body.len > 0 || strcmp (r->method, "POST") == 0
+  if (body_len > 0 || strcmp (r->method, "POST") == 0
       || strcmp (r->method, "PUT") == 0 || strcmp (r->method, "PATCH") == 0)
-    str_append_format (&head, "Content-Length: %zu\r\n", r->body.len);
+    str_append_format (&head, "Content-Length: %zu\r\n", body_len);
   str_append (&head, STR_LIT ("\r\n"));
   bufferevent_write (c->bev, head.data, head.len);
   if (r->body.len > 0)
     bufferevent_write (c->bev, r->body.data, r->body.len);
+  if (r->more_body != NULL)
+    bufferevent_write_buffer (c->bev, r->more_body);
   str_reset (&head);
 }
 
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -53,6 +53,8 @@
   uint32_t headers_len;
   const struct http_head_field *headers;
   struct str body;
+  /* the rest of the body, which is moved out of it; NULL without one */
+  struct evbuffer *more_body;
   int64_t timeout_us; /* for the entire exchange; 0 for none */
   /* longest idle time of a connection that is reused; 0 for no limit */
   int64_t idle_max_us;
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -3,13 +3,14 @@
 
 #include "http_server.h"
 
-#include "listener.h"
-#include "table.h"
+#include "clock.h"
+#include "http_server_limit.h"
 
 #include <event2/util.h>
 #include <glib.h>
 #include <microhttpd.h>
 #include <poll.h>
+#include <string.h>
 #include <sys/socket.h>
 
 /* Constants */
@@ -18,45 +19,16 @@
    headers and its read buffer.  The block is larger than the limit on headers
    by this size.  */
 #define CONNECTION_MEMORY_SPARE_BYTES 16384
-/* Connections that libmicrohttpd may have above the limit: those that were
-   ended to make room and are not removed yet.  */
-#define CONNECTIONS_ENDING_MAX 64u
 /* Idle timeout of connections without a request after the listener has
    stopped.  libmicrohttpd counts whole seconds, so such a connection is closed
    after one to two seconds.  */
 #define CLOSING_IDLE_TIMEOUT_S 1u
-
-/* Types */
-
-struct connection
-{
-  uint64_t id;
-  struct MHD_Connection *mhd;
-  GList link;  /* in the server's list of idle connections */
-  bool busy;   /* has a request; not in the list */
-  bool ending; /* ended to make room; not in the list */
-};
-
-struct http_server
-{
-  struct event_base *base;
-  struct MHD_Daemon *mhd;
-  struct event *readable; /* libmicrohttpd's epoll descriptor is readable */
-  struct event *timer;    /* libmicrohttpd's next timeout */
-  /* activated after a connection was resumed; separate from timer, since
-     adding an active timer makes it inactive */
-  struct event *resumed;
-  struct http_server_limits limits;
-  const struct http_server_ops *ops;
-  void *owner;
-  uint64_t source;
-  struct listener *listener; /* NULL after it has stopped */
-  bool closing; /* connections are closed after their next answer */
-  uint64_t accepted;
-  struct table connections;
-  GQueue idle; /* connections without a request, idle for longest first */
-  uint32_t ending;
-};
+/* Held for a request beside its head and body: the exchange, its header table
+   and the call.  */
+#define REQUEST_BYTES ((int64_t)4096)
+/* A body of unknown length grows by this and a quarter of its size.  */
+#define BODY_STEP_BYTES ((size_t)65536)
+#define STATUS_BAD_GATEWAY 502
 
 /* Internal functions */
 
@@ -107,18 +79,12 @@
   resume (x);
 }
 
-static int
-get_socket (struct MHD_Connection *mhd)
-{
-  return MHD_get_connection_info (mhd, MHD_CONNECTION_INFO_CONNECTION_FD)
-      ->connect_fd;
-}
-
 static void
 watch_for_close (struct http_server_exchange *x)
 {
-  x->close_event = event_new (x->server->base, get_socket (x->connection),
-                              EV_CLOSED, on_closed, x);
+  x->close_event
+      = event_new (x->server->base, http_server_get_socket (x->connection),
+                   EV_CLOSED, on_closed, x);
   event_add (x->close_event, NULL);
 }
 
@@ -144,6 +110,8 @@
 {
   x->connection = connection;
   x->method = str_from_cstr (method);
+  client_limit_enter (&http_server_get_connection (connection)->limit,
+                      CLIENT_LIMIT_RUNNING, 0, clock_now_us ());
   x->headers = g_new (struct wire_header, WIRE_HEADERS_MAX);
   MHD_get_connection_values (connection, MHD_HEADER_KIND, collect_header, x);
   x->awaiting_answer = true;
@@ -153,16 +121,91 @@
   x->server->ops->on_request (x->server->owner, x);
 }
 
+/* Makes space for the next bytes of the body.  The space for a body of known
+   length was reserved with its head.  */
+static bool
+grow_body (struct http_server_exchange *x, size_t len)
+{
+  size_t need = x->body.len + len + 1;
+  size_t cap;
+
+  if (need <= x->body.cap)
+    return true;
+  if (x->declared > 0)
+    {
+      str_reserve (&x->body, (size_t)x->declared + 1);
+      return need <= x->body.cap;
+    }
+  cap = MAX (need, x->body.cap + x->body.cap / 4 + BODY_STEP_BYTES);
+  if (!http_server_limit_reserve (x, (int64_t)(cap - x->body.cap)))
+    return false;
+  str_reserve (&x->body, cap);
+  return true;
+}
+
 static void
 collect_body (struct http_server_exchange *x, const char *data, size_t *len)
 {
-  if (x->body.len + *len > x->server->limits.body_bytes)
-    x->body_too_large = true;
-  else
-    str_append (&x->body, (struct str){ *len, data });
+  struct http_server_connection *c
+      = http_server_get_connection (x->connection);
+  size_t limit = x->server->limits.body_bytes;
+
+  x->received += *len;
+  if (x->received > limit && !x->body_too_large)
+    {
+      http_server_limit_release_body (x);
+      x->body_too_large = true;
+    }
+  /* As much as the limit is read after it, so that a client that sends a body
+     only slightly too large gets the answer.  */
+  if (x->received > 2 * limit + BODY_STEP_BYTES && !c->ending)
+    http_server_limit_end (x->server, c, CLIENT_LIMIT_BODY_SIZE);
+  if (!x->body_too_large && !x->refused)
+    {
+      if (grow_body (x, *len))
+        str_append (&x->body, (struct str){ *len, data });
+      else
+        http_server_limit_refuse (x);
+    }
   *len = 0;
 }
 
+static struct str
+get_value (struct MHD_Connection *connection, const char *name)
+{
+  return str_from_cstr (
+      MHD_lookup_connection_value (connection, MHD_HEADER_KIND, name));
+}
+
+/* Called when the head is complete: reserves the space for the request.  A
+   client that waits for "100 Continue" is refused before it sends the body. */
+static void
+begin_request (struct http_server_exchange *x,
+               struct MHD_Connection *connection, const char *method)
+{
+  struct http_server *h = x->server;
+  struct http_server_connection *c = http_server_get_connection (connection);
+  size_t head_bytes = MHD_get_connection_info (
+                          connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE)
+                          ->header_size;
+  int64_t bytes = REQUEST_BYTES + (int64_t)head_bytes;
+
+  x->connection = connection;
+  http_server_limit_release_head (h, c);
+  client_limit_enter (&c->limit, CLIENT_LIMIT_BODY, 0, clock_now_us ());
+  x->headers_too_many = head_bytes > h->limits.headers_bytes;
+  if (!str_parse_u64 (get_value (connection, "Content-Length"), &x->declared))
+    x->declared = 0;
+  x->body_too_large = x->declared > h->limits.body_bytes;
+  if (!x->body_too_large && x->declared > 0)
+    bytes += (int64_t)x->declared + 1;
+  if (!http_server_limit_reserve (x, bytes))
+    http_server_limit_refuse (x);
+  if ((x->refused || x->body_too_large)
+      && get_value (connection, "Expect").len > 0)
+    pass_to_owner (x, connection, method);
+}
+
 static enum MHD_Result
 on_access (void *data, struct MHD_Connection *connection, const char *url,
            const char *method, const char *version, const char *upload,
@@ -178,7 +221,7 @@
   if (x->connection == NULL)
     {
       /* First call: only the headers are known.  */
-      x->connection = connection;
+      begin_request (x, connection, method);
       return MHD_YES;
     }
   if (*upload_len > 0)
@@ -195,7 +238,7 @@
 /* Internal functions: connections */
 
 static void
-add_idle (struct http_server *h, struct connection *c)
+add_idle (struct http_server *h, struct http_server_connection *c)
 {
   c->busy = false;
   if (!c->ending)
@@ -205,7 +248,7 @@
 }
 
 static void
-remove_idle (struct http_server *h, struct connection *c)
+remove_idle (struct http_server *h, struct http_server_connection *c)
 {
   if (!c->busy && !c->ending)
     g_queue_unlink (&h->idle, &c->link);
@@ -216,7 +259,7 @@
                enum MHD_ConnectionNotificationCode what)
 {
   struct http_server *h = data;
-  struct connection *c = *context;
+  struct http_server_connection *c = *context;
 
   if (what == MHD_CONNECTION_NOTIFY_STARTED)
     {
@@ -225,25 +268,21 @@
       c->id = id;
       c->mhd = mhd;
       c->link.data = c;
+      client_limit_enter (&c->limit, CLIENT_LIMIT_IDLE, 0, clock_now_us ());
       add_idle (h, c);
+      http_server_limit_schedule (h);
       h->accepted++;
       *context = c;
       return;
     }
   remove_idle (h, c);
+  http_server_limit_release_head (h, c);
   h->ending -= c->ending;
   table_remove (&h->connections, c->id);
   if (h->listener != NULL)
     listener_resume (h->listener);
 }
 
-static struct connection *
-get_connection (struct MHD_Connection *mhd)
-{
-  return MHD_get_connection_info (mhd, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
-      ->socket_context;
-}
-
 /* Ends the connection that was idle for longest, but none on which bytes have
    arrived, since it is about to become busy.  Returns false if there is none
    to end.  */
@@ -257,8 +296,8 @@
   for (guint i = g_queue_get_length (&h->idle); i > 0; i--)
     {
       GList *link = g_queue_pop_head_link (&h->idle);
-      struct connection *c = link->data;
-      int fd = get_socket (c->mhd);
+      struct http_server_connection *c = link->data;
+      int fd = http_server_get_socket (c->mhd);
 
       if (recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0)
         {
@@ -281,13 +320,15 @@
   struct http_server *h = owner;
 
   return h->connections.count - h->ending < h->limits.connections
-         || end_idle_connection (h);
+         || end_idle_connection (h)
+         || http_server_limit_end_stalled (h, CLIENT_LIMIT_CONNECTIONS);
 }
 
 static void
 on_shortage (void *owner)
 {
-  end_idle_connection (owner);
+  if (!end_idle_connection (owner))
+    http_server_limit_end_stalled (owner, CLIENT_LIMIT_CONNECTIONS);
 }
 
 static bool
@@ -321,13 +362,16 @@
 on_uri (void *data, const char *uri, struct MHD_Connection *connection)
 {
   struct http_server_exchange *x = g_new0 (struct http_server_exchange, 1);
-  struct connection *c = get_connection (connection);
+  struct http_server_connection *c = http_server_get_connection (connection);
 
   x->server = data;
   x->source = x->server->source;
   x->target = str_copy (str_from_cstr (uri));
   remove_idle (x->server, c);
   c->busy = true;
+  c->exchange = x;
+  if (c->limit.phase == CLIENT_LIMIT_IDLE)
+    client_limit_enter (&c->limit, CLIENT_LIMIT_HEAD, 0, clock_now_us ());
   return x;
 }
 
@@ -336,11 +380,16 @@
               enum MHD_RequestTerminationCode why)
 {
   struct http_server_exchange *x = *context;
+  struct http_server_connection *c = http_server_get_connection (connection);
 
   if (x == NULL)
     return;
   *context = NULL;
-  add_idle (x->server, get_connection (connection));
+  c->exchange = NULL;
+  c->counted = false;
+  client_limit_enter (&c->limit, CLIENT_LIMIT_IDLE, 0, clock_now_us ());
+  http_server_limit_release_head (x->server, c);
+  add_idle (x->server, c);
   if (x->close_event != NULL)
     event_free (x->close_event);
   if (x->awaiting_answer)
@@ -348,7 +397,7 @@
   if (x->response != NULL)
     MHD_destroy_response (x->response);
   str_free (&x->target);
-  str_reset (&x->body);
+  http_server_limit_release_body (x);
   g_free (x->headers);
   g_free (x);
 }
@@ -379,6 +428,7 @@
 
   h->base = base;
   h->limits = *limits;
+  h->loaded_limits = *limits;
   h->ops = ops;
   h->owner = owner;
   h->source = source;
@@ -405,12 +455,13 @@
       g_free (h);
       return NULL;
     }
-  table_init (&h->connections, sizeof (struct connection));
+  table_init (&h->connections, sizeof (struct http_server_connection));
   info = MHD_get_daemon_info (h->mhd, MHD_DAEMON_INFO_EPOLL_FD);
   h->readable
       = event_new (base, info->epoll_fd, EV_READ | EV_PERSIST, run_mhd, h);
   h->timer = evtimer_new (base, run_mhd, h);
   h->resumed = event_new (base, -1, 0, run_mhd, h);
+  h->check = evtimer_new (base, http_server_limit_check, h);
   event_add (h->readable, NULL);
   return h;
 }
@@ -424,6 +475,7 @@
   event_free (h->readable);
   event_free (h->timer);
   event_free (h->resumed);
+  event_free (h->check);
   MHD_stop_daemon (h->mhd);
   table_close (&h->connections);
   g_free (h);
@@ -440,7 +492,7 @@
 void
 http_server_stop_listening (struct http_server *h)
 {
-  struct connection *c;
+  struct http_server_connection *c;
 
   if (h->listener != NULL)
     listener_unload (h->listener);
@@ -463,11 +515,11 @@
 http_server_get_stats (const struct http_server *h,
                        struct http_server_stats *stats)
 {
-  *stats = (struct http_server_stats){
-    .open = h->connections.count,
-    .accepted = h->accepted,
-    .waiting = h->listener != NULL && listener_is_caller_waiting (h->listener)
-  };
+  *stats = h->stats;
+  stats->open = h->connections.count;
+  stats->accepted = h->accepted;
+  stats->waiting
+      = h->listener != NULL && listener_is_caller_waiting (h->listener);
 }
 
 int64_t
@@ -477,22 +529,28 @@
                              : 0;
 }
 
-/**
- * http_server_answer - answers a request
- * @x: exchange; no longer valid afterwards
- * @status: HTTP status
- * @headers: headers; Content-Length is added here
- * @headers_len: number of headers
- * @body: complete body
- */
-void
-http_server_answer (struct http_server_exchange *x, int status,
-                    const struct wire_header *headers, uint32_t headers_len,
-                    struct str body)
+/* Replaces the reservation of a request by that of its answer.  Returns false
+   if the answer does not fit.  */
+static bool
+reserve_answer (struct http_server_exchange *x, size_t len)
 {
-  struct MHD_Response *r = MHD_create_response_from_buffer (
-      body.len, (void *)body.data, MHD_RESPMEM_MUST_COPY);
+  int64_t bytes = REQUEST_BYTES + (int64_t)len;
+
+  http_server_limit_release_body (x);
+  if (x->server->slice == NULL || http_server_limit_reserve (x, bytes))
+    return true;
+  if (!byte_budget_take (x->server->slice, bytes))
+    return false;
+  x->reserved = bytes;
+  return true;
+}
 
+/* Answers with a response, which libmicrohttpd sends and frees.  */
+static void
+answer (struct http_server_exchange *x, int status,
+        const struct wire_header *headers, uint32_t headers_len,
+        struct MHD_Response *r)
+{
   for (uint32_t i = 0; i < headers_len; i++)
     {
       char *name = str_dup_cstr (headers[i].name);
@@ -510,9 +568,70 @@
   x->awaiting_answer = false;
   x->response = r;
   x->status = status;
+  client_limit_enter (&http_server_get_connection (x->connection)->limit,
+                      CLIENT_LIMIT_ANSWER, 0, clock_now_us ());
   resume (x);
 }
 
+/* Answers a request that has run, without the response, since that does not
+   fit the budget and its part for such responses.  */
+static void
+drop_answer (struct http_server_exchange *x)
+{
+  const struct wire_header close
+      = { STR_LIT ("Connection"), STR_LIT ("close") };
+
+  x->server->stats.dropped++;
+  answer (x, STATUS_BAD_GATEWAY, &close, !x->server->closing,
+          MHD_create_response_from_buffer (0, NULL, MHD_RESPMEM_PERSISTENT));
+}
+
+/**
+ * http_server_answer - answers a request
+ * @x: exchange; no longer valid afterwards
+ * @status: HTTP status
+ * @headers: headers; Content-Length is added here
+ * @headers_len: number of headers
+ * @body: complete body
+ */
+void
+http_server_answer (struct http_server_exchange *x, int status,
+                    const struct wire_header *headers, uint32_t headers_len,
+                    struct str body)
+{
+  if (!reserve_answer (x, body.len))
+    drop_answer (x);
+  else
+    answer (x, status, headers, headers_len,
+            MHD_create_response_from_buffer (body.len, (void *)body.data,
+                                             MHD_RESPMEM_MUST_COPY));
+}
+
+/**
+ * http_server_answer_taking - answers a request without copying the body
+ * @x: exchange; no longer valid afterwards
+ * @status: HTTP status
+ * @headers: headers; Content-Length is added here
+ * @headers_len: number of headers
+ * @body: complete body, not empty; empty afterwards
+ */
+void
+http_server_answer_taking (struct http_server_exchange *x, int status,
+                           const struct wire_header *headers,
+                           uint32_t headers_len, struct str_buf *body)
+{
+  if (!reserve_answer (x, body->len))
+    {
+      str_reset (body);
+      drop_answer (x);
+      return;
+    }
+  answer (x, status, headers, headers_len,
+          MHD_create_response_from_buffer_with_free_callback (
+              body->len, body->data, g_free));
+  *body = (struct str_buf){ 0 };
+}
+
 void
 http_server_drop (struct http_server_exchange *x)
 {
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -7,6 +7,8 @@
 #ifndef ALMONDVALE_HTTP_SERVER_H
 #define ALMONDVALE_HTTP_SERVER_H
 
+#include "byte_budget.h"
+#include "client_limit.h"
 #include "str.h"
 #include "wire.h"
 
@@ -23,6 +25,17 @@
   uint32_t connections;    /* largest number of connections */
   uint32_t idle_timeout_s; /* time after which a connection that sends nothing
                               is closed */
+  /* limits in time; head_us is 0 for none */
+  struct client_limits client;
+};
+
+/* A body that the exchange shares with other users of its thread.  */
+struct http_server_bytes
+{
+  uint32_t users;
+  char *data;
+  struct byte_budget_slice *slice;
+  int64_t reserved;
 };
 
 struct http_server_exchange
@@ -34,11 +47,16 @@
   struct wire_header *headers;
   struct str_buf body;
   bool body_too_large;   /* the body exceeds the limit and is incomplete */
-  bool headers_too_many; /* more than WIRE_HEADERS_MAX */
-  uint64_t call;         /* set by the owner: row id of the call */
-  uint64_t source;       /* `source` of http_server_load */
+  bool headers_too_many; /* more than WIRE_HEADERS_MAX, or too many bytes */
+  bool refused;    /* does not fit the byte budget; the body is not kept */
+  uint64_t call;   /* set by the owner: row id of the call */
+  uint64_t source; /* `source` of http_server_load */
   /* members below are private to http_server */
   void *connection;
+  uint64_t declared; /* Content-Length, 0 without one */
+  uint64_t received; /* bytes of the body so far */
+  int64_t reserved;  /* bytes of the budget, without those of `shared` */
+  struct http_server_bytes *shared; /* the body, if it is shared */
   void *response;
   int status;
   bool suspended;            /* libmicrohttpd does not watch the connection */
@@ -63,6 +81,10 @@
   uint32_t open;     /* connections */
   uint64_t accepted; /* connections since the start */
   bool waiting;      /* a caller has connected and is not accepted yet */
+  uint64_t refused;  /* requests that did not fit the byte budget */
+  uint64_t dropped;  /* answers that did not fit the byte budget */
+  /* connections closed since the start, by reason */
+  uint64_t closed[CLIENT_LIMIT_REASONS];
 };
 
 struct http_server;
@@ -76,6 +98,14 @@
                                       const struct http_server_limits *limits,
                                       const struct http_server_ops *ops,
                                       void *owner, uint64_t source);
+/* takes the bytes that the listener holds from a slice of the budget, which is
+   closed after the listener */
+void http_server_set_slice (struct http_server *h,
+                            struct byte_budget_slice *slice);
+/* lowers the limits of later requests; a limit above that of
+   http_server_load counts as that */
+void http_server_set_limits (struct http_server *h,
+                             const struct http_server_limits *limits);
 /* closes all connections and frees the listener */
 void http_server_unload (struct http_server *h);
 /* accepts no new connections; open ones are closed after their answer, or
@@ -91,6 +121,17 @@
 void http_server_answer (struct http_server_exchange *x, int status,
                          const struct wire_header *headers,
                          uint32_t headers_len, struct str body);
+/* answers a request like http_server_answer, but takes the body, which is then
+   empty */
+void http_server_answer_taking (struct http_server_exchange *x, int status,
+                                const struct wire_header *headers,
+                                uint32_t headers_len, struct str_buf *body);
+/* returns the body for another user, who gives it back with
+   http_server_put_body; it is valid until then */
+struct http_server_bytes *
+http_server_share_body (struct http_server_exchange *x);
+/* ends one use of a body; has the type of a cleanup function of libevent */
+void http_server_put_body (const void *data, size_t len, void *body);
 /* closes the connection of a request without an answer */
 void http_server_drop (struct http_server_exchange *x);
 /* returns the value of a header, or an empty string */
--- a/src/inventory.c
+++ b/src/inventory.c
@@ -215,6 +215,7 @@
 {
   inventory_init (to);
   to->revision = from->revision;
+  to->limits = from->limits;
   for (int kind = 0; kind < INVENTORY_KINDS; kind++)
     {
       const struct table *t = &from->tables[kind];
--- a/src/inventory.h
+++ b/src/inventory.h
@@ -175,8 +175,18 @@
   const struct inventory_field *fields; /* the first one is the name */
 };
 
+/* Limits on callers; 0: that of the settings applies.  */
+struct inventory_limits
+{
+  int64_t headers_bytes;
+  int64_t body_bytes;
+  int64_t header_timeout_us;
+  int64_t idle_timeout_us;
+};
+
 struct inventory
 {
+  struct inventory_limits limits;
   uint64_t revision; /* of the last change applied; 0: none was applied */
   struct table tables[INVENTORY_KINDS];
   apr_pool_t *pool;
--- a/src/peer_link.c
+++ b/src/peer_link.c
@@ -234,6 +234,21 @@
   return false;
 }
 
+bool
+peer_link_send_buffer (struct peer_link_set *set, uint64_t link,
+                       struct evbuffer *frames)
+{
+  struct peer_link_row *row = table_get (&set->links, link);
+
+  if (row == NULL)
+    return false;
+  bufferevent_write_buffer (row->bev, frames);
+  if (peer_link_get_pending_bytes (set, link) <= set->pending_max_bytes)
+    return true;
+  close_and_notify (row);
+  return false;
+}
+
 void
 peer_link_disconnect (struct peer_link_set *set, uint64_t link)
 {
--- a/src/peer_link.h
+++ b/src/peer_link.h
@@ -60,6 +60,9 @@
    because of pending_max_bytes */
 bool peer_link_send (struct peer_link_set *set, uint64_t link,
                      struct str frames);
+/* sends complete frames and removes them from the buffer; false as above */
+bool peer_link_send_buffer (struct peer_link_set *set, uint64_t link,
+                            struct evbuffer *frames);
 /* closes one link; on_close is not called */
 void peer_link_disconnect (struct peer_link_set *set, uint64_t link);
 /* closes a link because of an invalid message; on_close is called as if the
--- a/src/serve.c
+++ b/src/serve.c
@@ -25,6 +25,9 @@
    that is not idempotent: if the backend server had closed it in the meantime,
    it would not be known whether the request ran.  */
 #define SERVE_IDLE_MAX_US 1000000
+/* Held for a job beside its frame: its row and the head that is written to the
+   backend server.  */
+#define SERVE_JOB_BYTES ((size_t)4096)
 /* Weight of one request in the moving average of the service time.  */
 #define SERVE_MEAN_GAIN 0.02
 
@@ -202,7 +205,8 @@
   struct http_head_field headers[SERVE_HEADERS_MAX];
   struct http_client_request r
       = { .headers = headers,
-          .body = job->body.len > 0 ? str_view (&job->body) : q->body,
+          .body = q->body,
+          .more_body = job->more_body,
           .target = q->path,
           .timeout_us = job->deadline_us - now_us,
           .idle_max_us = q->idempotent ? 0 : SERVE_IDLE_MAX_US,
@@ -274,6 +278,20 @@
   trace_append_parent (&job->traceparent, &job->trace);
 }
 
+/* Reserves bytes for a job, which is refused as not run if they do not
+   fit.  */
+static bool
+reserve_for_job (struct serve *s, struct serve_job *job, size_t bytes)
+{
+  if (!byte_budget_reserve (&s->slice, (int64_t)bytes))
+    {
+      metrics_increment (s->shared->metric_rows.memory_refusals_serve, 1);
+      return false;
+    }
+  job->reserved += (int64_t)bytes;
+  return true;
+}
+
 static void
 receive_request (struct serve *s, uint64_t link, struct str frame)
 {
@@ -308,10 +326,16 @@
       serve_response_finish (s, job);
       return;
     }
+  if (!reserve_for_job (s, job, SERVE_JOB_BYTES + frame.len))
+    {
+      serve_response_fail (s, job, ERR_OVERLOADED, NULL);
+      return;
+    }
+  job->body_len = job->message.u.request.body.len;
   if (!job->message.u.request.last_part)
     {
       job->state = SERVE_RECEIVING;
-      str_append (&job->body, job->message.u.request.body);
+      job->more_body = evbuffer_new ();
       return;
     }
   job->state = SERVE_ARRIVED;
@@ -326,13 +350,19 @@
 
   if (job == NULL || job->state != SERVE_RECEIVING || job->link != link)
     return;
-  if (job->body.len + b->bytes.len
+  if (job->body_len + b->bytes.len
       > (size_t)s->shared->settings->limits.body_bytes)
     {
       serve_response_fail (s, job, ERR_BODY_TOO_LARGE, NULL);
       return;
     }
-  str_append (&job->body, b->bytes);
+  if (!reserve_for_job (s, job, b->bytes.len))
+    {
+      serve_response_fail (s, job, ERR_OVERLOADED, NULL);
+      return;
+    }
+  evbuffer_add (job->more_body, b->bytes.data, b->bytes.len);
+  job->body_len += b->bytes.len;
   if (!b->last_part)
     return;
   job->state = SERVE_ARRIVED;
@@ -721,7 +751,9 @@
 {
   wire_unload_message (&job->message);
   str_free (&job->frame);
-  str_reset (&job->body);
+  if (job->more_body != NULL)
+    evbuffer_free (job->more_body);
+  byte_budget_release (&s->slice, job->reserved);
   str_reset (&job->traceparent);
   table_remove (&s->jobs, job->id);
   atomic_fetch_sub (&s->shared->open_jobs, 1);
@@ -770,6 +802,7 @@
 
   memset (s, 0, sizeof *s);
   s->shared = shared;
+  byte_budget_open_slice (&s->slice, &shared->byte_budget);
   s->backend.service = STR_EMPTY;
   s->backend.address = STR_EMPTY;
   s->backend.id = STR_EMPTY;
@@ -822,4 +855,5 @@
   str_free (&s->backend.id);
   snapshot_put (s->snapshot);
   loop_close (&s->loop);
+  byte_budget_close_slice (&s->slice);
 }
--- a/src/serve.h
+++ b/src/serve.h
@@ -41,7 +41,10 @@
   uint64_t link;    /* peer link from the front */
   struct str frame; /* owned; the message points into it */
   struct wire_message message;
-  struct str_buf body; /* request body that arrives in several messages */
+  /* rest of a request body that arrives in several messages, or NULL */
+  struct evbuffer *more_body;
+  size_t body_len;  /* bytes of the body so far */
+  int64_t reserved; /* bytes of the budget */
   int64_t arrived_us;
   int64_t started_us;
   int64_t deadline_us;
@@ -71,6 +74,7 @@
 {
   struct loop loop;
   struct daemon_context *shared;
+  struct byte_budget_slice slice;
   struct peer_link_set links;
   struct table jobs;
   GArray *arrived;  /* ids of jobs in SERVE_ARRIVED */
--- a/src/serve_response.c
+++ b/src/serve_response.c
@@ -59,6 +59,7 @@
   struct wire_message m = { .type = WIRE_RESPONSE };
   struct pressure_report reports[PRESSURE_PATH_SERVICES_MAX];
   struct pressure_downstream_service services[PRESSURE_PATH_SERVICES_MAX];
+  struct evbuffer *frames = evbuffer_new ();
   struct str_buf out = { 0 };
   struct str body = r->body;
 
@@ -74,11 +75,13 @@
   add_pressure_reports (s, r, reports, services);
   m.u.response = *r;
   wire_append_message (&out, &m);
-  wire_append_body_parts (&out,
-                          &(struct wire_body){ .request_id = q->request_id,
-                                               .attempt = q->attempt },
-                          body);
-  peer_link_send (&s->links, job->link, str_view (&out));
+  evbuffer_add (frames, out.data, out.len);
+  wire_add_body_parts (frames,
+                       &(struct wire_body){ .request_id = q->request_id,
+                                            .attempt = q->attempt },
+                       &(struct wire_bytes){ .bytes = body });
+  peer_link_send_buffer (&s->links, job->link, frames);
+  evbuffer_free (frames);
   str_reset (&out);
   r->pressures = NULL;
   r->pressures_len = 0;
--- a/src/settings.h
+++ b/src/settings.h
@@ -79,6 +79,10 @@
   int64_t depth;
   int64_t connections;
   int64_t idle_timeout_ms;
+  int64_t header_timeout_ms;
+  int64_t request_timeout_ms;
+  int64_t progress_bytes_per_s;
+  int64_t memory_bytes;
 };
 
 struct settings_fresh
--- a/src/str.c
+++ b/src/str.c
@@ -149,6 +149,16 @@
   b->data = g_realloc (b->data, b->cap);
 }
 
+void
+str_reserve (struct str_buf *b, size_t cap)
+{
+  if (cap <= b->cap)
+    return;
+  b->cap = cap;
+  b->data = g_realloc (b->data, cap);
+  b->data[b->len] = '\0';
+}
+
 void
 str_append (struct str_buf *b, struct str s)
 {
--- a/src/str.h
+++ b/src/str.h
@@ -69,6 +69,9 @@
    or overflow.  */
 bool str_parse_u64 (struct str s, uint64_t *value);
 
+/* Allocates at least cap bytes, the final NUL included, and no more than needed
+   for that.  */
+void str_reserve (struct str_buf *b, size_t cap);
 /* Appends the bytes of s.  */
 void str_append (struct str_buf *b, struct str s);
 /* Appends one byte.  */
--- a/src/tcp_socket.c
+++ b/src/tcp_socket.c
@@ -4,8 +4,8 @@
 
 #include <glib.h>
 #include <linux/sockios.h>
+#include <linux/tcp.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/ioctl.h>
 
@@ -80,3 +80,15 @@
     return 0;
   return error;
 }
+
+void
+tcp_socket_get_counts (evutil_socket_t fd, uint64_t *received,
+                       uint64_t *acknowledged)
+{
+  struct tcp_info info = { 0 };
+  socklen_t len = sizeof info;
+
+  getsockopt (fd, IPPROTO_TCP, TCP_INFO, &info, &len);
+  *received = info.tcpi_bytes_received;
+  *acknowledged = info.tcpi_bytes_acked;
+}
--- a/src/tcp_socket.h
+++ b/src/tcp_socket.h
@@ -22,6 +22,10 @@
 /* Returns true if the peer has acknowledged all bytes written to the socket,
    or if the system cannot tell.  */
 bool tcp_socket_is_acknowledged (evutil_socket_t fd);
+/* Sets the numbers of bytes that were received and that the peer has
+   acknowledged; both are 0 if the system cannot tell.  */
+void tcp_socket_get_counts (evutil_socket_t fd, uint64_t *received,
+                            uint64_t *acknowledged);
 /* Returns the pending error of a socket and clears it; 0 if there is none.  */
 int tcp_socket_take_error (evutil_socket_t fd);
 
--- a/src/wire.c
+++ b/src/wire.c
@@ -96,6 +96,20 @@
   wire_writer_add_bin (p, r->body);
 }
 
+/* Packs a part of a body without its bytes, which follow.  */
+static void
+pack_body_head (msgpack_packer *p, const void *message)
+{
+  const struct wire_body *b = message;
+
+  msgpack_pack_array (p, 6);
+  msgpack_pack_int (p, WIRE_BODY);
+  msgpack_pack_uint64 (p, b->request_id);
+  pack_attempt (p, b->attempt);
+  wire_writer_add_bool (p, b->last_part);
+  msgpack_pack_bin (p, b->bytes.len);
+}
+
 static void
 pack_message (msgpack_packer *p, const void *message)
 {
@@ -129,12 +143,8 @@
       msgpack_pack_int (p, (int)m->u.outcome.state);
       break;
     case WIRE_BODY:
-      msgpack_pack_array (p, 6);
-      msgpack_pack_int (p, WIRE_BODY);
-      msgpack_pack_uint64 (p, m->u.body.request_id);
-      pack_attempt (p, m->u.body.attempt);
-      wire_writer_add_bool (p, m->u.body.last_part);
-      wire_writer_add_bin (p, m->u.body.bytes);
+      pack_body_head (p, &m->u.body);
+      msgpack_pack_bin_body (p, m->u.body.bytes.data, m->u.body.bytes.len);
       break;
     }
 }
@@ -327,19 +337,40 @@
   wire_writer_append_frame (out, pack_message, m);
 }
 
+/* Adds a part of a body as one frame, without a copy if possible.  */
+static void
+add_body_part (struct evbuffer *out, const struct wire_body *part,
+               const struct wire_bytes *body)
+{
+  struct str_buf payload = { 0 };
+  struct str_buf head = { 0 };
+
+  wire_writer_append (&payload, pack_body_head, part);
+  frame_append_head (&head, str_view (&payload), part->bytes.len);
+  evbuffer_add (out, head.data, head.len);
+  if (body->share != NULL)
+    evbuffer_add_reference (out, part->bytes.data, part->bytes.len, body->put,
+                            body->share (body->data));
+  else
+    evbuffer_add (out, part->bytes.data, part->bytes.len);
+  str_reset (&payload);
+  str_reset (&head);
+}
+
 void
-wire_append_body_parts (struct str_buf *out, const struct wire_body *part,
-                        struct str body)
+wire_add_body_parts (struct evbuffer *out, const struct wire_body *part,
+                     const struct wire_bytes *body)
 {
-  struct wire_message m = { .type = WIRE_BODY, .u.body = *part };
+  struct wire_body next = *part;
 
   /* The request or response contains the first part.  */
-  for (size_t sent = WIRE_BODY_PART_MAX_BYTES; sent < body.len;
-       sent += m.u.body.bytes.len)
+  for (size_t sent = WIRE_BODY_PART_MAX_BYTES; sent < body->bytes.len;
+       sent += next.bytes.len)
     {
-      m.u.body.bytes = str_slice (body, sent, sent + WIRE_BODY_PART_MAX_BYTES);
-      m.u.body.last_part = sent + m.u.body.bytes.len == body.len;
-      wire_append_message (out, &m);
+      next.bytes
+          = str_slice (body->bytes, sent, sent + WIRE_BODY_PART_MAX_BYTES);
+      next.last_part = sent + next.bytes.len == body->bytes.len;
+      add_body_part (out, &next, body);
     }
 }
 
--- a/src/wire.h
+++ b/src/wire.h
@@ -14,7 +14,9 @@
 #include "err.h"
 #include "pressure.h"
 #include "str.h"
+
 #include "success_rate.h"
+#include <event2/buffer.h>
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -167,6 +169,17 @@
   void *zone; /* msgpack_zone of the decoded objects */
 };
 
+/* Bytes that are sent; they are copied unless they can be shared.  */
+struct wire_bytes
+{
+  struct str bytes;
+  /* returns the owner of the bytes for one more use, which `put` ends; NULL if
+     the bytes cannot be shared */
+  void *(*share) (void *data);
+  void (*put) (const void *bytes, size_t len, void *owner);
+  void *data; /* argument of share */
+};
+
 /* Public functions */
 
 /* appends a message as one frame (length prefix and msgpack) */
@@ -175,8 +188,8 @@
    WIRE_BODY messages, since the request or response contains the bytes before;
    request_id and attempt are copied from part, whose other members are
    ignored */
-void wire_append_body_parts (struct str_buf *out, const struct wire_body *part,
-                             struct str body);
+void wire_add_body_parts (struct evbuffer *out, const struct wire_body *part,
+                          const struct wire_bytes *body);
 /* decodes one frame without its length prefix; false if malformed */
 bool wire_load_message (struct wire_message *m, struct str frame);
 /* frees what wire_load_message allocated */
--- a/tests/test_machine_settings.c
+++ b/tests/test_machine_settings.c
@@ -152,12 +152,29 @@
 }
 END_TEST
 
+/* Guards against a limit on memory that ignores the size of the VM.  */
+START_TEST (limit_on_memory_follows_the_vm)
+{
+  char **parts = g_strsplit (FILE_TEXT, "\"unknown\":{\"x\":1}", 2);
+  char *text = g_strconcat (parts[0], "\"limits\":{\"memoryMb\":160}",
+                            parts[1], NULL);
+  struct machine_settings m;
+
+  ck_assert (load (&m, text, NULL));
+  ck_assert_int_eq (m.settings.limits.memory_bytes, 80 << 20);
+  machine_settings_unload (&m);
+  g_free (text);
+  g_strfreev (parts);
+}
+END_TEST
+
 int
 main (void)
 {
   const TTest *const cases[] = { settings_are_loaded, errors_name_the_member,
                                  override_file_replaces_built_in_settings,
-                                 callers_leave_descriptors_to_the_daemon };
+                                 callers_leave_descriptors_to_the_daemon,
+                                 limit_on_memory_follows_the_vm };
 
   return suite_run ("machine_settings", cases, sizeof cases / sizeof *cases);
 }
--- a/tests/test_platform_config.c
+++ b/tests/test_platform_config.c
@@ -22,7 +22,9 @@
       "\"tenants\":{\"columns\":[\"name\",\"apiKeys\",\"priority\","
       "\"ratePerS\",\"burst\"],\"rows\":["
       "[\"w1\",[\"aaaaaaaaaaaaaaaaaaaa\"],0,134,100],"
-      "[\"w2\",[],1,null,null]]},\"baseVersion\":5}";
+      "[\"w2\",[],1,null,null]]},\"limits\":{\"maxHeaderBytes\":16384,"
+      "\"maxBodyBytes\":67108864,\"headerTimeout\":\"3000ms\","
+      "\"idleTimeout\":15},\"baseVersion\":5}";
 
 /* Returns the route of a request, or NULL if there is none.  */
 static const struct inventory_route *
@@ -165,6 +167,26 @@
 }
 END_TEST
 
+/* Guards against limits on callers that are not read, or are lost when the
+   configuration is copied for the traffic threads.  */
+START_TEST (limits_on_callers_are_read)
+{
+  struct inventory inventory;
+  struct snapshot_config *c;
+  const struct inventory_limits *l;
+
+  ck_assert (platform_config_load (&inventory, STR_LIT (config), NULL));
+  c = snapshot_load_config (&inventory);
+  l = &c->inventory.limits;
+  ck_assert_int_eq (l->headers_bytes, 16384);
+  ck_assert_int_eq (l->body_bytes, 67108864);
+  ck_assert_int_eq (l->header_timeout_us, 3000000);
+  ck_assert_int_eq (l->idle_timeout_us, 0); /* not a duration */
+  refcount_put (&c->ref);
+  inventory_close (&inventory);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -174,6 +196,7 @@
     workspace_priority_outweighs_route_priority,
     keys_are_stored_as_digests,
     malformed_objects_are_rejected,
+    limits_on_callers_are_read,
   };
 
   return suite_run ("platform_config", cases, sizeof cases / sizeof *cases);
