Accept bodies up to the configuration's limit, bound workspaces

Cause: the settings permit 8 MiB while maxBodyBytes is 64 MiB in the examples, so proper requests got 413; one workspace could take all space for bodies; the health port had as many connections as the callers' and so took the descriptors that are kept for the backend server and other daemons. Change: limits.body_bytes may be 64 MiB, which is the default on the platform; a link may have three such bodies pending. The health port has 64 connections and needs no bodies.

--- a/src/byte_budget.c
+++ b/src/byte_budget.c
@@ -47,6 +47,15 @@
   return true;
 }
 
+/* Adds to the large reservations of a group.  */
+static int64_t
+add_to_group (struct byte_budget *b, uint64_t group, int64_t bytes)
+{
+  return atomic_fetch_add_explicit (&b->groups[group % BYTE_BUDGET_GROUPS],
+                                    bytes, memory_order_relaxed)
+         + bytes;
+}
+
 /* Public functions */
 
 void
@@ -59,6 +68,8 @@
   b->total = total;
   b->small_part = total / BYTE_BUDGET_SMALL_PART;
   atomic_init (&b->free, total);
+  for (uint32_t i = 0; i < BYTE_BUDGET_GROUPS; i++)
+    atomic_init (&b->groups[i], 0);
 }
 
 int64_t
@@ -134,3 +145,45 @@
   put_free (s->budget, s->free - BYTE_BUDGET_SLICE_BYTES);
   s->free = BYTE_BUDGET_SLICE_BYTES;
 }
+
+bool
+byte_budget_reserve_for (struct byte_budget_slice *s,
+                         struct byte_budget_holder *h, int64_t bytes)
+{
+  int64_t most = s->budget->total / 4 * BYTE_BUDGET_GROUP_QUARTERS;
+  int64_t grouped = bytes > BYTE_BUDGET_SMALL_MAX_BYTES ? bytes : 0;
+
+  if (grouped > 0 && add_to_group (s->budget, h->group, grouped) > most)
+    {
+      add_to_group (s->budget, h->group, -grouped);
+      return false;
+    }
+  if (!byte_budget_reserve (s, bytes))
+    {
+      if (grouped > 0)
+        add_to_group (s->budget, h->group, -grouped);
+      return false;
+    }
+  h->bytes += bytes;
+  h->grouped += grouped;
+  return true;
+}
+
+void
+byte_budget_release_holder (struct byte_budget_slice *s,
+                            struct byte_budget_holder *h)
+{
+  if (s->budget != NULL && h->grouped > 0)
+    add_to_group (s->budget, h->group, -h->grouped);
+  byte_budget_release (s, h->bytes);
+  h->bytes = 0;
+  h->grouped = 0;
+}
+
+bool
+byte_budget_has_space (const struct byte_budget *b, int64_t bytes)
+{
+  int64_t floor = bytes > BYTE_BUDGET_SMALL_MAX_BYTES ? b->small_part : 0;
+
+  return byte_budget_get_free (b) - bytes >= floor;
+}
--- a/src/byte_budget.h
+++ b/src/byte_budget.h
@@ -35,6 +35,12 @@
    in this many bytes, so that all together is at most five eighths of the
    memory of the VM.  */
 #define BYTE_BUDGET_OVERDRAFT_PART 4
+/* Large reservations of one group, a workspace, are limited to this many
+   quarters of the total, so that one group cannot take all of it.  */
+#define BYTE_BUDGET_GROUP_QUARTERS 3
+/* Groups are told apart by a hash; two of the same hash have one limit in
+   common.  */
+#define BYTE_BUDGET_GROUPS 256u
 /* Part of the memory of the VM that the budget is by default: one in this many
    bytes.  The other half is for the program, connections, responses in
    progress and fragmentation.  */
@@ -47,6 +53,7 @@
   int64_t total;
   int64_t small_part;   /* kept for small reservations */
   _Atomic int64_t free; /* in no slice; negative if more was taken */
+  _Atomic int64_t groups[BYTE_BUDGET_GROUPS]; /* large reservations */
 };
 
 /* Part of the budget that one thread uses.  */
@@ -57,6 +64,14 @@
   int64_t held; /* reserved and not released */
 };
 
+/* Bytes that are held for one request.  */
+struct byte_budget_holder
+{
+  uint64_t group;  /* hash of the workspace */
+  int64_t bytes;   /* reserved or taken */
+  int64_t grouped; /* of these, counted for the group */
+};
+
 /* Public functions */
 
 /* Initializes a budget of `total` bytes; 0 for the default, a part of the
@@ -75,6 +90,16 @@
 void byte_budget_close_slice (struct byte_budget_slice *s);
 /* Reserves bytes; returns false and reserves nothing if they do not fit.  */
 bool byte_budget_reserve (struct byte_budget_slice *s, int64_t bytes);
+/* Reserves bytes for a holder.  A large reservation also fails if it brings the
+   holder's group above its limit.  */
+bool byte_budget_reserve_for (struct byte_budget_slice *s,
+                              struct byte_budget_holder *h, int64_t bytes);
+/* Returns true if a reservation of this size fits the budget, so that one that
+   failed exceeds the limit of its group.  */
+bool byte_budget_has_space (const struct byte_budget *b, int64_t bytes);
+/* Releases what a holder has reserved.  */
+void byte_budget_release_holder (struct byte_budget_slice *s,
+                                 struct byte_budget_holder *h);
 /* Takes bytes for the response of a request that has run, also beyond the
    total by the part for that; returns false if they do not fit there.  Later
    reservations fail until enough is released.  */
--- a/src/front.c
+++ b/src/front.c
@@ -29,6 +29,10 @@
    reports at the deadline whether the request ran.  */
 #define FRONT_DEADLINE_GRACE_US 20000
 #define FRONT_ANSWER_HEADERS_MAX (WIRE_HEADERS_MAX + 4)
+/* Connections of the health port: readiness probes come from a few places, one
+   a second each.  Clients that use up more would take the descriptors that are
+   kept for the backend server and other daemons.  */
+#define FRONT_HEALTH_CONNECTIONS 64
 
 _Static_assert(FRONT_SOURCE_COUNT == DAEMON_METRICS_LISTENERS,
                "each listener has its metrics");
@@ -677,10 +681,13 @@
     {
       if (listeners[i].port == 0)
         continue;
-      /* The health port needs no bodies.  */
-      limits.body_bytes = i == FRONT_HEALTH
-                              ? (size_t)BYTE_BUDGET_SMALL_MAX_BYTES / 2
-                              : (size_t)s->limits.body_bytes;
+      if (i == FRONT_HEALTH)
+        {
+          /* It needs no bodies.  */
+          limits.body_bytes = (size_t)BYTE_BUDGET_SMALL_MAX_BYTES / 2;
+          limits.connections
+              = MIN (limits.connections, FRONT_HEALTH_CONNECTIONS);
+        }
       f->servers[i] = http_server_load (f->loop.base, listeners[i].address,
                                         (uint16_t)listeners[i].port, &limits,
                                         &server_ops, f, (uint64_t)i);
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -199,6 +199,8 @@
   x->body_too_large = x->declared > h->limits.body_bytes;
   if (!x->body_too_large && x->declared > 0)
     bytes += (int64_t)x->declared + 1;
+  /* The workspace is known only once the key is checked, after the body.  */
+  x->held.group = str_hash (get_value (connection, "Authorization"));
   if (!http_server_limit_reserve (x, bytes))
     http_server_limit_refuse (x);
   if ((x->refused || x->body_too_large)
@@ -541,7 +543,7 @@
     return true;
   if (!byte_budget_take (x->server->slice, bytes))
     return false;
-  x->reserved = bytes;
+  x->held.bytes = bytes;
   return true;
 }
 
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -35,7 +35,7 @@
   uint32_t users;
   char *data;
   struct byte_budget_slice *slice;
-  int64_t reserved;
+  struct byte_budget_holder held;
 };
 
 struct http_server_exchange
@@ -53,9 +53,9 @@
   uint64_t source; /* `source` of http_server_load */
   /* members below are private to http_server */
   void *connection;
-  uint64_t declared; /* Content-Length, 0 without one */
-  uint64_t received; /* bytes of the body so far */
-  int64_t reserved;  /* bytes of the budget, without those of `shared` */
+  uint64_t declared;                /* Content-Length, 0 without one */
+  uint64_t received;                /* bytes of the body so far */
+  struct byte_budget_holder held;   /* without what `shared` holds */
   struct http_server_bytes *shared; /* the body, if it is shared */
   void *response;
   int status;
--- a/src/http_server_limit.c
+++ b/src/http_server_limit.c
@@ -40,7 +40,6 @@
   c->head_bytes = 0;
 }
 
-/* Frees the body; `x->reserved` is then 0.  */
 void
 http_server_limit_release_body (struct http_server_exchange *x)
 {
@@ -50,8 +49,8 @@
     str_reset (&x->body);
   x->shared = NULL;
   x->body = (struct str_buf){ 0 };
-  release (x->server, x->reserved);
-  x->reserved = 0;
+  if (x->server->slice != NULL)
+    byte_budget_release_holder (x->server->slice, &x->held);
 }
 
 /* Drops the body of a request that does not fit the budget.  The rest of it is
@@ -67,7 +66,7 @@
 static int64_t
 get_held_bytes (const struct http_server_connection *c)
 {
-  return c->head_bytes + (c->exchange != NULL ? c->exchange->reserved : 0);
+  return c->head_bytes + (c->exchange != NULL ? c->exchange->held.bytes : 0);
 }
 
 /* Sends the refusal of a request that is not complete; nothing else was sent
@@ -169,30 +168,22 @@
   return worst != NULL;
 }
 
-/* Reserves bytes for a request, if necessary in place of those of stalled
-   connections.  */
-static bool
-reserve (struct http_server *h, int64_t bytes)
+bool
+http_server_limit_reserve (struct http_server_exchange *x, int64_t bytes)
 {
+  struct http_server *h = x->server;
+
   if (h->slice == NULL)
     return true;
   for (int i = 0; i < CLOSED_PER_CHECK; i++)
-    if (byte_budget_reserve (h->slice, bytes))
+    if (byte_budget_reserve_for (h->slice, &x->held, bytes))
       return true;
-    else if (!http_server_limit_end_stalled (h, CLIENT_LIMIT_MEMORY))
+    else if (byte_budget_has_space (h->slice->budget, bytes)
+             || !http_server_limit_end_stalled (h, CLIENT_LIMIT_MEMORY))
       return false;
   return false;
 }
 
-bool
-http_server_limit_reserve (struct http_server_exchange *x, int64_t bytes)
-{
-  if (!reserve (x->server, bytes))
-    return false;
-  x->reserved += bytes;
-  return true;
-}
-
 void
 http_server_limit_schedule (struct http_server *h)
 {
@@ -296,8 +287,9 @@
       x->shared->users = 1;
       x->shared->data = x->body.data;
       x->shared->slice = x->server->slice;
-      x->shared->reserved = x->reserved;
-      x->reserved = 0;
+      x->shared->held = x->held;
+      x->held.bytes = 0;
+      x->held.grouped = 0;
     }
   x->shared->users++;
   return x->shared;
@@ -311,7 +303,7 @@
   if (--b->users > 0)
     return;
   if (b->slice != NULL)
-    byte_budget_release (b->slice, b->reserved);
+    byte_budget_release_holder (b->slice, &b->held);
   g_free (b->data);
   g_free (b);
 }
--- a/src/peer_link.c
+++ b/src/peer_link.c
@@ -13,7 +13,8 @@
 
 /* Constants */
 
-#define PEER_LINK_PENDING_MAX_BYTES ((size_t)64 << 20)
+/* Three bodies of the largest size that the settings permit.  */
+#define PEER_LINK_PENDING_MAX_BYTES ((size_t)192 << 20)
 #define PEER_LINK_ACCEPTED_MAX 65536u
 /* A daemon that is cut off by a network partition does not answer.  The
    timeout is longer than 1 s, after which a lost SYN is retransmitted for the
--- a/src/settings.c
+++ b/src/settings.c
@@ -107,7 +107,7 @@
   { "policy.route", TYPE_CHOICE, 0, 0, "least_loaded, round_robin", "\"least_loaded\"", OFFSET (policy.route), "Policy for the choice of the endpoint for a request." },
   { "policy.retry", TYPE_CHOICE, 0, 0, "budget, per_hop", "\"budget\"", OFFSET (policy.retry), "Policy that limits retries." },
   { "limits.headers_bytes", TYPE_INTEGER, KIB, 256 * KIB, NULL, "32768", OFFSET (limits.headers_bytes), "Maximum size of the headers of a request." },
-  { "limits.body_bytes", TYPE_INTEGER, 0, 8 * MIB, NULL, "8388608", OFFSET (limits.body_bytes), "Maximum size of the body of a request." },
+  { "limits.body_bytes", TYPE_INTEGER, 0, 64 * MIB, NULL, "8388608", OFFSET (limits.body_bytes), "Maximum size of the body of a request." },
   { "limits.answer_bytes", TYPE_INTEGER, KIB, 8 * MIB, NULL, "8388608", OFFSET (limits.answer_bytes), "Maximum size of the body of an answer of the backend server." },
   { "limits.open_requests", TYPE_INTEGER, 1, 100000, NULL, "4096", OFFSET (limits.open_requests), "Maximum number of concurrent requests of callers and nested calls." },
   { "limits.depth", TYPE_INTEGER, 1, 255, NULL, "32", OFFSET (limits.depth), "Maximum depth of a call chain." },
--- a/tests/test_byte_budget.c
+++ b/tests/test_byte_budget.c
@@ -116,13 +116,47 @@
 }
 END_TEST
 
+/* Guards against one workspace that takes all space for bodies, and against a
+   group that is still counted after its requests have ended.  */
+START_TEST (one_group_leaves_space_for_others)
+{
+  struct byte_budget b;
+  struct byte_budget_slice s;
+  struct byte_budget_holder rows[32];
+  struct byte_budget_holder other = { .group = 8 };
+  int kept = 0;
+
+  byte_budget_init (&b, TOTAL_BYTES);
+  byte_budget_open_slice (&s, &b);
+  for (int round = 0; round < 2; round++)
+    {
+      for (kept = 0; kept < 32; kept++)
+        {
+          rows[kept] = (struct byte_budget_holder){ .group = 7 };
+          if (!byte_budget_reserve_for (&s, &rows[kept], BODY_BYTES))
+            break;
+        }
+      ck_assert_int_eq (kept, TOTAL_BYTES * 3 / 4 / BODY_BYTES);
+      ck_assert (byte_budget_reserve_for (&s, &other, BODY_BYTES));
+      ck_assert (byte_budget_reserve_for (&s, &rows[0], SMALL_BYTES));
+      byte_budget_release_holder (&s, &other);
+      while (kept-- > 0)
+        byte_budget_release_holder (&s, &rows[kept]);
+      ck_assert_int_eq (s.held, 0);
+    }
+  byte_budget_close_slice (&s);
+  ck_assert_int_eq (byte_budget_get_free (&b), TOTAL_BYTES);
+}
+END_TEST
+
 int
 main (void)
 {
   const TTest *const cases[]
       = { bodies_that_are_kept_leave_space_for_small_requests,
           random_reservations_never_exceed_the_total,
-          existing_bytes_are_taken_and_new_ones_refused };
+          existing_bytes_are_taken_and_new_ones_refused,
+          one_group_leaves_space_for_others };
 
   return suite_run ("byte_budget", cases, G_N_ELEMENTS (cases));
 }
--- a/tests/test_clients.c
+++ b/tests/test_clients.c
@@ -35,6 +35,11 @@
 #define DESCRIPTORS_OTHER 128
 #define CLIENTS_MAX 256
 #define BODY_BYTES ((size_t)8000000)
+/* Largest body of the configuration.  */
+#define LARGEST_BODY_BYTES ((size_t)64 << 20)
+/* Size of VM on which a daemon holds such a body for a caller and for its own
+   backend server.  */
+#define LARGEST_BODY_MEMORY_MB 384
 #define LARGE_ANSWER_BYTES ((size_t)1 << 20)
 #define SMALL_PIECE_BYTES ((size_t)1400)
 #define HEAD_MAX_BYTES 16384
@@ -116,12 +121,23 @@
   return true;
 }
 
+/* Returns the byte of a body at an offset.  */
+static char
+get_body_byte (size_t at)
+{
+  return (char)('a' + at % 23);
+}
+
+/* Reads the body; with "checked" in the head its bytes have to be those of
+   get_body_byte.  */
 static bool
 read_body (int fd, const char *head)
 {
   const char *field = strcasestr (head, "content-length:");
   size_t left = field != NULL ? strtoul (field + 15, NULL, 10) : 0;
+  bool checked = strstr (head, "checked") != NULL;
   char buffer[1 << 14];
+  size_t at = 0;
 
   while (left > 0)
     {
@@ -130,6 +146,9 @@
       if (n <= 0)
         return false;
       left -= (size_t)n;
+      for (ssize_t i = 0; checked && i < n; i++)
+        if (buffer[i] != get_body_byte (at++))
+          return false;
     }
   return true;
 }
@@ -264,7 +283,7 @@
       "\"h.example\",\"/notes/\",\"upload\",\"20s\",\"20s\",1,1,false,"
       "\"notes\"]]},\"services\":{\"columns\":[\"name\"],\"rows\":[["
       "\"notes\"]]},\"limits\":{\"maxHeaderBytes\":16384,"
-      "\"maxBodyBytes\":8388608,\"headerTimeout\":\"3000ms\","
+      "\"maxBodyBytes\":67108864,\"headerTimeout\":\"3000ms\","
       "\"idleTimeout\":\"5000ms\"},\"tenants\":{\"columns\":[\"name\","
       "\"apiKeys\",\"priority\",\"ratePerS\",\"burst\"],\"rows\":[[\"w1\",["
       "\"" KEY "\"],1,100000,100000]]}}");
@@ -598,19 +617,28 @@
 END_TEST
 
 /* Guards against refusing a body that the limits permit while nothing else is
-   held.  */
+   held, and against changing its bytes.  */
 START_TEST (single_upload_is_served)
 {
-  struct fixture f = start (MEMORY_MB);
+  static const size_t sizes[]
+      = { 1, 262144, 262145, 3000000, BODY_BYTES, LARGEST_BODY_BYTES };
+  struct fixture f = start (LARGEST_BODY_MEMORY_MB);
   const char *lines[] = { "Host: h.example", "X-Almondvale-Attempt-Id: 9c43",
                           "X-Almondvale-Deadline-Ms: 20000",
                           "Authorization: Bearer " KEY, NULL };
-  char *body = g_strnfill (BODY_BYTES, 'x');
+  char *body = g_malloc (LARGEST_BODY_BYTES + 1);
 
-  for (int i = 0; i < 3; i++)
-    ck_assert_int_eq (
-        process_send (f.daemon.caller, "POST", "/notes/x", body, lines).status,
-        200);
+  for (size_t i = 0; i < LARGEST_BODY_BYTES; i++)
+    body[i] = get_body_byte (i);
+  for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
+    {
+      body[sizes[i]] = '\0';
+      ck_assert_int_eq (
+          process_send (f.daemon.caller, "POST", "/notes/checked", body, lines)
+              .status,
+          200);
+      body[sizes[i]] = get_body_byte (sizes[i]);
+    }
   g_free (body);
   check_daemon (&f);
   stop (&f);
