Count responses on their way, make the budget five eighths of the memory

Cause: responses between the backend server and the caller were not counted: the buffer of the HTTP client and that of the front grew by doubling, and each response was copied into the output of the link to the front. With 2 MB responses that are not read, a daemon with 160 MB had 169 to 219 MB. Ruled out: the responses that libmicrohttpd holds (counted). Change: http_client takes the bytes of an answer from the budget and hands its body over to the link; the front takes what it receives of a response; buffers of known length do not double. One that does not fit ends as answer_too_large, 502, may have run. The total is five eighths of the memory, responses may exceed it by an eighth, a workspace has 13 of 16 parts. Conclusion: what is held for others is counted from the caller's socket to the backend server and back.

--- a/src/byte_budget.c
+++ b/src/byte_budget.c
@@ -58,12 +58,18 @@
 
 /* Public functions */
 
+int64_t
+byte_budget_get_default (int64_t memory_bytes)
+{
+  return memory_bytes / 8 * BYTE_BUDGET_MEMORY_EIGHTHS;
+}
+
 void
 byte_budget_init (struct byte_budget *b, int64_t total)
 {
   if (total == 0)
-    total = (int64_t)sysconf (_SC_PHYS_PAGES) * sysconf (_SC_PAGESIZE)
-            / BYTE_BUDGET_MEMORY_PART;
+    total = byte_budget_get_default ((int64_t)sysconf (_SC_PHYS_PAGES)
+                                     * sysconf (_SC_PAGESIZE));
   total = MAX (total, BYTE_BUDGET_TOTAL_MIN_BYTES);
   b->total = total;
   b->small_part = total / BYTE_BUDGET_SMALL_PART;
@@ -150,7 +156,7 @@
 byte_budget_reserve_for (struct byte_budget_slice *s,
                          struct byte_budget_holder *h, int64_t bytes)
 {
-  int64_t most = s->budget->total / 4 * BYTE_BUDGET_GROUP_QUARTERS;
+  int64_t most = s->budget->total / 16 * BYTE_BUDGET_GROUP_SIXTEENTHS;
   int64_t grouped = bytes > BYTE_BUDGET_SMALL_MAX_BYTES ? bytes : 0;
 
   if (grouped > 0 && add_to_group (s->budget, h->group, grouped) > most)
@@ -187,3 +193,31 @@
 
   return byte_budget_get_free (b) - bytes >= floor;
 }
+
+struct byte_budget_bytes *
+byte_budget_share (char *data, struct byte_budget_slice *s,
+                   struct byte_budget_holder *held)
+{
+  struct byte_budget_bytes *b = g_new0 (struct byte_budget_bytes, 1);
+
+  b->users = 1;
+  b->data = data;
+  b->slice = s;
+  b->held = *held;
+  held->bytes = 0;
+  held->grouped = 0;
+  return b;
+}
+
+void
+byte_budget_put_bytes (const void *data, size_t len, void *bytes)
+{
+  struct byte_budget_bytes *b = bytes;
+
+  if (--b->users > 0)
+    return;
+  if (b->slice != NULL)
+    byte_budget_release_holder (b->slice, &b->held);
+  g_free (b->data);
+  g_free (b);
+}
--- a/src/byte_budget.h
+++ b/src/byte_budget.h
@@ -16,6 +16,7 @@
 
 #include <stdatomic.h>
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 /* Constants */
@@ -32,19 +33,20 @@
    one body of the size of the first deployments.  */
 #define BYTE_BUDGET_TOTAL_MIN_BYTES INT64_C (16777216)
 /* Part of the total by which responses of running requests may exceed it: one
-   in this many bytes, so that all together is at most five eighths of the
-   memory of the VM.  */
-#define BYTE_BUDGET_OVERDRAFT_PART 4
+   in this many bytes.  With the default total, all together is at most 70 % of
+   the memory of the VM.  */
+#define BYTE_BUDGET_OVERDRAFT_PART 8
 /* Large reservations of one group, a workspace, are limited to this many
-   quarters of the total, so that one group cannot take all of it.  */
-#define BYTE_BUDGET_GROUP_QUARTERS 3
+   sixteenths of the total.  All large ones together have 14, so that one group
+   cannot take all of it.  */
+#define BYTE_BUDGET_GROUP_SIXTEENTHS 13
 /* Groups are told apart by a hash; two of the same hash have one limit in
    common.  */
 #define BYTE_BUDGET_GROUPS 256u
-/* Part of the memory of the VM that the budget is by default: one in this many
-   bytes.  The other half is for the program, connections, responses in
-   progress and fragmentation.  */
-#define BYTE_BUDGET_MEMORY_PART 2
+/* The default total in eighths of the memory of the VM.  The rest is for the
+   program, about 10 MB, for the blocks of connections, up to 32 KiB each, and
+   for responses on their way between threads.  */
+#define BYTE_BUDGET_MEMORY_EIGHTHS 5
 
 /* Types */
 
@@ -72,10 +74,20 @@
   int64_t grouped; /* of these, counted for the group */
 };
 
+/* Bytes with several users of one thread.  */
+struct byte_budget_bytes
+{
+  uint32_t users;
+  char *data;                      /* owned */
+  struct byte_budget_slice *slice; /* NULL: not counted */
+  struct byte_budget_holder held;
+};
+
 /* Public functions */
 
-/* Initializes a budget of `total` bytes; 0 for the default, a part of the
-   machine's memory.  */
+/* Returns the default total for a VM with this memory.  */
+int64_t byte_budget_get_default (int64_t memory_bytes);
+/* Initializes a budget of `total` bytes; 0 for the default of the machine.  */
 void byte_budget_init (struct byte_budget *b, int64_t total);
 /* Returns the number of bytes that are neither reserved nor in a slice.  */
 int64_t byte_budget_get_free (const struct byte_budget *b);
@@ -107,4 +119,13 @@
 /* Releases bytes that were reserved or taken.  */
 void byte_budget_release (struct byte_budget_slice *s, int64_t bytes);
 
+/* Takes over allocated bytes and what is held for them; the caller is the first
+   user.  */
+struct byte_budget_bytes *byte_budget_share (char *data,
+                                             struct byte_budget_slice *s,
+                                             struct byte_budget_holder *held);
+/* Ends one use; the last one frees the bytes and releases what is held for
+   them.  Has the type of a cleanup function of libevent.  */
+void byte_budget_put_bytes (const void *data, size_t len, void *bytes);
+
 #endif
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -167,7 +167,7 @@
   struct str_buf parent = { 0 };
   const struct wire_bytes shared = { .bytes = body,
                                      .share = share_body,
-                                     .put = http_server_put_body,
+                                     .put = byte_budget_put_bytes,
                                      .data = call->exchange };
   struct evbuffer *frames = evbuffer_new ();
   struct str_buf out = { 0 };
@@ -360,6 +360,29 @@
   front_set_state (f, call, FRONT_COMPLETED);
 }
 
+/* Adds a part of the response's body.  Fails the attempt and returns false if
+   the body is too large or does not fit the byte budget.  */
+static bool
+add_to_result (struct front *f, struct front_call *call, struct str bytes,
+               int64_t now_us)
+{
+  struct front_result *r = &call->result;
+  size_t limit = (size_t)f->shared->settings->limits.answer_bytes;
+
+  if (r->body.len + bytes.len > limit
+      || !byte_budget_take (&f->slice, (int64_t)bytes.len))
+    {
+      dispatch_fail_attempt (f, call, ERR_ANSWER_TOO_LARGE, now_us);
+      return false;
+    }
+  r->held += (int64_t)bytes.len;
+  /* Not doubled, since most responses have few parts and many are received at
+     the same time.  */
+  str_reserve (&r->body, r->body.len + bytes.len + 1);
+  str_append (&r->body, bytes);
+  return true;
+}
+
 static void
 receive_response (struct front *f, const struct wire_response *r,
                   struct str frame)
@@ -384,7 +407,7 @@
   if (r->last_part)
     complete_response (f, call);
   else
-    str_append (&call->result.body, r->body);
+    add_to_result (f, call, r->body, now_us);
 }
 
 static void
@@ -394,10 +417,7 @@
 
   if (call == NULL || !call->receiving)
     return;
-  str_append (&call->result.body, b->bytes);
-  if (call->result.body.len > (size_t)f->shared->settings->limits.answer_bytes)
-    dispatch_fail_attempt (f, call, ERR_ANSWER_TOO_LARGE, clock_now_us ());
-  else if (b->last_part)
+  if (add_to_result (f, call, b->bytes, clock_now_us ()) && b->last_part)
     complete_response (f, call);
 }
 
@@ -669,9 +689,7 @@
     call->may_have_run = true;
   if (call->receiving)
     {
-      wire_unload_message (&call->result.message);
-      str_free (&call->result.frame);
-      str_reset (&call->result.body);
+      front_free_result (f, &call->result);
       call->receiving = false;
     }
   if (now_us < call->deadline_us && call->exchange != NULL
--- a/src/front.c
+++ b/src/front.c
@@ -39,19 +39,10 @@
 
 /* Internal functions: rows */
 
-static void
-free_result (struct front_result *r)
-{
-  wire_unload_message (&r->message);
-  str_free (&r->frame);
-  str_free (&r->content_type);
-  str_reset (&r->body);
-}
-
 static void
 free_call (struct front *f, struct front_call *call)
 {
-  free_result (&call->result);
+  front_free_result (f, &call->result);
   g_free (call->headers);
   snapshot_put (call->snapshot);
   table_remove (&f->calls, call->id);
@@ -529,7 +520,7 @@
 }
 
 static void
-answer_result (struct front_call *call)
+answer_result (struct front *f, struct front_call *call)
 {
   struct front_result *r = &call->result;
   struct wire_header recorded = { STR_LIT ("Content-Type"), r->content_type };
@@ -542,9 +533,14 @@
         call->exchange, r->status, r->message.u.response.headers,
         r->message.u.response.headers_len, r->message.u.response.body);
   else
-    http_server_answer_taking (call->exchange, r->status,
-                               r->message.u.response.headers,
-                               r->message.u.response.headers_len, &r->body);
+    {
+      /* The exchange reserves the answer.  */
+      byte_budget_release (&f->slice, r->held);
+      r->held = 0;
+      http_server_answer_taking (call->exchange, r->status,
+                                 r->message.u.response.headers,
+                                 r->message.u.response.headers_len, &r->body);
+    }
 }
 
 /* Returns the address of the daemon that got the last attempt, or an empty
@@ -613,7 +609,7 @@
   if (call->exchange != NULL && call->result.error != ERR_NONE)
     answer_error (f, call);
   else if (call->exchange != NULL)
-    answer_result (call);
+    answer_result (f, call);
   free_call (f, call);
 }
 
@@ -795,6 +791,17 @@
   g_array_append_val (f->queues[state], call->id);
 }
 
+void
+front_free_result (struct front *f, struct front_result *r)
+{
+  wire_unload_message (&r->message);
+  str_free (&r->frame);
+  str_free (&r->content_type);
+  str_reset (&r->body);
+  byte_budget_release (&f->slice, r->held);
+  r->held = 0;
+}
+
 /**
  * front_fail - ends a call with an error
  * @f: front
--- a/src/front.h
+++ b/src/front.h
@@ -63,6 +63,7 @@
   struct wire_message message;
   /* body of a response in several messages, or the recorded body */
   struct str_buf body;
+  int64_t held;            /* bytes of the budget for the body */
   bool recorded;           /* status and body come from the registry */
   struct str content_type; /* owned; of a recorded body */
 };
@@ -195,6 +196,8 @@
 /* Moves a call to a state and queues it for the system of that state.  */
 void front_set_state (struct front *f, struct front_call *call,
                       enum front_state state);
+/* Frees what was received of a response.  */
+void front_free_result (struct front *f, struct front_result *r);
 /* Ends a call with an error.  detail is a static text.  */
 void front_fail (struct front *f, struct front_call *call, enum err_kind error,
                  struct str detail);
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -62,6 +62,7 @@
   struct str_buf host; /* value of the Host header */
   uint32_t max_connections;
   size_t max_body_bytes;
+  struct byte_budget_slice *slice; /* NULL: answers are not counted */
   struct table connections;
   GArray *idle; /* uint64_t ids of idle connections, the last used at the
                    end */
@@ -88,7 +89,8 @@
   struct http_head_scan scan; /* of the head */
   enum http_fault fault;      /* reason why the answer is invalid */
   uint32_t dropped_answers;
-  size_t received;            /* bytes of all answers */
+  size_t received; /* bytes of all answers */
+  struct byte_budget_holder held;
   struct str_buf header_text; /* names and values of the headers */
   uint32_t headers_len;
   struct header_span headers[HEADERS_MAX];
@@ -105,6 +107,8 @@
 {
   if (x->timer != NULL)
     event_free (x->timer);
+  if (x->pool->slice != NULL)
+    byte_budget_release_holder (x->pool->slice, &x->held);
   str_reset (&x->header_text);
   str_reset (&x->body);
   g_free (x);
@@ -261,15 +265,30 @@
   if (http_head_classify (&head, &x->fault) == HTTP_HEAD_INVALID)
     return -1;
   x->in_trailers = true;
+  /* Without this the buffer would grow by doubling.  */
+  if (p->content_length <= x->pool->max_body_bytes)
+    str_reserve (&x->body, (size_t)p->content_length + 1);
   return x->is_head ? 1 : 0;
 }
 
+/* Takes bytes of an answer from the budget.  */
+static bool
+hold (struct http_client_exchange *x, size_t len)
+{
+  if (x->pool->slice == NULL)
+    return true;
+  if (!byte_budget_take (x->pool->slice, (int64_t)len))
+    return false;
+  x->held.bytes += (int64_t)len;
+  return true;
+}
+
 static int
 on_body (http_parser *p, const char *at, size_t len)
 {
   struct http_client_exchange *x = p->data;
 
-  if (x->body.len + len > x->pool->max_body_bytes)
+  if (x->body.len + len > x->pool->max_body_bytes || !hold (x, len))
     {
       x->too_large = true;
       return 1;
@@ -312,14 +331,14 @@
 }
 
 static struct http_client_answer
-get_answer (const struct http_client_exchange *x,
-            struct http_head_field *headers)
+get_answer (struct http_client_exchange *x, struct http_head_field *headers)
 {
   struct http_client_answer answer = { .result = HTTP_CLIENT_ANSWERED,
                                        .status = (int)x->parser.status_code,
                                        .headers_len = x->headers_len,
                                        .headers = headers,
-                                       .body = str_view (&x->body) };
+                                       .body = str_view (&x->body),
+                                       .exchange = x };
 
   get_fields (x, headers);
   return answer;
@@ -654,6 +673,13 @@
   return pool;
 }
 
+void
+http_client_set_slice (struct http_client_pool *pool,
+                       struct byte_budget_slice *slice)
+{
+  pool->slice = slice;
+}
+
 void
 http_client_unload_pool (struct http_client_pool *pool)
 {
@@ -704,6 +730,17 @@
   return x;
 }
 
+struct byte_budget_bytes *
+http_client_take_body (const struct http_client_answer *answer)
+{
+  struct http_client_exchange *x = answer->exchange;
+  struct byte_budget_bytes *bytes
+      = byte_budget_share (x->body.data, x->pool->slice, &x->held);
+
+  x->body = (struct str_buf){ 0 };
+  return bytes;
+}
+
 /**
  * http_client_cancel - ends an exchange without its answer
  * @x: exchange
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -8,6 +8,7 @@
 #ifndef ALMONDVALE_HTTP_CLIENT_H
 #define ALMONDVALE_HTTP_CLIENT_H
 
+#include "byte_budget.h"
 #include "http_head.h"
 #include "str.h"
 
@@ -44,6 +45,7 @@
   /* the connection carried an earlier request, whose answer the server could
      have sent again */
   bool on_reused_connection;
+  struct http_client_exchange *exchange; /* for http_client_take_body */
 };
 
 struct http_client_request
@@ -77,6 +79,11 @@
                                                 uint16_t port,
                                                 uint32_t max_connections,
                                                 size_t max_body_bytes);
+/* takes the bodies of answers from a slice of the byte budget, which is closed
+   after the pool; an answer that does not fit fails its exchange as one above
+   max_body_bytes */
+void http_client_set_slice (struct http_client_pool *pool,
+                            struct byte_budget_slice *slice);
 /* closes all connections; done is not called for open exchanges */
 void http_client_unload_pool (struct http_client_pool *pool);
 /* sends a request and returns the exchange, or NULL if all connections are
@@ -85,6 +92,10 @@
 struct http_client_exchange *
 http_client_send (struct http_client_pool *pool,
                   const struct http_client_request *request);
+/* takes the body of an answer during `done`; `answer->body` is valid until the
+   last user has ended its use */
+struct byte_budget_bytes *
+http_client_take_body (const struct http_client_answer *answer);
 /* ends an exchange and closes its connection; done is not called */
 void http_client_cancel (struct http_client_exchange *exchange);
 /* returns the number of connections, idle and connecting ones included */
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -628,6 +628,8 @@
       drop_answer (x);
       return;
     }
+  /* The buffer has grown by doubling.  */
+  body->data = g_realloc (body->data, body->len + 1);
   answer (x, status, headers, headers_len,
           MHD_create_response_from_buffer_with_free_callback (
               body->len, body->data, g_free));
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -29,15 +29,6 @@
   struct client_limits client;
 };
 
-/* A body that the exchange shares with other users of its thread.  */
-struct http_server_bytes
-{
-  uint32_t users;
-  char *data;
-  struct byte_budget_slice *slice;
-  struct byte_budget_holder held;
-};
-
 struct http_server_exchange
 {
   struct http_server *server;
@@ -56,7 +47,7 @@
   uint64_t declared;                /* Content-Length, 0 without one */
   uint64_t received;                /* bytes of the body so far */
   struct byte_budget_holder held;   /* without what `shared` holds */
-  struct http_server_bytes *shared; /* the body, if it is shared */
+  struct byte_budget_bytes *shared; /* the body, if it is shared */
   void *response;
   int status;
   bool suspended;            /* libmicrohttpd does not watch the connection */
@@ -127,11 +118,9 @@
                                 const struct wire_header *headers,
                                 uint32_t headers_len, struct str_buf *body);
 /* returns the body for another user, who gives it back with
-   http_server_put_body; it is valid until then */
-struct http_server_bytes *
+   byte_budget_put_bytes; it is valid until then */
+struct byte_budget_bytes *
 http_server_share_body (struct http_server_exchange *x);
-/* ends one use of a body; has the type of a cleanup function of libevent */
-void http_server_put_body (const void *data, size_t len, void *body);
 /* closes the connection of a request without an answer */
 void http_server_drop (struct http_server_exchange *x);
 /* returns the value of a header, or an empty string */
--- a/src/http_server_limit.c
+++ b/src/http_server_limit.c
@@ -44,7 +44,7 @@
 http_server_limit_release_body (struct http_server_exchange *x)
 {
   if (x->shared != NULL)
-    http_server_put_body (NULL, 0, x->shared);
+    byte_budget_put_bytes (NULL, 0, x->shared);
   else
     str_reset (&x->body);
   x->shared = NULL;
@@ -278,36 +278,15 @@
       = MIN (limits->client.stall_us, most->client.stall_us);
 }
 
-struct http_server_bytes *
+struct byte_budget_bytes *
 http_server_share_body (struct http_server_exchange *x)
 {
   if (x->shared == NULL)
-    {
-      x->shared = g_new0 (struct http_server_bytes, 1);
-      x->shared->users = 1;
-      x->shared->data = x->body.data;
-      x->shared->slice = x->server->slice;
-      x->shared->held = x->held;
-      x->held.bytes = 0;
-      x->held.grouped = 0;
-    }
+    x->shared = byte_budget_share (x->body.data, x->server->slice, &x->held);
   x->shared->users++;
   return x->shared;
 }
 
-void
-http_server_put_body (const void *data, size_t len, void *body)
-{
-  struct http_server_bytes *b = body;
-
-  if (--b->users > 0)
-    return;
-  if (b->slice != NULL)
-    byte_budget_release_holder (b->slice, &b->held);
-  g_free (b->data);
-  g_free (b);
-}
-
 int
 http_server_get_socket (struct MHD_Connection *mhd)
 {
--- a/src/serve.c
+++ b/src/serve.c
@@ -516,6 +516,7 @@
         MIN (message->backend.connections,
              (uint32_t)settings->backend_connections_max),
         (size_t)settings->limits.answer_bytes);
+  http_client_set_slice (s->http_pool, &s->slice);
   s->backend = message->backend;
   message->backend = old;
   s->backend_state = SERVE_BACKEND_SERVING;
--- a/src/serve_response.c
+++ b/src/serve_response.c
@@ -51,10 +51,26 @@
     };
 }
 
+static void *
+share_bytes (void *data)
+{
+  struct byte_budget_bytes *bytes = data;
+
+  bytes->users++;
+  return bytes;
+}
+
+/* Sends a response; the parts of its body after the first are not copied if
+   they are in `shared`, which may be NULL.  */
 static void
 send_response (struct serve *s, const struct serve_job *job,
-               struct wire_response *r)
+               struct wire_response *r, struct byte_budget_bytes *shared)
 {
+  const struct wire_bytes parts
+      = { .bytes = r->body,
+          .share = shared != NULL ? share_bytes : NULL,
+          .put = byte_budget_put_bytes,
+          .data = shared };
   const struct wire_request *q = &job->message.u.request;
   struct wire_message m = { .type = WIRE_RESPONSE };
   struct pressure_report reports[PRESSURE_PATH_SERVICES_MAX];
@@ -79,7 +95,7 @@
   wire_add_body_parts (frames,
                        &(struct wire_body){ .request_id = q->request_id,
                                             .attempt = q->attempt },
-                       &(struct wire_bytes){ .bytes = body });
+                       &parts);
   peer_link_send_buffer (&s->links, job->link, frames);
   evbuffer_free (frames);
   str_reset (&out);
@@ -133,7 +149,7 @@
                                   : job->message.u.request.retry_budget;
   if (err_is_not_run (error))
     attempt_void (&s->attempts, job->message.u.request.attempt);
-  send_response (s, job, &r);
+  send_response (s, job, &r, NULL);
   serve_response_finish (s, job);
 }
 
@@ -150,6 +166,7 @@
                              .thresholds = thresholds,
                              .unused_budget = usage->unused_budget,
                              .body = answer->body };
+  struct byte_budget_bytes *shared = NULL;
 
   for (uint32_t i = 0;
        i < answer->headers_len && r.headers_len < WIRE_HEADERS_MAX; i++)
@@ -159,6 +176,10 @@
                                   answer->headers[i].value };
   r.thresholds_len = collect_thresholds (s, usage, thresholds);
   attempt_finish (&s->attempts, job->message.u.request.attempt);
-  send_response (s, job, &r);
+  if (answer->body.len > WIRE_BODY_PART_MAX_BYTES)
+    shared = http_client_take_body (answer);
+  send_response (s, job, &r, shared);
+  if (shared != NULL)
+    byte_budget_put_bytes (NULL, 0, shared);
   serve_response_finish (s, job);
 }
