--- a/tests/test_clients.c
+++ b/tests/test_clients.c
@@ -39,7 +39,7 @@
 #define LARGEST_BODY_BYTES ((size_t)64 << 20)
 /* Size of VM on which a daemon holds such a body for a caller and for its own
    backend server.  */
-#define LARGEST_BODY_MEMORY_MB 384
+#define LARGEST_BODY_MEMORY_MB 260
 #define LARGE_ANSWER_BYTES ((size_t)2 << 20)
 #define SMALL_PIECE_BYTES ((size_t)1400)
 #define HEAD_MAX_BYTES 16384
