Release the parts of an upload as the backend server takes them

Cause: a job kept its reservation to its end, although the parts of its body are freed once they are written. Ruled out: bytes that are never released (almondvale_memory_free_bytes is the total again after the case). Change: each part has its own reservation, which ends with its last reference.

--- a/src/serve.c
+++ b/src/serve.c
@@ -281,14 +281,27 @@
 /* Reserves bytes for a job, which is refused as not run if they do not
    fit.  */
 static bool
-reserve_for_job (struct serve *s, struct serve_job *job, size_t bytes)
+reserve_for_job (struct serve *s, size_t bytes)
 {
-  if (!byte_budget_reserve (&s->slice, (int64_t)bytes))
-    {
-      metrics_increment (s->shared->metric_rows.memory_refusals_serve, 1);
-      return false;
-    }
-  job->reserved += (int64_t)bytes;
+  if (byte_budget_reserve (&s->slice, (int64_t)bytes))
+    return true;
+  metrics_increment (s->shared->metric_rows.memory_refusals_serve, 1);
+  return false;
+}
+
+/* Adds a part of the body.  Its bytes are freed and released once they are
+   written to the backend server, or with the job.  */
+static bool
+add_part (struct serve *s, struct serve_job *job, struct str bytes)
+{
+  struct byte_budget_holder held = { .bytes = (int64_t)bytes.len };
+  struct byte_budget_bytes *part;
+
+  if (!reserve_for_job (s, bytes.len))
+    return false;
+  part = byte_budget_share (str_dup_cstr (bytes), &s->slice, &held);
+  evbuffer_add_reference (job->more_body, part->data, bytes.len,
+                          byte_budget_put_bytes, part);
   return true;
 }
 
@@ -326,11 +339,12 @@
       serve_response_finish (s, job);
       return;
     }
-  if (!reserve_for_job (s, job, SERVE_JOB_BYTES + frame.len))
+  if (!reserve_for_job (s, SERVE_JOB_BYTES + frame.len))
     {
       serve_response_fail (s, job, ERR_OVERLOADED, NULL);
       return;
     }
+  job->reserved = (int64_t)(SERVE_JOB_BYTES + frame.len);
   job->body_len = job->message.u.request.body.len;
   if (!job->message.u.request.last_part)
     {
@@ -356,12 +370,11 @@
       serve_response_fail (s, job, ERR_BODY_TOO_LARGE, NULL);
       return;
     }
-  if (!reserve_for_job (s, job, b->bytes.len))
+  if (!add_part (s, job, b->bytes))
     {
       serve_response_fail (s, job, ERR_OVERLOADED, NULL);
       return;
     }
-  evbuffer_add (job->more_body, b->bytes.data, b->bytes.len);
   job->body_len += b->bytes.len;
   if (!b->last_part)
     return;
--- a/src/serve.h
+++ b/src/serve.h
@@ -44,7 +44,7 @@
   /* rest of a request body that arrives in several messages, or NULL */
   struct evbuffer *more_body;
   size_t body_len;  /* bytes of the body so far */
-  int64_t reserved; /* bytes of the budget */
+  int64_t reserved; /* bytes of the budget, without more_body */
   int64_t arrived_us;
   int64_t started_us;
   int64_t deadline_us;
