--- a/src/peer_link.c
+++ b/src/peer_link.c
@@ -13,7 +13,8 @@
 
 /* Constants */
 
-#define PEER_LINK_PENDING_MAX_BYTES ((size_t)64 << 20)
+/* Three bodies of the largest size that the settings permit.  */
+#define PEER_LINK_PENDING_MAX_BYTES ((size_t)192 << 20)
 #define PEER_LINK_ACCEPTED_MAX 65536u
 /* A daemon that is cut off by a network partition does not answer.  The
    timeout is longer than 1 s, after which a lost SYN is retransmitted for the
@@ -234,6 +235,21 @@
   return false;
 }
 
+bool
+peer_link_send_buffer (struct peer_link_set *set, uint64_t link,
+                       struct evbuffer *frames)
+{
+  struct peer_link_row *row = table_get (&set->links, link);
+
+  if (row == NULL)
+    return false;
+  bufferevent_write_buffer (row->bev, frames);
+  if (peer_link_get_pending_bytes (set, link) <= set->pending_max_bytes)
+    return true;
+  close_and_notify (row);
+  return false;
+}
+
 void
 peer_link_disconnect (struct peer_link_set *set, uint64_t link)
 {
--- a/src/serve_resend.c
+++ b/src/serve_resend.c
@@ -216,13 +216,17 @@
  * Its attempt is queued from then on: a WIRE_QUERY or a cancellation voids it,
  * and it is then not sent again.
  *
+ * A body in several parts is not kept for this.
+ *
  * Return: false if the job has to be answered as not run.
  */
 bool
 serve_resend_pause (struct serve *s, struct serve_job *job, int64_t now_us)
 {
   job->waits = 0;
-  if (job->sends > RESENDS_MAX || !pause_job (s, job, now_us))
+  /* The parts of a long body were freed as they were written.  */
+  if (job->more_body != NULL || job->sends > RESENDS_MAX
+      || !pause_job (s, job, now_us))
     return false;
   attempt_requeue (&s->attempts, job->message.u.request.attempt);
   return true;
--- a/tests/process.h
+++ b/tests/process.h
@@ -348,6 +348,9 @@
   uint16_t store; /* port of the metadata store, or of a proxy for it */
   const char *settings_path; /* almondvale's settings (--settings), or NULL */
   const char *bounds;        /* further limits as JSON texts, or NULL */
+  /* more members of the platform's file, each with a comma before it, or
+     NULL */
+  const char *members;
 };
 
 /* Initializes a daemon with free ports.  */
@@ -376,10 +379,10 @@
       "\"listen\":{\"outbound\":\"127.0.0.1:%u\",\"ready\":\"127.0.0.1:%u\","
       "\"control\":\"127.0.0.1:%u\"},\"internalPortRange\":[%u,%u],"
       "\"bounds\":[\"grace=6s\"%s],"
-      "\"platform\":{\"address\":\"127.0.0.1:%u\"}}",
+      "\"platform\":{\"address\":\"127.0.0.1:%u\"}%s}",
       m->index, m->index % 3, m->service, m->backend, m->caller, m->ready,
       m->control, m->peer, m->peer + 1, m->bounds != NULL ? m->bounds : "",
-      m->store);
+      m->store, m->members != NULL ? m->members : "");
   char *name = g_strdup_printf ("n-%d.json", m->index);
   char *path = g_build_filename (dir, name, NULL);
   char *log = g_strdup_printf ("%s/n-%d.log", dir, m->index);
