Let every watcher pass a change of the evacuations on

Cause: a watcher that had heard of a change from another one before its own list was answered did not send its state at once. Only the fastest watcher told the fleet, and daemons that it does not reach learned of the change with the next regular state.

Change: every list that is answered makes the next state due.

--- a/src/registry_evacuation.c
+++ b/src/registry_evacuation.c
@@ -135,9 +135,11 @@
   cr->evacuation.needs_list = false;
   cr->evacuation.known = true;
   cr->evacuation.store_version = a->version;
-  /* All others learn it from the states of those that watch.  */
-  if (apply (c, a->version, &domains, "store"))
-    cr->next_state_us = 0;
+  apply (c, a->version, &domains, "store");
+  /* All others learn it from the states of those that watch.  Each of these
+     tells them, also one that has already heard of the change: another watcher
+     may not reach them.  */
+  cr->next_state_us = 0;
 }
 
 /* A watch only tells that something has changed.  Its events are not applied:
--- a/tests/test_control_registry.c
+++ b/tests/test_control_registry.c
@@ -516,6 +516,24 @@
 }
 END_TEST
 
+/* Guards against a change that only the fastest watcher passes on: one that has
+   heard of it before the store's answer must tell the others too.  */
+START_TEST (every_watcher_passes_a_change_on)
+{
+  struct daemon_registry_state peer = make_peer (50, "fd");
+  struct fixture f;
+
+  start_evacuable (&f, ERR_NONE, "fd");
+  registry_evacuation_record (&f.control, &peer);
+  f.control.control_registry->evacuation.notified = true;
+  f.control.control_registry->next_state_us = INT64_MAX;
+  registry_evacuation_run (&f.control, clock_now_us ());
+  ck_assert_int_eq (f.control.control_registry->next_state_us, 0);
+  mailbox_close (&f.serve);
+  stop (&f);
+}
+END_TEST
+
 /* Guards against a daemon that serves before it knows the evacuations, and
    against one that waits for ever for a store that does not answer although
    other daemons know them.  */
@@ -576,6 +594,7 @@
           late_write_does_not_replace_a_later_stop,
           stops_of_the_earlier_process_are_kept,
           evacuated_domain_has_no_endpoints,
+          every_watcher_passes_a_change_on,
           unknown_evacuations_are_learned_from_other_daemons,
           missing_kind_means_no_evacuation };
 
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -209,12 +209,14 @@
 get_most_in_a_second (const struct fixture *f, int64_t from_us, int64_t to_us)
 {
   GArray *times = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  GError *error = NULL;
   char *text = NULL;
   char **lines;
   guint first = 0;
   int most = 0;
 
-  ck_assert (g_file_get_contents (f->runs, &text, NULL, NULL));
+  ck_assert_msg (g_file_get_contents (f->runs, &text, NULL, &error), "%s",
+                 error != NULL ? error->message : "");
   lines = g_strsplit (text, "\n", -1);
   for (char **line = lines; *line != NULL; line++)
     {
