--- a/src/http_client.c
+++ b/src/http_client.c
@@ -495,11 +495,9 @@
       return;
     }
   http_parser_execute (&x->parser, &parser_settings, NULL, 0);
-  if (!x->complete)
-    fail_exchange (x, HTTP_CLIENT_FAILED, HTTP_FAULT_TRUNCATED);
-  else if (!is_request_accepted (c))
+  if (x->complete && !is_request_accepted (c))
     fail_exchange (x, HTTP_CLIENT_FAILED, HTTP_FAULT_NOT_ACCEPTED);
-  else if (!handle_answer (c, x, true))
+  else if (!x->complete || !handle_answer (c, x, true))
     fail_exchange (x, HTTP_CLIENT_FAILED, HTTP_FAULT_TRUNCATED);
 }
 
