--- a/src/settings.c
+++ b/src/settings.c
@@ -4,15 +4,13 @@
 
 #include "err.h"
 #include "json_check.h"
+#include "settings_type.h"
 
-#include <arpa/inet.h>
 #include <json-glib/json-glib.h>
 #include <string.h>
 
 /* Constants */
 
-#define NAME_MAX_BYTES 64
-#define FILE_NAME_MAX_BYTES 4096
 #define PORT_MAX 65535
 /* Limit on the part of an invalid value that the error line quotes.  */
 #define QUOTED_VALUE_MAX_BYTES 60
@@ -22,43 +20,6 @@
 
 /* Types */
 
-enum member_type
-{
-  TYPE_NAME,
-  TYPE_CHOICE,
-  TYPE_FILE,
-  TYPE_ADDRESS,
-  TYPE_INTEGER,
-  TYPE_RATIO,
-  TYPE_ENDPOINTS,
-  TYPE_NAMES
-};
-
-/* One member of the settings file.  */
-struct member
-{
-  const char *path; /* names joined by dots */
-  enum member_type type;
-  /* range of a number; max also limits the length of an array */
-  int64_t min, max;
-  const char *choices;       /* TYPE_CHOICE: names joined by ", " */
-  const char *default_value; /* JSON; NULL if required */
-  size_t offset;             /* of the field in struct settings */
-  const char *help;
-};
-
-/* Operations on the values of one member type.  */
-struct type_ops
-{
-  /* stores the value of a valid node in the field; returns false and changes
-     nothing if the node is invalid */
-  bool (*load) (const struct member *m, JsonNode *node, void *field);
-  /* frees the value of the field */
-  void (*unload) (void *field);
-  /* appends a description of the allowed values */
-  void (*append_allowed) (const struct member *m, struct str_buf *out);
-};
-
 /* A condition on several members.  */
 struct rule
 {
@@ -81,385 +42,65 @@
 #define OFFSET(field) offsetof (struct settings, field)
 
 /* clang-format off */
-static const struct member members[] = {
-  { "member_id", TYPE_NAME, 0, 0, NULL, NULL, OFFSET (member_id), "Name of this daemon, unique in the fleet." },
-  { "failure_domain", TYPE_NAME, 0, 0, NULL, NULL, OFFSET (failure_domain), "Failure domain of the VM." },
-  { "failure_domains", TYPE_NAMES, 0, SETTINGS_DOMAINS_MAX, NULL, "[]", OFFSET (failure_domains), "All failure domains of the fleet. If they are not set, requests to routes that need a key are refused while the platform is unreachable." },
-  { "region", TYPE_NAME, 0, 0, NULL, NULL, OFFSET (region), "Region of the VM." },
-  { "address", TYPE_ADDRESS, 0, 0, NULL, NULL, OFFSET (address), "IP address at which callers and other daemons reach this daemon." },
-  { "ports.caller", TYPE_INTEGER, 1, PORT_MAX, NULL, "8080", OFFSET (ports.caller), "HTTP port for callers." },
-  { "ports.local", TYPE_INTEGER, 1, PORT_MAX, NULL, "8081", OFFSET (ports.local), "HTTP port on loopback for the backend server's nested calls, announce, drain, leave, metrics and administration." },
-  { "ports.peer", TYPE_INTEGER, 1, PORT_MAX, NULL, "8082", OFFSET (ports.peer), "TCP port for requests from other daemons." },
-  { "ports.control", TYPE_INTEGER, 1, PORT_MAX, NULL, "8083", OFFSET (ports.control), "TCP and UDP port for control messages of other daemons." },
-  { "seeds", TYPE_ENDPOINTS, 0, SETTINGS_SEEDS_MAX, NULL, "[]", OFFSET (seeds), "Control ports of other daemons, from which this daemon requests the members and the configuration at start." },
-  { "platform.address", TYPE_ADDRESS, 0, 0, NULL, "\"\"", OFFSET (platform.address), "IP address of the platform's object API." },
-  { "platform.port", TYPE_INTEGER, 1, PORT_MAX, NULL, "80", OFFSET (platform.port), "Port of the platform's object API." },
-  { "inventory_file", TYPE_FILE, 0, 0, NULL, "\"\"", OFFSET (inventory_file), "File with a static inventory, for use without a platform." },
-  { "backend_connections_max", TYPE_INTEGER, 1, PORT_MAX, NULL, "256", OFFSET (backend_connections_max), "Maximum number of connections to the backend server. The smaller of this and the announced number applies." },
-  { "front_threads", TYPE_INTEGER, 1, 64, NULL, "1", OFFSET (front_threads), "Number of threads that serve callers and nested calls." },
-  { "log_level", TYPE_CHOICE, 0, 0, "error, warning, info, debug", "\"info\"", OFFSET (log_level), "Lowest severity of log lines that are written. It can be changed while the daemon runs." },
-  { "trace.otlp.address", TYPE_ADDRESS, 0, 0, NULL, "\"\"", OFFSET (trace.otlp.address), "IP address of an OTLP/HTTP collector. Spans are not exported if it is empty." },
-  { "trace.otlp.port", TYPE_INTEGER, 1, PORT_MAX, NULL, "4318", OFFSET (trace.otlp.port), "Port of the collector." },
-  { "trace.queue", TYPE_INTEGER, 16, 64 * KIB, NULL, "2048", OFFSET (trace.queue), "Maximum number of spans that wait for export. Further spans are dropped and counted." },
-  { "trace.sample_ratio", TYPE_RATIO, 0, 1, NULL, "0.01", OFFSET (trace.sample_ratio), "Fraction of the traces begun by this daemon that are recorded." },
-  { "policy.admit", TYPE_CHOICE, 0, 0, "priority, urgency, naive", "\"priority\"", OFFSET (policy.admit), "Admission policy for requests to the backend server." },
-  { "policy.limit", TYPE_CHOICE, 0, 0, "adaptive, fixed", "\"adaptive\"", OFFSET (policy.limit), "Policy for the concurrency limit of the backend server." },
-  { "policy.route", TYPE_CHOICE, 0, 0, "least_loaded, even_load, round_robin", "\"least_loaded\"", OFFSET (policy.route), "Policy for the choice of the endpoint for a request." },
-  { "policy.retry", TYPE_CHOICE, 0, 0, "budget, per_hop", "\"budget\"", OFFSET (policy.retry), "Policy that limits retries." },
-  { "retry.ledger", TYPE_CHOICE, 0, 0, "none, equal, value", "\"none\"", OFFSET (retry.ledger), "How the daemon beside a backend server spends the retries that its service may get. With none, only the entry daemons limit retries." },
-  { "retry.ratio", TYPE_RATIO, 0, 1, NULL, "0.1", OFFSET (retry.ratio), "Maximum number of retries for each request, of an entry daemon and of a backend server's ledger." },
-  { "retry.window_ms", TYPE_INTEGER, 100, 600000, NULL, "10000", OFFSET (retry.window_ms), "Time over which the ledger counts." },
-  { "retry.slack", TYPE_INTEGER, 0, 10000, NULL, "0", OFFSET (retry.slack), "Retries beyond the ratio that the operators allow a service in a window. Not spent; reserve for what the ledgers of a service count differently." },
-  { "limits.headers_bytes", TYPE_INTEGER, KIB, 256 * KIB, NULL, "32768", OFFSET (limits.headers_bytes), "Maximum size of the headers of a request." },
-  { "limits.body_bytes", TYPE_INTEGER, 0, 64 * MIB, NULL, "8388608", OFFSET (limits.body_bytes), "Maximum size of the body of a request." },
-  { "limits.answer_bytes", TYPE_INTEGER, KIB, 8 * MIB, NULL, "8388608", OFFSET (limits.answer_bytes), "Maximum size of the body of an answer of the backend server." },
-  { "limits.open_requests", TYPE_INTEGER, 1, 100000, NULL, "4096", OFFSET (limits.open_requests), "Maximum number of concurrent requests of callers and nested calls." },
-  { "limits.depth", TYPE_INTEGER, 1, 255, NULL, "32", OFFSET (limits.depth), "Maximum depth of a call chain." },
-  { "limits.connections", TYPE_INTEGER, 1, 100000, NULL, "4096", OFFSET (limits.connections), "Maximum number of connections of callers." },
-  { "limits.idle_timeout_ms", TYPE_INTEGER, 100, HOUR_MS, NULL, "60000", OFFSET (limits.idle_timeout_ms), "Time after which an idle connection of a caller is closed." },
-  { "limits.header_timeout_ms", TYPE_INTEGER, 100, HOUR_MS, NULL, "10000", OFFSET (limits.header_timeout_ms), "Time from the first byte of a request to the end of its headers after which the connection is closed." },
-  { "limits.request_timeout_ms", TYPE_INTEGER, 1000, HOUR_MS, NULL, "3600000", OFFSET (limits.request_timeout_ms), "Time from the first byte of a request to the end of its body after which the connection is closed. With the default a body of 64 MiB may arrive at 19 KB/s." },
-  { "limits.progress_bytes_per_s", TYPE_INTEGER, 1, MIB, NULL, "1024", OFFSET (limits.progress_bytes_per_s), "Rate below which a body or the reading of an answer counts as making no progress. Without progress for limits.idle_timeout_ms the connection is closed, earlier if memory or connections are short. The default is an eighteenth of the rate at which 64 MiB take the default of limits.request_timeout_ms." },
-  { "limits.memory_bytes", TYPE_INTEGER, 0, MIB * MIB, NULL, "0", OFFSET (limits.memory_bytes), "Bytes that are held for others at the same time: headers, bodies, waiting requests, and answers that are not read. What does not fit is refused. 0 is five eighths of the VM's memory; smaller values than 16777216 count as that." },
-  { "fresh.bound_ms", TYPE_INTEGER, 500, 60000, NULL, "3500", OFFSET (fresh.bound_ms), "Maximum age of the evidence that the configuration is current. With older evidence, requests to routes that need a key are refused." },
-  { "lease.shards", TYPE_INTEGER, 1, 256, NULL, "8", OFFSET (lease.shards), "Number of shards of the rate limits and idempotency keys. It must be the same at all daemons. To change it, stop all daemons and start them no sooner than 5 s later." },
-  { "lease.term_ms", TYPE_INTEGER, 1000, 60000, NULL, "6000", OFFSET (lease.term_ms), "Duration of the lease of a shard." },
-  { "lease.promise_ms", TYPE_INTEGER, 500, 60000, NULL, "4000", OFFSET (lease.promise_ms), "Time for which a candidate, a daemon that may take over a shard, promises not to do so." },
-  { "lease.abandon_ms", TYPE_INTEGER, 60000, 24 * HOUR_MS, NULL, "3600000", OFFSET (lease.abandon_ms), "Time without renewal of its lease after which any daemon may take over a shard." },
-  { "grant.validity_ms", TYPE_INTEGER, 100, 10000, NULL, "1000", OFFSET (grant.validity_ms), "Maximum validity of granted tokens." },
-  { "grant.round_trip_bound_ms", TYPE_INTEGER, 10, 5000, NULL, "500", OFFSET (grant.round_trip_bound_ms), "Longest round trip after which granted tokens are used." },
-  { "local_address", TYPE_ADDRESS, 0, 0, NULL, "\"127.0.0.1\"", OFFSET (local_address), "IP address of the local port." },
-  { "service", TYPE_NAME, 0, 0, NULL, "\"\"", OFFSET (service), "Service of the backend server beside this daemon, sent to other backend servers as the origin of its calls." },
-  { "ports.health", TYPE_INTEGER, 0, PORT_MAX, NULL, "0", OFFSET (ports.health), "HTTP port for health checks. 0 disables it." },
-  { "ports.advertised_peer", TYPE_INTEGER, 0, PORT_MAX, NULL, "0", OFFSET (ports.advertised_peer), "Port at which other daemons reach ports.peer through a port forwarder. 0 means the same port." },
-  { "ports.advertised_control", TYPE_INTEGER, 0, PORT_MAX, NULL, "0", OFFSET (ports.advertised_control), "Port at which other daemons reach ports.control through a port forwarder. 0 means the same port." },
-  { "leave_notice_ms", TYPE_INTEGER, 0, 60000, NULL, "2000", OFFSET (leave_notice_ms), "Time between the announcement that this daemon leaves and its refusal of new requests. The other daemons receive the announcement within a few gossip rounds." },
-  { "shutdown_ms", TYPE_INTEGER, 0, 600000, NULL, "30000", OFFSET (shutdown_ms), "Maximum time that a shutdown waits for requests in flight." },
+static const struct settings_member members[] = {
+  { "member_id", SETTINGS_TYPE_NAME, 0, 0, NULL, NULL, OFFSET (member_id), "Name of this daemon, unique in the fleet." },
+  { "failure_domain", SETTINGS_TYPE_NAME, 0, 0, NULL, NULL, OFFSET (failure_domain), "Failure domain of the VM." },
+  { "failure_domains", SETTINGS_TYPE_NAMES, 0, SETTINGS_DOMAINS_MAX, NULL, "[]", OFFSET (failure_domains), "All failure domains of the fleet. If they are not set, requests to routes that need a key are refused while the platform is unreachable." },
+  { "region", SETTINGS_TYPE_NAME, 0, 0, NULL, NULL, OFFSET (region), "Region of the VM." },
+  { "address", SETTINGS_TYPE_ADDRESS, 0, 0, NULL, NULL, OFFSET (address), "IP address at which callers and other daemons reach this daemon." },
+  { "ports.caller", SETTINGS_TYPE_INTEGER, 1, PORT_MAX, NULL, "8080", OFFSET (ports.caller), "HTTP port for callers." },
+  { "ports.local", SETTINGS_TYPE_INTEGER, 1, PORT_MAX, NULL, "8081", OFFSET (ports.local), "HTTP port on loopback for the backend server's nested calls, announce, drain, leave, metrics and administration." },
+  { "ports.peer", SETTINGS_TYPE_INTEGER, 1, PORT_MAX, NULL, "8082", OFFSET (ports.peer), "TCP port for requests from other daemons." },
+  { "ports.control", SETTINGS_TYPE_INTEGER, 1, PORT_MAX, NULL, "8083", OFFSET (ports.control), "TCP and UDP port for control messages of other daemons." },
+  { "seeds", SETTINGS_TYPE_ENDPOINTS, 0, SETTINGS_SEEDS_MAX, NULL, "[]", OFFSET (seeds), "Control ports of other daemons, from which this daemon requests the members and the configuration at start." },
+  { "platform.address", SETTINGS_TYPE_ADDRESS, 0, 0, NULL, "\"\"", OFFSET (platform.address), "IP address of the platform's object API." },
+  { "platform.port", SETTINGS_TYPE_INTEGER, 1, PORT_MAX, NULL, "80", OFFSET (platform.port), "Port of the platform's object API." },
+  { "inventory_file", SETTINGS_TYPE_FILE, 0, 0, NULL, "\"\"", OFFSET (inventory_file), "File with a static inventory, for use without a platform." },
+  { "backend_connections_max", SETTINGS_TYPE_INTEGER, 1, PORT_MAX, NULL, "256", OFFSET (backend_connections_max), "Maximum number of connections to the backend server. The smaller of this and the announced number applies." },
+  { "front_threads", SETTINGS_TYPE_INTEGER, 1, 64, NULL, "1", OFFSET (front_threads), "Number of threads that serve callers and nested calls." },
+  { "log_level", SETTINGS_TYPE_CHOICE, 0, 0, "error, warning, info, debug", "\"info\"", OFFSET (log_level), "Lowest severity of log lines that are written. It can be changed while the daemon runs." },
+  { "trace.otlp.address", SETTINGS_TYPE_ADDRESS, 0, 0, NULL, "\"\"", OFFSET (trace.otlp.address), "IP address of an OTLP/HTTP collector. Spans are not exported if it is empty." },
+  { "trace.otlp.port", SETTINGS_TYPE_INTEGER, 1, PORT_MAX, NULL, "4318", OFFSET (trace.otlp.port), "Port of the collector." },
+  { "trace.queue", SETTINGS_TYPE_INTEGER, 16, 64 * KIB, NULL, "2048", OFFSET (trace.queue), "Maximum number of spans that wait for export. Further spans are dropped and counted." },
+  { "trace.sample_ratio", SETTINGS_TYPE_RATIO, 0, 1, NULL, "0.01", OFFSET (trace.sample_ratio), "Fraction of the traces begun by this daemon that are recorded." },
+  { "policy.admit", SETTINGS_TYPE_CHOICE, 0, 0, "priority, urgency, naive", "\"priority\"", OFFSET (policy.admit), "Admission policy for requests to the backend server." },
+  { "policy.limit", SETTINGS_TYPE_CHOICE, 0, 0, "adaptive, fixed", "\"adaptive\"", OFFSET (policy.limit), "Policy for the concurrency limit of the backend server." },
+  { "policy.route", SETTINGS_TYPE_CHOICE, 0, 0, "least_loaded, even_load, round_robin", "\"least_loaded\"", OFFSET (policy.route), "Policy for the choice of the endpoint for a request." },
+  { "policy.retry", SETTINGS_TYPE_CHOICE, 0, 0, "budget, per_hop", "\"budget\"", OFFSET (policy.retry), "Policy that limits retries." },
+  { "retry.ledger", SETTINGS_TYPE_CHOICE, 0, 0, "none, equal, value", "\"none\"", OFFSET (retry.ledger), "How the daemon beside a backend server spends the retries that its service may get. With none, only the entry daemons limit retries." },
+  { "retry.ratio", SETTINGS_TYPE_RATIO, 0, 1, NULL, "0.1", OFFSET (retry.ratio), "Maximum number of retries for each request, of an entry daemon and of a backend server's ledger." },
+  { "retry.window_ms", SETTINGS_TYPE_INTEGER, 100, 600000, NULL, "10000", OFFSET (retry.window_ms), "Time over which the ledger counts." },
+  { "retry.slack", SETTINGS_TYPE_INTEGER, 0, 10000, NULL, "0", OFFSET (retry.slack), "Retries beyond the ratio that the operators allow a service in a window. Not spent; reserve for what the ledgers of a service count differently." },
+  { "limits.headers_bytes", SETTINGS_TYPE_INTEGER, KIB, 256 * KIB, NULL, "32768", OFFSET (limits.headers_bytes), "Maximum size of the headers of a request." },
+  { "limits.body_bytes", SETTINGS_TYPE_INTEGER, 0, 64 * MIB, NULL, "8388608", OFFSET (limits.body_bytes), "Maximum size of the body of a request." },
+  { "limits.answer_bytes", SETTINGS_TYPE_INTEGER, KIB, 8 * MIB, NULL, "8388608", OFFSET (limits.answer_bytes), "Maximum size of the body of an answer of the backend server." },
+  { "limits.open_requests", SETTINGS_TYPE_INTEGER, 1, 100000, NULL, "4096", OFFSET (limits.open_requests), "Maximum number of concurrent requests of callers and nested calls." },
+  { "limits.depth", SETTINGS_TYPE_INTEGER, 1, 255, NULL, "32", OFFSET (limits.depth), "Maximum depth of a call chain." },
+  { "limits.connections", SETTINGS_TYPE_INTEGER, 1, 100000, NULL, "4096", OFFSET (limits.connections), "Maximum number of connections of callers." },
+  { "limits.idle_timeout_ms", SETTINGS_TYPE_INTEGER, 100, HOUR_MS, NULL, "60000", OFFSET (limits.idle_timeout_ms), "Time after which an idle connection of a caller is closed." },
+  { "limits.header_timeout_ms", SETTINGS_TYPE_INTEGER, 100, HOUR_MS, NULL, "10000", OFFSET (limits.header_timeout_ms), "Time from the first byte of a request to the end of its headers after which the connection is closed." },
+  { "limits.request_timeout_ms", SETTINGS_TYPE_INTEGER, 1000, HOUR_MS, NULL, "3600000", OFFSET (limits.request_timeout_ms), "Time from the first byte of a request to the end of its body after which the connection is closed. With the default a body of 64 MiB may arrive at 19 KB/s." },
+  { "limits.progress_bytes_per_s", SETTINGS_TYPE_INTEGER, 1, MIB, NULL, "1024", OFFSET (limits.progress_bytes_per_s), "Rate below which a body or the reading of an answer counts as making no progress. Without progress for limits.idle_timeout_ms the connection is closed, earlier if memory or connections are short. The default is an eighteenth of the rate at which 64 MiB take the default of limits.request_timeout_ms." },
+  { "limits.memory_bytes", SETTINGS_TYPE_INTEGER, 0, MIB * MIB, NULL, "0", OFFSET (limits.memory_bytes), "Bytes that are held for others at the same time: headers, bodies, waiting requests, and answers that are not read. What does not fit is refused. 0 is five eighths of the VM's memory; smaller values than 16777216 count as that." },
+  { "fresh.bound_ms", SETTINGS_TYPE_INTEGER, 500, 60000, NULL, "3500", OFFSET (fresh.bound_ms), "Maximum age of the evidence that the configuration is current. With older evidence, requests to routes that need a key are refused." },
+  { "lease.shards", SETTINGS_TYPE_INTEGER, 1, 256, NULL, "8", OFFSET (lease.shards), "Number of shards of the rate limits and idempotency keys. It must be the same at all daemons. To change it, stop all daemons and start them no sooner than 5 s later." },
+  { "lease.term_ms", SETTINGS_TYPE_INTEGER, 1000, 60000, NULL, "6000", OFFSET (lease.term_ms), "Duration of the lease of a shard." },
+  { "lease.promise_ms", SETTINGS_TYPE_INTEGER, 500, 60000, NULL, "4000", OFFSET (lease.promise_ms), "Time for which a candidate, a daemon that may take over a shard, promises not to do so." },
+  { "lease.abandon_ms", SETTINGS_TYPE_INTEGER, 60000, 24 * HOUR_MS, NULL, "3600000", OFFSET (lease.abandon_ms), "Time without renewal of its lease after which any daemon may take over a shard." },
+  { "grant.validity_ms", SETTINGS_TYPE_INTEGER, 100, 10000, NULL, "1000", OFFSET (grant.validity_ms), "Maximum validity of granted tokens." },
+  { "grant.round_trip_bound_ms", SETTINGS_TYPE_INTEGER, 10, 5000, NULL, "500", OFFSET (grant.round_trip_bound_ms), "Longest round trip after which granted tokens are used." },
+  { "local_address", SETTINGS_TYPE_ADDRESS, 0, 0, NULL, "\"127.0.0.1\"", OFFSET (local_address), "IP address of the local port." },
+  { "service", SETTINGS_TYPE_NAME, 0, 0, NULL, "\"\"", OFFSET (service), "Service of the backend server beside this daemon, sent to other backend servers as the origin of its calls." },
+  { "ports.health", SETTINGS_TYPE_INTEGER, 0, PORT_MAX, NULL, "0", OFFSET (ports.health), "HTTP port for health checks. 0 disables it." },
+  { "ports.advertised_peer", SETTINGS_TYPE_INTEGER, 0, PORT_MAX, NULL, "0", OFFSET (ports.advertised_peer), "Port at which other daemons reach ports.peer through a port forwarder. 0 means the same port." },
+  { "ports.advertised_control", SETTINGS_TYPE_INTEGER, 0, PORT_MAX, NULL, "0", OFFSET (ports.advertised_control), "Port at which other daemons reach ports.control through a port forwarder. 0 means the same port." },
+  { "leave_notice_ms", SETTINGS_TYPE_INTEGER, 0, 60000, NULL, "2000", OFFSET (leave_notice_ms), "Time between the announcement that this daemon leaves and its refusal of new requests. The other daemons receive the announcement within a few gossip rounds." },
+  { "shutdown_ms", SETTINGS_TYPE_INTEGER, 0, 600000, NULL, "30000", OFFSET (shutdown_ms), "Maximum time that a shutdown waits for requests in flight." },
 };
 /* clang-format on */
 
 #define MEMBERS_LEN G_N_ELEMENTS (members)
 
-/* Internal functions: types */
-
-static void
-unload_text (void *field)
-{
-  str_free (field);
-}
-
-static void
-unload_nothing (void *field)
-{
-}
-
-/* Returns the string value of a node, or NULL if it is not a string.  */
-static const char *
-get_text (JsonNode *node)
-{
-  if (!JSON_NODE_HOLDS_VALUE (node)
-      || json_node_get_value_type (node) != G_TYPE_STRING)
-    return NULL;
-  return json_node_get_string (node);
-}
-
-static void
-store_text (void *field, const char *text)
-{
-  struct str *s = field;
-
-  str_free (s);
-  *s = str_copy (str_from_cstr (text));
-}
-
-static bool
-is_name (struct str s)
-{
-  if (s.len < 1 || s.len > NAME_MAX_BYTES)
-    return false;
-  for (size_t i = 0; i < s.len; i++)
-    if (!g_ascii_isalnum (s.data[i]) && strchr ("._-", s.data[i]) == NULL)
-      return false;
-  return true;
-}
-
-static bool
-load_name (const struct member *m, JsonNode *node, void *field)
-{
-  const char *text = get_text (node);
-
-  if (text == NULL
-      || (!is_name (str_from_cstr (text))
-          && (m->default_value == NULL || text[0] != '\0')))
-    return false;
-  store_text (field, text);
-  return true;
-}
-
-static void
-append_allowed_name (const struct member *m, struct str_buf *out)
-{
-  str_append_format (out, "1 to %d letters, digits, '.', '_' or '-'",
-                     NAME_MAX_BYTES);
-  if (m->default_value != NULL)
-    str_append (out, STR_LIT (" or \"\""));
-}
-
-static bool
-load_choice (const struct member *m, JsonNode *node, void *field)
-{
-  const char *text = get_text (node);
-  char **names;
-  bool found;
-
-  if (text == NULL)
-    return false;
-  names = g_strsplit (m->choices, ", ", -1);
-  found = g_strv_contains ((const char *const *)names, text);
-  g_strfreev (names);
-  if (found)
-    store_text (field, text);
-  return found;
-}
-
-static void
-append_allowed_choice (const struct member *m, struct str_buf *out)
-{
-  str_append_format (out, "one of %s", m->choices);
-}
-
-static bool
-load_file_name (const struct member *m, JsonNode *node, void *field)
-{
-  const char *text = get_text (node);
-
-  if (text == NULL || strlen (text) > FILE_NAME_MAX_BYTES)
-    return false;
-  store_text (field, text);
-  return true;
-}
-
-static void
-append_allowed_file_name (const struct member *m, struct str_buf *out)
-{
-  str_append_format (out, "a file name of at most %d bytes",
-                     FILE_NAME_MAX_BYTES);
-}
-
-static bool
-is_address (const char *text)
-{
-  struct in6_addr address;
-
-  return inet_pton (AF_INET, text, &address) == 1
-         || inet_pton (AF_INET6, text, &address) == 1;
-}
-
-/* An optional address may be given as "".  */
-static bool
-load_address (const struct member *m, JsonNode *node, void *field)
-{
-  const char *text = get_text (node);
-
-  if (text == NULL)
-    return false;
-  if (!is_address (text) && (m->default_value == NULL || text[0] != '\0'))
-    return false;
-  store_text (field, text);
-  return true;
-}
-
-static void
-append_allowed_address (const struct member *m, struct str_buf *out)
-{
-  str_append (out, STR_LIT ("an IPv4 or IPv6 address"));
-  if (m->default_value != NULL)
-    str_append (out, STR_LIT (" or \"\""));
-}
-
-static bool
-is_integer (JsonNode *node, int64_t min, int64_t max)
-{
-  return JSON_NODE_HOLDS_VALUE (node)
-         && json_node_get_value_type (node) == G_TYPE_INT64
-         && json_node_get_int (node) >= min && json_node_get_int (node) <= max;
-}
-
-static bool
-load_integer (const struct member *m, JsonNode *node, void *field)
-{
-  if (!is_integer (node, m->min, m->max))
-    return false;
-  *(int64_t *)field = json_node_get_int (node);
-  return true;
-}
-
-static void
-append_allowed_integer (const struct member *m, struct str_buf *out)
-{
-  str_append_format (
-      out, "an integer from %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT, m->min,
-      m->max);
-}
-
-static bool
-load_ratio (const struct member *m, JsonNode *node, void *field)
-{
-  GType type;
-  double value;
-
-  if (!JSON_NODE_HOLDS_VALUE (node))
-    return false;
-  type = json_node_get_value_type (node);
-  if (type != G_TYPE_INT64 && type != G_TYPE_DOUBLE)
-    return false;
-  value = json_node_get_double (node);
-  /* This form of the comparison also rejects NaN.  */
-  if (!(value >= (double)m->min && value <= (double)m->max))
-    return false;
-  *(double *)field = value;
-  return true;
-}
-
-static void
-append_allowed_ratio (const struct member *m, struct str_buf *out)
-{
-  str_append_format (out,
-                     "a number from %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT,
-                     m->min, m->max);
-}
-
-static void
-unload_endpoints (void *field)
-{
-  struct settings_endpoints *list = field;
-
-  for (size_t i = 0; i < list->len; i++)
-    str_free (&list->items[i].address);
-  g_free (list->items);
-  *list = (struct settings_endpoints){ 0, NULL };
-}
-
-/* Appends an endpoint; returns false unless the node is an object with a valid
-   address and port and no other member.  */
-static bool
-add_endpoint (struct settings_endpoints *list, JsonNode *node)
-{
-  JsonObject *object;
-  JsonNode *address, *port;
-
-  if (!JSON_NODE_HOLDS_OBJECT (node))
-    return false;
-  object = json_node_get_object (node);
-  address = json_object_get_member (object, "address");
-  port = json_object_get_member (object, "port");
-  if (json_object_get_size (object) != 2 || address == NULL || port == NULL)
-    return false;
-  if (get_text (address) == NULL || !is_address (get_text (address))
-      || !is_integer (port, 1, PORT_MAX))
-    return false;
-  list->items[list->len].address
-      = str_copy (str_from_cstr (get_text (address)));
-  list->items[list->len].port = json_node_get_int (port);
-  list->len++;
-  return true;
-}
-
-static bool
-load_endpoints (const struct member *m, JsonNode *node, void *field)
-{
-  struct settings_endpoints list = { 0, NULL };
-  JsonArray *array;
-  guint len;
-
-  if (!JSON_NODE_HOLDS_ARRAY (node))
-    return false;
-  array = json_node_get_array (node);
-  len = json_array_get_length (array);
-  if (len > (guint)m->max)
-    return false;
-  list.items = g_new0 (struct settings_endpoint, len);
-  for (guint i = 0; i < len; i++)
-    if (!add_endpoint (&list, json_array_get_element (array, i)))
-      {
-        unload_endpoints (&list);
-        return false;
-      }
-  unload_endpoints (field);
-  *(struct settings_endpoints *)field = list;
-  return true;
-}
-
-static void
-append_allowed_endpoints (const struct member *m, struct str_buf *out)
-{
-  str_append_format (out,
-                     "an array of at most %" G_GINT64_FORMAT
-                     " objects {\"address\": IP address, "
-                     "\"port\": 1 to %d}",
-                     m->max, PORT_MAX);
-}
-
-static void
-unload_names (void *field)
-{
-  struct settings_names *list = field;
-
-  for (size_t i = 0; i < list->len; i++)
-    str_free (&list->items[i]);
-  g_free (list->items);
-  *list = (struct settings_names){ 0, NULL };
-}
-
-static bool
-load_names (const struct member *m, JsonNode *node, void *field)
-{
-  struct settings_names list = { 0, NULL };
-  JsonArray *array;
-  guint len;
-
-  if (!JSON_NODE_HOLDS_ARRAY (node))
-    return false;
-  array = json_node_get_array (node);
-  len = json_array_get_length (array);
-  if (len > (guint)m->max)
-    return false;
-  list.items = g_new0 (struct str, len);
-  for (guint i = 0; i < len; i++)
-    {
-      const char *text = get_text (json_array_get_element (array, i));
-
-      if (text == NULL || !is_name (str_from_cstr (text)))
-        {
-          unload_names (&list);
-          return false;
-        }
-      list.items[list.len++] = str_copy (str_from_cstr (text));
-    }
-  unload_names (field);
-  *(struct settings_names *)field = list;
-  return true;
-}
-
-static void
-append_allowed_names (const struct member *m, struct str_buf *out)
-{
-  str_append_format (out, "an array of at most %" G_GINT64_FORMAT " names",
-                     m->max);
-}
-
-static const struct type_ops types[] = {
-  [TYPE_NAME] = { load_name, unload_text, append_allowed_name },
-  [TYPE_CHOICE] = { load_choice, unload_text, append_allowed_choice },
-  [TYPE_FILE] = { load_file_name, unload_text, append_allowed_file_name },
-  [TYPE_ADDRESS] = { load_address, unload_text, append_allowed_address },
-  [TYPE_INTEGER] = { load_integer, unload_nothing, append_allowed_integer },
-  [TYPE_RATIO] = { load_ratio, unload_nothing, append_allowed_ratio },
-  [TYPE_ENDPOINTS]
-  = { load_endpoints, unload_endpoints, append_allowed_endpoints },
-  [TYPE_NAMES] = { load_names, unload_names, append_allowed_names },
-};
-
 /* Internal functions: rules over several members */
 
 static bool
@@ -554,7 +195,7 @@
 
 /* Reports an invalid value of a member, or a missing one if node is NULL.  */
 static bool
-fail_member (const struct load_state *l, const struct member *m,
+fail_member (const struct load_state *l, const struct settings_member *m,
              JsonNode *node)
 {
   struct str_buf found = { 0 }, allowed = { 0 };
@@ -563,7 +204,7 @@
     append_value (&found, node);
   else
     str_append (&found, STR_LIT ("no value"));
-  types[m->type].append_allowed (m, &allowed);
+  settings_types[m->type].append_allowed (m, &allowed);
   fail (l, str_from_cstr (m->path), str_view (&found), str_view (&allowed));
   str_reset (&found);
   str_reset (&allowed);
@@ -612,7 +253,7 @@
 /* Internal functions: loading */
 
 static void *
-get_field (struct settings *s, const struct member *m)
+get_field (struct settings *s, const struct settings_member *m)
 {
   return (char *)s + m->offset;
 }
@@ -673,7 +314,7 @@
   if (i < MEMBERS_LEN)
     {
       l->present[i] = true;
-      if (types[members[i].type].load (&members[i], node,
+      if (settings_types[members[i].type].load (&members[i], node,
                                        get_field (l->settings, &members[i])))
         return true;
       return fail_member (l, &members[i], node);
@@ -713,10 +354,10 @@
 /* Loads the default of a member.  Defaults are stored as JSON and pass the
    same checks as values of the file.  */
 static void
-load_default (struct settings *s, const struct member *m)
+load_default (struct settings *s, const struct settings_member *m)
 {
   JsonNode *node = json_from_string (m->default_value, NULL);
-  bool ok = types[m->type].load (m, node, get_field (s, m));
+  bool ok = settings_types[m->type].load (m, node, get_field (s, m));
 
   g_assert (ok);
   json_node_unref (node);
@@ -799,14 +440,14 @@
 }
 
 static void
-append_row (struct str_buf *out, const struct member *m)
+append_row (struct str_buf *out, const struct settings_member *m)
 {
   struct str_buf cell = { 0 };
 
   str_append_format (&cell, "`%s`", m->path);
   append_cell (out, str_view (&cell));
   str_reset (&cell);
-  types[m->type].append_allowed (m, &cell);
+  settings_types[m->type].append_allowed (m, &cell);
   append_cell (out, str_view (&cell));
   str_reset (&cell);
   if (m->default_value == NULL)
@@ -871,7 +512,7 @@
 
   *s = (struct settings){ 0 };
   for (size_t i = 0; i < MEMBERS_LEN; i++)
-    if (types[members[i].type].unload == unload_text)
+    if (settings_type_is_text (members[i].type))
       *(struct str *)get_field (s, &members[i]) = STR_EMPTY;
   if (parse_text (&l, text))
     return true;
@@ -902,7 +543,7 @@
 settings_unload (struct settings *s)
 {
   for (size_t i = 0; i < MEMBERS_LEN; i++)
-    types[members[i].type].unload (get_field (s, &members[i]));
+    settings_types[members[i].type].unload (get_field (s, &members[i]));
 }
 
 /**
