--- a/tests/test_control_registry.c
+++ b/tests/test_control_registry.c
@@ -529,6 +529,7 @@
   f.control.control_registry->next_state_us = INT64_MAX;
   registry_evacuation_run (&f.control, clock_now_us ());
   ck_assert_int_eq (f.control.control_registry->next_state_us, 0);
+  ck_assert_int_eq (get_told (&f), 1);
   mailbox_close (&f.serve);
   stop (&f);
 }
