End a stopped daemon only when its answers are sent

Change: fronts publish the answers that are not sent whole, the serve thread the bytes of responses not yet written to other daemons; the stop waits for both, at most shutdown_ms.

--- a/src/control.c
+++ b/src/control.c
@@ -255,7 +255,7 @@
 
 /* A daemon shuts down in steps.  It announces that it is leaving, stops
    accepting requests after leave_notice_ms, and ends when no call, job or
-   lease is open, or after shutdown_ms.  */
+   lease is open and all answers are sent, or after shutdown_ms.  */
 static void
 run_shutdown (void *owner, int64_t now_us)
 {
@@ -272,7 +272,9 @@
     }
   idle = c->listeners_stopped && !c->leases_open
          && atomic_load (&c->shared->open_calls) == 0
-         && atomic_load (&c->shared->open_jobs) == 0;
+         && atomic_load (&c->shared->open_jobs) == 0
+         && atomic_load (&c->shared->open_answers) == 0
+         && atomic_load (&c->shared->pending_response_bytes) == 0;
   if (idle || now_us >= c->shutdown_at_us)
     loop_stop (&c->loop);
 }
--- a/src/daemon_context.h
+++ b/src/daemon_context.h
@@ -60,6 +60,10 @@
   atomic_bool leaving;          /* the daemon is shutting down */
   atomic_uint open_calls;       /* rows in the call tables of all fronts */
   atomic_uint open_jobs;        /* rows in the job table of the serve thread */
+  atomic_uint open_answers;     /* answers to callers not sent whole yet */
+  /* bytes of responses to other daemons not sent yet; set while the daemon
+     shuts down */
+  atomic_size_t pending_response_bytes;
   struct mailbox *control;
   struct mailbox *serve;
   struct mailbox *fronts[DAEMON_CONTEXT_FRONTS_MAX];
--- a/src/front.c
+++ b/src/front.c
@@ -593,6 +593,20 @@
       LOGGER_NUMBER ("left_out", (int64_t)left_out));
 }
 
+/* Publishes the number of answers that are not sent whole yet, for the
+   shutdown.  */
+static void
+update_open_answers (struct front *f)
+{
+  uint32_t open = 0;
+
+  for (int i = 0; i < FRONT_SOURCE_COUNT; i++)
+    if (f->servers[i] != NULL)
+      open += http_server_get_sending (f->servers[i]);
+  atomic_fetch_add (&f->shared->open_answers, open - f->open_answers);
+  f->open_answers = open;
+}
+
 static void
 end_call (struct front *f, struct front_call *call, int64_t now_us)
 {
@@ -612,6 +626,8 @@
     answer_error (f, call);
   else if (call->exchange != NULL)
     answer_result (f, call);
+  /* Before the call is closed: the daemon must not end in between.  */
+  update_open_answers (f);
   free_call (f, call);
 }
 
@@ -630,6 +646,7 @@
         end_call (f, call, now_us);
     }
   g_array_set_size (queue, 0);
+  update_open_answers (f);
   loop_set_tick (&f->loop, f->calls.count > 0 ? FRONT_TICK_US : 0);
 }
 
--- a/src/front.h
+++ b/src/front.h
@@ -154,7 +154,8 @@
   uint32_t index; /* index of this front */
   /* by front_source; the health server is NULL without a health port */
   struct http_server *servers[FRONT_SOURCE_COUNT];
-  struct http_server_stats reported[FRONT_SOURCE_COUNT]; /* in the metrics */
+  struct http_server_stats reported[FRONT_SOURCE_COUNT];
+  uint32_t open_answers; /* as added to shared->open_answers */
   struct backend_record backend;
   struct backend_stops stored_stops; /* owned; in the store */
   struct table confirmations;
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -422,7 +422,10 @@
   if (x->awaiting_answer)
     x->server->ops->on_disconnect (x->server->owner, x);
   if (x->response != NULL)
-    MHD_destroy_response (x->response);
+    {
+      x->server->stats.sending--;
+      MHD_destroy_response (x->response);
+    }
   str_free (&x->target);
   http_server_limit_release_body (x);
   g_free (x->headers);
@@ -549,6 +552,12 @@
       = h->listener != NULL && listener_is_caller_waiting (h->listener);
 }
 
+uint32_t
+http_server_get_sending (const struct http_server *h)
+{
+  return h->stats.sending;
+}
+
 int64_t
 http_server_get_paused_us (const struct http_server *h, int64_t now_us)
 {
@@ -595,6 +604,7 @@
   x->awaiting_answer = false;
   x->response = r;
   x->status = status;
+  x->server->stats.sending++;
   client_limit_enter (&http_server_get_connection (x->connection)->limit,
                       CLIENT_LIMIT_ANSWER, 0, clock_now_us ());
   resume (x);
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -74,6 +74,7 @@
   uint32_t open;     /* connections */
   uint64_t accepted; /* connections since the start */
   bool waiting;      /* a caller has connected and is not accepted yet */
+  uint32_t sending;  /* answers that are not sent whole yet */
   uint64_t refused;  /* requests that did not fit the byte budget */
   uint64_t dropped;  /* answers that did not fit the byte budget */
   /* connections closed since the start, by reason */
@@ -107,6 +108,8 @@
 /* sets *stats */
 void http_server_get_stats (const struct http_server *h,
                             struct http_server_stats *stats);
+/* returns the number of answers that are not sent whole yet */
+uint32_t http_server_get_sending (const struct http_server *h);
 /* returns how long callers have been waiting without being accepted, or 0 */
 int64_t http_server_get_paused_us (const struct http_server *h,
                                    int64_t now_us);
--- a/src/peer_link.c
+++ b/src/peer_link.c
@@ -282,3 +282,15 @@
   return row == NULL ? 0
                      : evbuffer_get_length (bufferevent_get_output (row->bev));
 }
+
+size_t
+peer_link_get_all_pending_bytes (const struct peer_link_set *set)
+{
+  struct peer_link_row *row;
+  size_t bytes = 0;
+
+  for (uint64_t id = table_next (&set->links, 0, (void **)&row); id != 0;
+       id = table_next (&set->links, id, (void **)&row))
+    bytes += evbuffer_get_length (bufferevent_get_output (row->bev));
+  return bytes;
+}
--- a/src/peer_link.h
+++ b/src/peer_link.h
@@ -73,5 +73,7 @@
 /* returns the number of bytes not yet written to the socket */
 size_t peer_link_get_pending_bytes (const struct peer_link_set *set,
                                     uint64_t link);
+/* returns that of all links */
+size_t peer_link_get_all_pending_bytes (const struct peer_link_set *set);
 
 #endif
--- a/src/serve.c
+++ b/src/serve.c
@@ -594,6 +594,10 @@
 {
   struct serve *s = owner;
 
+  /* Before the jobs are closed: the daemon must not end in between.  */
+  if (atomic_load (&s->shared->leaving))
+    atomic_store (&s->shared->pending_response_bytes,
+                  peer_link_get_all_pending_bytes (&s->links));
   for (guint i = 0; i < s->finished->len; i++)
     {
       struct serve_job *job
