--- a/src/repeat_budget.h
+++ b/src/repeat_budget.h
@@ -89,7 +89,7 @@
   GHashTable *class_by_key;
   double demand[REPEAT_BUDGET_SCORE_BINS]; /* retries asked for, by score,
                                               decaying */
-  double spent; /* retries allowed, decaying */
+  double spent;                            /* retries allowed, decaying */
   int64_t decayed_us; /* time up to which both have decayed */
   /* sum of the parts of retries that fit, below 1; see is_worth_retry */
   double part_taken;
--- a/src/settings.c
+++ b/src/settings.c
@@ -314,8 +314,8 @@
   if (i < MEMBERS_LEN)
     {
       l->present[i] = true;
-      if (settings_types[members[i].type].load (&members[i], node,
-                                       get_field (l->settings, &members[i])))
+      if (settings_types[members[i].type].load (
+              &members[i], node, get_field (l->settings, &members[i])))
         return true;
       return fail_member (l, &members[i], node);
     }
