Mend two findings of clang-tidy

A repeated branch in the scan of field values and a list of strings that looks as if a comma were missing; no behaviour changes.

--- a/src/http_head.c
+++ b/src/http_head.c
@@ -108,13 +108,13 @@
 static bool
 scan_value_byte (struct http_head_scan *scan, char c)
 {
+  bool after_cr = scan->state == HTTP_HEAD_VALUE_CR;
+
   if (c == '\n')
     scan->state = HTTP_HEAD_LINE_START;
-  else if (scan->state == HTTP_HEAD_VALUE_CR)
-    return fail (scan, HTTP_FAULT_FIELD_VALUE);
-  else if (c == '\r')
+  else if (c == '\r' && !after_cr)
     scan->state = HTTP_HEAD_VALUE_CR;
-  else if (is_control (c))
+  else if (after_cr || is_control (c))
     return fail (scan, HTTP_FAULT_FIELD_VALUE);
   return true;
 }
--- a/standins/machines.c
+++ b/standins/machines.c
@@ -289,17 +289,18 @@
 
 /* Heads of answers that RFC 9112 does not allow.  Each gets the id of the
    request and a signature in addition.  */
+#define OK_HEAD "HTTP/1.1 200 OK\r\n"
+#define LENGTH "Content-Length: 2\r\n"
 static const char *const malformed_heads[]
-    = { "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n",
-        "HTTP/1.1 099 OK\r\nContent-Length: 2\r\n",
-        "HTTP/1.1 999 OK\r\nContent-Length: 2\r\n",
-        "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 2\r\n",
-        "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\nContent-Length: 2\r\n",
-        "HTTP/1.1 200 OK\r\nX-Odd: \x01\r\nContent-Length: 2\r\n",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 1\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
-        "Transfer-Encoding: chunked\r\n" };
+    = { "HTTP/1.1 000 OK\r\n" LENGTH,
+        "HTTP/1.1 099 OK\r\n" LENGTH,
+        "HTTP/1.1 999 OK\r\n" LENGTH,
+        OK_HEAD LENGTH "X Odd: 1\r\n",
+        OK_HEAD LENGTH "X\x01Odd: 1\r\n",
+        OK_HEAD LENGTH "X-Odd: \x01\r\n",
+        OK_HEAD "Transfer-Encoding : chunked\r\n",
+        OK_HEAD LENGTH "Content-Length: 1\r\n",
+        OK_HEAD LENGTH "Transfer-Encoding: chunked\r\n" };
 
 /* Sends a malformed answer and leaves the connection open.  */
 static void
