Do not queue a burst of slow requests at one endpoint

Cause: even_load derives the expected wait from the reported service time. After fast requests (41 us) it expected 35 us behind 14 open requests at an endpoint of 8 slots, so a burst of slow requests all went there and six ended at their deadline beside an idle endpoint. Change: endpoints whose slots the daemon's own open requests fill are drawn last, and the failure domain is left for a free slot then. Measured: the new case of test_route_even had 15 of 30 requests at one endpoint before, at most 8 now.

--- a/src/route_even.c
+++ b/src/route_even.c
@@ -66,6 +66,9 @@
 #define EVEN_LOAD_DEFAULT 0.5
 /* Assumed round trip to another failure domain until it was measured.  */
 #define EVEN_CROSSING_DEFAULT_US 1500.0
+/* Part of its weight with which an endpoint is drawn whose slots the daemon's
+   own requests fill.  */
+#define EVEN_FILLED_PART 1e-6
 /* A failing endpoint is used only while the chosen one is expected to make the
    request wait for this many service times: the others are full then.  */
 #define EVEN_FAILING_WAIT_MIN 1.0
@@ -153,6 +156,21 @@
   return e->use_updated_us > 0 ? e->use : EVEN_LOAD_DEFAULT;
 }
 
+/* Returns whether the daemon's own requests fill the slots of an endpoint.  The
+   reported service time says nothing about these requests: a burst of slow ones
+   that follows fast ones would wait there beside free slots elsewhere.  */
+static bool
+is_filled (const struct choices *c, uint32_t i)
+{
+  return c->endpoints[i]->outstanding >= c->beliefs[i].limit;
+}
+
+static bool
+has_free_slot (const struct choices *c, uint32_t i)
+{
+  return c->beliefs[i].in_flight + 1 <= c->beliefs[i].limit;
+}
+
 static void
 init_choices (struct choices *c, const struct route_pool *p,
               struct route_endpoint *const *endpoints, uint32_t len,
@@ -172,7 +190,8 @@
                     * route_get_slow_start_weight (p, endpoints[i], now_us)
                     * pow ((mean_use + EVEN_USE_MIN)
                                / (get_use (endpoints[i]) + EVEN_USE_MIN),
-                           EVEN_CORRECTION);
+                           EVEN_CORRECTION)
+                    * (is_filled (c, i) ? EVEN_FILLED_PART : 1);
 }
 
 static bool
@@ -222,6 +241,20 @@
   return best;
 }
 
+/* Returns whether a request leaves the failure domain, where BEST is the best
+   choice, for OTHER.  */
+static bool
+is_worth_crossing (const struct choices *c, uint32_t best, uint32_t other)
+{
+  const struct route_even_belief *b = &c->beliefs[best];
+
+  if (is_filled (c, best) && has_free_slot (c, other))
+    return true;
+  return b->wait_us > b->service_us * EVEN_CROSSING_WAIT
+         && c->beliefs[other].response_us + EVEN_MARGIN_US
+                < b->response_us * (1 - EVEN_CROSSING_GAIN);
+}
+
 /* Half of the work of a failing endpoint is better than none if the others are
    full.  */
 static struct route_endpoint *
@@ -283,7 +316,8 @@
  *
  * A request leaves the failure domain only if it would have to wait there, and
  * the best of the endpoints drawn from the others is expected to respond sooner
- * by a margin, the distance included.
+ * by a margin, the distance included, or has a free slot while the daemon's own
+ * requests fill the slots of the best endpoint of the domain.
  *
  * Return: a member, or 0.
  */
@@ -304,11 +338,7 @@
     {
       uint32_t other = draw_best (p, &choices, false, EVEN_DRAWS);
 
-      if (choices.beliefs[best].wait_us
-              > choices.beliefs[best].service_us * EVEN_CROSSING_WAIT
-          && choices.beliefs[other].response_us + EVEN_MARGIN_US
-                 < choices.beliefs[best].response_us
-                       * (1 - EVEN_CROSSING_GAIN))
+      if (is_worth_crossing (&choices, best, other))
         best = other;
     }
   return consider_failing (p, &c, c.available[best], &choices.beliefs[best],
--- a/tests/test_route_even.c
+++ b/tests/test_route_even.c
@@ -641,6 +641,8 @@
 
 #define NOW_US 100000000
 #define MEMBERS 6
+/* Service time of requests that end at once.  */
+#define FAST_US 41
 
 /* Makes a pool of equal endpoints, half of them in the daemon's failure
    domain.  All have just reported half of their slots in use.  */
@@ -775,6 +777,35 @@
 }
 END_TEST
 
+/* Guards against requests that wait at an endpoint whose slots the daemon's own
+   requests fill, while another one has free slots: fast requests were reported,
+   and a burst of slow ones follows, of which no report can know.  */
+START_TEST (burst_of_slow_requests_does_not_queue_at_one_endpoint)
+{
+  struct route_pool p;
+  uint32_t sent[MEMBERS + 1] = { 0 };
+
+  route_init_pool (&p, 1000, 0, SEED);
+  for (uint64_t m = 1; m <= 4; m++)
+    {
+      route_set_endpoint (&p, m, m % 2, 0);
+      route_record_response (&p, m, 0, SLOTS, 1000, NOW_US - FAST_US, NOW_US);
+      route_record_rates (&p, m, 200, FAST_US, FAST_US, NOW_US - FAST_US,
+                          NOW_US);
+    }
+  for (int i = 0; i < 4 * SLOTS - 2; i++)
+    {
+      uint64_t member = route_even_choose (&p, NULL, 0, NOW_US);
+
+      sent[member]++;
+      route_record_send (&p, member, NOW_US);
+    }
+  for (uint64_t m = 1; m <= 4; m++)
+    ck_assert_uint_le (sent[m], SLOTS);
+  route_close_pool (&p);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -789,7 +820,8 @@
           belief_follows_the_age_of_the_report,
           excluded_endpoints_are_neither_chosen_nor_offered,
           nothing_is_refused_while_all_are_full,
-          daemon_without_information_spreads_requests };
+          daemon_without_information_spreads_requests,
+          burst_of_slow_requests_does_not_queue_at_one_endpoint };
 
   printf ("%-31s load speeds  target  worst  p99 ms busiest  cross attempts "
           "age ms\n",
