--- a/tests/process.h
+++ b/tests/process.h
@@ -254,6 +254,17 @@
     }
 }
 
+/* Changes a state of the stand-in, for example "store" to "down".  */
+static inline void
+process_set_standin (uint16_t port, const char *what, const char *body)
+{
+  char *target = g_strdup_printf ("/standin/%s", what);
+
+  ck_assert_int_eq (process_send (port, "PUT", target, body, NULL).status,
+                    200);
+  g_free (target);
+}
+
 /* Returns an integer member of a JSON text, or of one of its objects unless
    `object` is NULL; 0 if there is no such member.  */
 static inline int64_t
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -77,16 +77,6 @@
     }
 }
 
-static void
-set_standin (const struct fixture *f, const char *what, const char *body)
-{
-  char *target = g_strdup_printf ("/standin/%s", what);
-
-  ck_assert_int_eq (
-      process_send (f->store_port, "PUT", target, body, NULL).status, 200);
-  g_free (target);
-}
-
 static int
 get_executions (const struct fixture *f, int backend)
 {
@@ -370,8 +360,8 @@
   int before;
 
   g_usleep (200000);
-  set_standin (f, "evacuate", "z2");
-  set_standin (f, "evacuate", "z1");
+  process_set_standin (f->store_port, "evacuate", "z2");
+  process_set_standin (f->store_port, "evacuate", "z1");
   end_us = clock_now_us () + EVACUATE_US;
   ck_assert_int_eq (GPOINTER_TO_INT (g_thread_join (slow)), 200);
   for (int i = 0; clock_now_us () < end_us; i++)
@@ -381,10 +371,10 @@
   for (int i = 0; i < 60; i++)
     ck_assert_int_eq (get (f, i % DAEMONS, "/notes/x"), 200);
   ck_assert_int_eq (get_executions (f, 1), before);
-  set_standin (f, "evacuate", "z0");
+  process_set_standin (f->store_port, "evacuate", "z0");
   await_status (f, 2, "/notes/x", 503);
-  set_standin (f, "reopen", "z0");
-  set_standin (f, "reopen", "z2");
+  process_set_standin (f->store_port, "reopen", "z0");
+  process_set_standin (f->store_port, "reopen", "z2");
   for (int i = 0; i < DAEMONS; i++)
     {
       await_status (f, i, "/book/x", 200);
@@ -400,7 +390,7 @@
 {
   struct fixture *f = start (NULL);
 
-  set_standin (f, "evacuate", "z2");
+  process_set_standin (f->store_port, "evacuate", "z2");
   g_usleep (2 * CLOCK_US_PER_S);
   for (int i = 0; i < 30; i++)
     ck_assert_int_eq (get (f, i % DAEMONS, "/book/x"), 200);
@@ -415,19 +405,19 @@
 {
   struct fixture *f = start (EVACUATE_BOUND);
 
-  set_standin (f, "evacuate", "z2");
+  process_set_standin (f->store_port, "evacuate", "z2");
   for (int i = 0; i < DAEMONS; i++)
     await_status (f, i, "/book/x", 503);
   restart_daemon (f, 2);
   process_wait_for_status (f->daemons[2].ready, "/almondvale/ready", 200);
   check_evacuated (f, 2 * (int64_t)CLOCK_US_PER_S);
-  set_standin (f, "store", "down");
+  process_set_standin (f->store_port, "store", "down");
   check_evacuated (f, 2 * (int64_t)CLOCK_US_PER_S);
   restart_daemon (f, 2);
   check_evacuated (f, 4 * (int64_t)CLOCK_US_PER_S);
-  set_standin (f, "reopen", "z2");
+  process_set_standin (f->store_port, "reopen", "z2");
   check_evacuated (f, 1 * (int64_t)CLOCK_US_PER_S);
-  set_standin (f, "store", "up");
+  process_set_standin (f->store_port, "store", "up");
   for (int i = 0; i < DAEMONS; i++)
     await_status (f, i, "/book/x", 200);
   stop (f);
@@ -441,8 +431,8 @@
   struct fixture *f = start (EVACUATE_BOUND);
   int64_t end_us;
 
-  set_standin (f, "store", "slow");
-  set_standin (f, "evacuate", "z2");
+  process_set_standin (f->store_port, "store", "slow");
+  process_set_standin (f->store_port, "evacuate", "z2");
   end_us = clock_now_us () + EVACUATE_US;
   while (clock_now_us () < end_us)
     get (f, 0, "/book/x");
@@ -460,16 +450,16 @@
   int64_t warm_us;
   int before;
 
-  set_standin (f, "evacuate", "z2");
+  process_set_standin (f->store_port, "evacuate", "z2");
   for (int i = 0; i < DAEMONS; i++)
     await_status (f, i, "/book/x", 503);
   start_senders (f);
   g_usleep (CLOCK_US_PER_S);
   before = get_executions (f, 2);
   warm_us = clock_now_us () + 3500000; /* not before */
-  set_standin (f, "cold", "2 3500");
+  process_set_standin (f->store_port, "cold", "2 3500");
   from_us = clock_now_us ();
-  set_standin (f, "reopen", "z2");
+  process_set_standin (f->store_port, "reopen", "z2");
   g_usleep (3500000);
   stop_senders (f);
   ck_assert_int_ge (get_executions (f, 2), before + COLD_PER_S);
@@ -486,7 +476,7 @@
   struct fixture *f = start (COLD_BOUNDS);
   int64_t from_us;
 
-  set_standin (f, "mute", "2 4000");
+  process_set_standin (f->store_port, "mute", "2 4000");
   ck_assert_int_ne (get (f, 0, "/book/lost"), 200);
   from_us = clock_now_us ();
   start_senders (f);
@@ -510,7 +500,7 @@
   struct fixture *f = start (COLD_BOUNDS);
   int64_t from_us;
 
-  set_standin (f, "cold", "2 8000");
+  process_set_standin (f->store_port, "cold", "2 8000");
   from_us = clock_now_us ();
   /* What it got before is none of its limit.  */
   g_usleep (CLOCK_US_PER_S);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -80,17 +80,6 @@
     }
 }
 
-/* Changes a state of the stand-in, for example "store" to "down".  */
-static void
-set_standin (const struct fixture *f, const char *what, const char *body)
-{
-  char *target = g_strdup_printf ("/standin/%s", what);
-
-  ck_assert_int_eq (
-      process_send (f->store_port, "PUT", target, body, NULL).status, 200);
-  g_free (target);
-}
-
 /* Gets one count for each backend server from the stand-in.  */
 static void
 get_counts (const struct fixture *f, const char *target, int counts[DAEMONS])
@@ -264,7 +253,7 @@
   struct fixture f = start ();
   int before[DAEMONS], after[DAEMONS];
 
-  set_standin (&f, "drain", "0");
+  process_set_standin (f.store_port, "drain", "0");
   g_usleep (300000);
   get_executions (&f, before);
   for (int i = 0; i < 30; i++)
@@ -272,7 +261,7 @@
   get_executions (&f, after);
   ck_assert_int_eq (after[0], before[0]);
   ck_assert_int_eq (after[1], before[1] + 30);
-  set_standin (&f, "leave", "1");
+  process_set_standin (f.store_port, "leave", "1");
   await_status (&f, 2, "/notes/x", 503);
   stop (&f);
 }
@@ -284,7 +273,7 @@
   struct fixture f = start ();
   char *config = make_config (2, "bbbbbbbbbbbbbbbbbbbb");
 
-  set_standin (&f, "config", config);
+  process_set_standin (f.store_port, "config", config);
   for (int i = 0; i < DAEMONS; i++)
     await_status (&f, i, "/notes/x", 401);
   g_free (config);
@@ -298,7 +287,7 @@
 {
   struct fixture f = start ();
 
-  set_standin (&f, "store", "down");
+  process_set_standin (f.store_port, "store", "down");
   process_stop (f.daemons[2].pid, SIGKILL);
   await_status (&f, 0, "/book/x", 503);
   process_start_machine (&f.daemons[2], f.dir);
@@ -380,7 +369,7 @@
 
   process_wait_for_status (f->daemons[2].ready, "/almondvale/ready", 200);
   get_executions (f, before);
-  set_standin (f, "late", "2");
+  process_set_standin (f->store_port, "late", "2");
   for (int i = 0; i < 30; i++)
     {
       ck_assert_int_eq (get (f, i % DAEMONS, "/book/x").status, 503);
@@ -397,7 +386,7 @@
 {
   struct fixture f = start ();
 
-  set_standin (&f, "leave", "2");
+  process_set_standin (f.store_port, "leave", "2");
   await_count (&f, "/standin/confirmed", 1);
   process_stop (f.daemons[2].pid, SIGKILL);
   process_start_machine (&f.daemons[2], f.dir);
@@ -407,7 +396,7 @@
   for (int i = 0; i < DAEMONS; i++)
     process_start_machine (&f.daemons[i], f.dir);
   check_late_report (&f);
-  set_standin (&f, "return", "2");
+  process_set_standin (f.store_port, "return", "2");
   for (int i = 0; i < DAEMONS; i++)
     await_status (&f, i, "/book/x", 200);
   stop (&f);
@@ -420,13 +409,13 @@
 {
   struct fixture f = start ();
 
-  set_standin (&f, "leave", "2");
+  process_set_standin (f.store_port, "leave", "2");
   await_count (&f, "/standin/confirmed", 1);
-  set_standin (&f, "store", "down");
+  process_set_standin (f.store_port, "store", "down");
   process_stop (f.daemons[2].pid, SIGKILL);
   process_start_machine (&f.daemons[2], f.dir);
   check_late_report (&f);
-  set_standin (&f, "store", "up");
+  process_set_standin (f.store_port, "store", "up");
   check_late_report (&f);
   stop (&f);
 }
@@ -439,13 +428,13 @@
   struct fixture f = start ();
   int counts[DAEMONS];
 
-  set_standin (&f, "store", "down");
-  set_standin (&f, "drain", "2");
+  process_set_standin (f.store_port, "store", "down");
+  process_set_standin (f.store_port, "drain", "2");
   await_status (&f, 0, "/book/x", 503);
   g_usleep (1500000);
   get_counts (&f, "/standin/confirmed", counts);
   ck_assert_int_eq (counts[2], 0);
-  set_standin (&f, "store", "up");
+  process_set_standin (f.store_port, "store", "up");
   await_count (&f, "/standin/confirmed", 1);
   ck_assert_int_eq (get (&f, 0, "/book/x").status, 503);
   stop (&f);
@@ -458,8 +447,8 @@
 {
   struct fixture f = start ();
 
-  set_standin (&f, "store", "lost");
-  set_standin (&f, "drain", "2");
+  process_set_standin (f.store_port, "store", "lost");
+  process_set_standin (f.store_port, "drain", "2");
   await_count (&f, "/standin/confirmed", 1);
   stop (&f);
 }
@@ -784,11 +773,11 @@
   struct fixture f = start ();
   char *config = make_config (2, "bbbbbbbbbbbbbbbbbbbb");
 
-  set_standin (&f, "store", "forget");
-  set_standin (&f, "store", "down");
+  process_set_standin (f.store_port, "store", "forget");
+  process_set_standin (f.store_port, "store", "down");
   g_usleep (300000);
-  set_standin (&f, "store", "up");
-  set_standin (&f, "config", config);
+  process_set_standin (f.store_port, "store", "up");
+  process_set_standin (f.store_port, "config", config);
   for (int i = 0; i < DAEMONS; i++)
     await_status (&f, i, "/notes/x", 401);
   g_free (config);
@@ -804,7 +793,7 @@
   struct fixture f = start ();
   struct process_machine moved = f.daemons[2];
 
-  set_standin (&f, "store", "lost");
+  process_set_standin (f.store_port, "store", "lost");
   process_stop (f.daemons[2].pid, SIGKILL);
   moved.peer = process_get_port ();
   process_start_machine (&moved, f.dir);
@@ -812,7 +801,7 @@
   process_wait_for_status (f.daemons[2].ready, "/almondvale/ready", 200);
   for (int i = 0; i < DAEMONS; i++)
     await_status (&f, i, "/book/x", 200);
-  set_standin (&f, "store", "up");
+  process_set_standin (f.store_port, "store", "up");
   for (int i = 0; i < DAEMONS; i++)
     for (int k = 0; k < 10; k++)
       ck_assert_int_eq (get (&f, i, "/book/x").status, 200);
@@ -864,7 +853,7 @@
 static void
 check_start_with_entry (struct fixture *f, const char *entry)
 {
-  set_standin (f, "entry", entry);
+  process_set_standin (f->store_port, "entry", entry);
   process_stop (f->daemons[0].pid, SIGKILL);
   process_start_machine (&f->daemons[0], f->dir);
   process_wait_for_status (f->daemons[0].ready, "/almondvale/ready", 200);
--- a/tests/test_store_era.c
+++ b/tests/test_store_era.c
@@ -148,22 +148,12 @@
     }
 }
 
-static void
-set_standin (const struct fixture *f, const char *what, const char *body)
-{
-  char *target = g_strdup_printf ("/standin/%s", what);
-
-  ck_assert_int_eq (
-      process_send (f->store_port, "PUT", target, body, NULL).status, 200);
-  g_free (target);
-}
-
 static void
 set_config (const struct fixture *f, int version, const char *key)
 {
   char *config = make_config (f, version, key);
 
-  set_standin (f, "config", config);
+  process_set_standin (f->store_port, "config", config);
   g_free (config);
 }
 
@@ -269,8 +259,8 @@
   int64_t end_us = clock_now_us () + PROCESS_WAIT_MAX_US;
   struct process_reply r;
 
-  set_standin (f, "store", "copy");
-  set_standin (f, "leave", "2");
+  process_set_standin (f->store_port, "store", "copy");
+  process_set_standin (f->store_port, "leave", "2");
   for (;;)
     {
       r = process_send (f->store_port, "GET", "/standin/confirmed", "", NULL);
@@ -290,7 +280,7 @@
   for (int i = 0; i < 30; i++)
     {
       if (i % 10 == 0)
-        set_standin (f, "late", "2");
+        process_set_standin (f->store_port, "late", "2");
       ck_assert_int_eq (get (f, i % EARLY_DAEMONS, "/book/x"), 503);
       g_usleep (50000);
     }
@@ -317,7 +307,7 @@
       struct fixture f = start (eras[i]);
 
       leave_after_copy (&f);
-      set_standin (&f, "store", "restore");
+      process_set_standin (f.store_port, "store", "restore");
       await_entry (&f, 2, "\"i-2\"");
       restart_early_daemons (&f);
       check_stays_left (&f);
@@ -334,7 +324,7 @@
 
   leave_after_copy (&f);
   kill_daemon (&f, 2);
-  set_standin (&f, "store", "restore");
+  process_set_standin (f.store_port, "store", "restore");
   start_daemon (&f, 2);
   check_stays_left (&f);
   await_entry (&f, 2, "\"i-2\"");
@@ -350,7 +340,7 @@
 
   leave_after_copy (&f);
   kill_daemon (&f, 2);
-  set_standin (&f, "store", "restore");
+  process_set_standin (f.store_port, "store", "restore");
   await_entry (&f, 2, "\"i-2\"");
   restart_early_daemons (&f);
   check_stays_left (&f);
@@ -367,14 +357,14 @@
 
   leave_after_copy (&f);
   kill (f.daemons[2].pid, SIGSTOP);
-  set_standin (&f, "store", "restore");
+  process_set_standin (f.store_port, "store", "restore");
   g_usleep (300000);
-  set_standin (&f, "store", "down");
-  set_standin (&f, "store", "restore");
+  process_set_standin (f.store_port, "store", "down");
+  process_set_standin (f.store_port, "store", "restore");
   g_usleep (1000000);
-  set_standin (&f, "store", "up");
+  process_set_standin (f.store_port, "store", "up");
   await_entry (&f, 2, "\"i-2\"");
-  set_standin (&f, "store", "restore");
+  process_set_standin (f.store_port, "store", "restore");
   kill (f.daemons[2].pid, SIGCONT);
   await_entry (&f, 2, "\"i-2\"");
   check_stays_left (&f);
@@ -403,12 +393,12 @@
 {
   struct fixture f = start ("4");
 
-  set_standin (&f, "store", "copy");
+  process_set_standin (f.store_port, "store", "copy");
   set_config (&f, 2, OTHER_KEY);
   for (int i = 0; i < EARLY_DAEMONS; i++)
     await_status (&f, i, "/notes/x", 401);
   kill_daemon (&f, 0);
-  set_standin (&f, "store", "restore");
+  process_set_standin (f.store_port, "store", "restore");
   start_daemon (&f, 0);
   check_key_is_refused (&f, 0);
   start_daemon (&f, NEW_DAEMON);
@@ -424,11 +414,11 @@
 {
   struct fixture f = start ("4");
 
-  set_standin (&f, "store", "copy");
+  process_set_standin (f.store_port, "store", "copy");
   set_config (&f, 2, KEY);
   set_config (&f, 3, KEY);
   g_usleep (500000);
-  set_standin (&f, "store", "restore");
+  process_set_standin (f.store_port, "store", "restore");
   set_config (&f, 4, OTHER_KEY);
   for (int i = 0; i < EARLY_DAEMONS; i++)
     await_status (&f, i, "/notes/x", 401);
@@ -443,7 +433,7 @@
   struct fixture f = start ("4");
 
   leave_after_copy (&f);
-  set_standin (&f, "store", "restore-open");
+  process_set_standin (f.store_port, "store", "restore-open");
   start_daemon (&f, NEW_DAEMON);
   await_ready (&f, NEW_DAEMON);
   await_entry (&f, 2, "\"i-2\"");
@@ -460,11 +450,11 @@
 {
   struct fixture f = start ("4");
 
-  set_standin (&f, "store", "copy");
+  process_set_standin (f.store_port, "store", "copy");
   start_daemon (&f, LATE_DAEMON);
   await_ready (&f, LATE_DAEMON);
   await_status (&f, 0, "/maps/x", 200);
-  set_standin (&f, "store", "restore");
+  process_set_standin (f.store_port, "store", "restore");
   start_daemon (&f, NEW_DAEMON);
   await_ready (&f, NEW_DAEMON);
   await_status (&f, NEW_DAEMON, "/maps/x", 200);
@@ -481,11 +471,11 @@
   int64_t begun_us, end_us;
   int served = 0;
 
-  set_standin (&f, "store", "copy");
+  process_set_standin (f.store_port, "store", "copy");
   start_daemon (&f, LATE_DAEMON);
   await_ready (&f, LATE_DAEMON);
   await_status (&f, 0, "/maps/x", 200);
-  set_standin (&f, "store", "restore");
+  process_set_standin (f.store_port, "store", "restore");
   start_daemon (&f, NEW_DAEMON);
   await_ready (&f, NEW_DAEMON);
   begun_us = clock_now_us ();
