--- a/src/settings_type.c
+++ b/src/settings_type.c
@@ -238,19 +238,28 @@
   return true;
 }
 
+/* Returns the array, or NULL if the node has none or one that is too long.  */
+static JsonArray *
+get_array (const struct settings_member *m, JsonNode *node)
+{
+  JsonArray *array;
+
+  if (!JSON_NODE_HOLDS_ARRAY (node))
+    return NULL;
+  array = json_node_get_array (node);
+  return json_array_get_length (array) <= (guint)m->max ? array : NULL;
+}
+
 static bool
 load_endpoints (const struct settings_member *m, JsonNode *node, void *field)
 {
   struct settings_endpoints list = { 0, NULL };
-  JsonArray *array;
+  JsonArray *array = get_array (m, node);
   guint len;
 
-  if (!JSON_NODE_HOLDS_ARRAY (node))
+  if (array == NULL)
     return false;
-  array = json_node_get_array (node);
   len = json_array_get_length (array);
-  if (len > (guint)m->max)
-    return false;
   list.items = g_new0 (struct settings_endpoint, len);
   for (guint i = 0; i < len; i++)
     if (!add_endpoint (&list, json_array_get_element (array, i)))
@@ -288,15 +297,12 @@
 load_names (const struct settings_member *m, JsonNode *node, void *field)
 {
   struct settings_names list = { 0, NULL };
-  JsonArray *array;
+  JsonArray *array = get_array (m, node);
   guint len;
 
-  if (!JSON_NODE_HOLDS_ARRAY (node))
+  if (array == NULL)
     return false;
-  array = json_node_get_array (node);
   len = json_array_get_length (array);
-  if (len > (guint)m->max)
-    return false;
   list.items = g_new0 (struct str, len);
   for (guint i = 0; i < len; i++)
     {
